Add the design, the shared data classes and the project checks

Cause: the modules need one contract before they can be written apart. Conclusion: subsystems can be built against these records.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with bounds that come from the stated targets."""
--- /dev/null
+++ b/lacewingcleat/messages.py
@@ -0,0 +1,350 @@
+"""state: control messages between processes.
+
+Every message travels in an `Envelope` that names its sender and the sheet revision the
+sender holds. Messages are one-way and may be lost, doubled, reordered or late.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from lacewingcleat.identity import Peer
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Tell peers that a process is alive, once a second.
+
+    :param control_address: IP and port of the sender's control socket.
+    :param request_address: IP and port of the sender's HTTP listener.
+    :param view_digest: digest of the sender's view of the live entries in its zone.
+    :param leaving: whether the sender refuses new work.
+    :param in_flight: requests running at the sender.
+    :param capacity: requests the sender can run at once.
+    """
+
+    control_address: str
+    request_address: str
+    view_digest: str
+    leaving: bool
+    in_flight: int
+    capacity: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Give the address under which a process was last heard.
+
+    :param age: seconds since the sender of this record heard from it.
+    """
+
+    peer: Peer
+    control_address: str
+    request_address: str
+    leaving: bool
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerList:
+    """Pass on the processes that the sender knows to be alive.
+
+    :param reply_wanted: whether the receiver should answer with its own list.
+    """
+
+    peers: tuple[PeerAddress, ...]
+    reply_wanted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Tell peers that the sender cannot reach a process."""
+
+    peer: Peer
+
+
+@dataclass(frozen=True, slots=True)
+class SheetOffer:
+    """Announce a revision by the parts that differ from a base revision.
+
+    :param base_revision: revision to which the changes apply, 0 for a full manifest.
+    :param base_digest: digest of that manifest, empty for a full manifest.
+    :param digest_by_part: changed parts; an empty digest removes the part.
+    :param buckets: bucket count by kind of part, in sorted order.
+    """
+
+    base_revision: int
+    base_digest: str
+    revision: int
+    digest: str
+    digest_by_part: dict[str, str]
+    buckets: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class SheetQuery:
+    """Ask a peer for the highest revision it holds."""
+
+
+@dataclass(frozen=True, slots=True)
+class PartRequest:
+    """Ask a peer for parts by digest."""
+
+    digests: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PartReply:
+    """Carry parts as canonical JSON, keyed by digest."""
+
+    part_by_digest: dict[str, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class RankReport:
+    """Report one rank, or a subtree of ranks, to the parent in the group's tree.
+
+    :param step_seconds_by_rank: mean time of the rank's own work in a step.
+    :param load_by_expert: tokens routed per `(layer, expert)`, the heaviest only.
+    """
+
+    group: str
+    map_version: int
+    step_seconds_by_rank: dict[int, float]
+    load_by_expert: dict[tuple[int, int], int]
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class GroupReport:
+    """Report the load of a group or plain-service server to the zone's entries.
+
+    :param server: backend server that takes the group's requests.
+    :param queued_seconds: estimated work queued, in seconds of group time.
+    :param running: requests running.
+    :param capacity: requests that can run at once.
+    :param step_seconds: time of a step, which is that of the slowest rank.
+    :param slowest_rank: its number.
+    :param sequence: rises with each report of one incarnation.
+    :param age: seconds since the figures were taken, when passed on.
+    """
+
+    group: str
+    server: str
+    queued_seconds: float
+    running: int
+    capacity: int
+    step_seconds: float
+    slowest_rank: int
+    prefill_tokens_per_second: float
+    adapters: tuple[str, ...]
+    versions: tuple[str, ...]
+    kv_free_share: float
+    sequence: int
+    age: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneDigest:
+    """Report all groups of a zone to other zones."""
+
+    zone: str
+    reports: tuple[GroupReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvents:
+    """Report prefix blocks a group has cached or dropped.
+
+    :param sequence: number of this batch; a gap means that events were lost.
+    """
+
+    group: str
+    sequence: int
+    added: tuple[str, ...]
+    removed: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Report the requests in flight when a backend server crashed.
+
+    :param crash_id: identifies the crash, so that copies count once.
+    :param fingerprints: requests in flight.
+    :param alone: whether the request ran alone as a suspect.
+    :param age: seconds since the crash, when passed on.
+    """
+
+    crash_id: str
+    server: str
+    fingerprints: tuple[str, ...]
+    alone: bool
+    age: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectCleared:
+    """Tell that a suspect completed alone without a crash."""
+
+    fingerprint: str
+
+
+@dataclass(frozen=True, slots=True)
+class LimitDemand:
+    """Ask the home entry for a share of an account's limits.
+
+    :param request_id: echoed in the lease; the borrower counts the term from the moment
+        it sent this request.
+    :param loan: whether a home entry of another zone asks.
+    """
+
+    account: str
+    request_id: int
+    requests_per_second: float
+    concurrency: int
+    tokens_per_second: float
+    loan: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LimitLease:
+    """Grant a share of an account's limits for a term."""
+
+    account: str
+    request_id: int
+    requests_per_second: float
+    concurrency: int
+    tokens_per_second: float
+    term_seconds: float
+    loan: bool = False
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Epoch:
+    """Order the leaders of a group; a higher epoch replaces a lower one."""
+
+    term: int
+    instance: str
+
+
+class RankPhase(Enum):
+    """Say how far a rank has come in a switch of the expert map."""
+
+    RUNNING = "running"
+    PREPARED = "prepared"
+    HELD = "held"
+    SWITCHED = "switched"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchPrepare:
+    """Ask a rank to load the weights of a new map."""
+
+    group: str
+    epoch: Epoch
+    map_version: int
+    map_digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchHold:
+    """Ask a rank to stop at a step boundary."""
+
+    group: str
+    epoch: Epoch
+    map_version: int
+    step: int
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchCommit:
+    """Ask a held rank to switch to the new map."""
+
+    group: str
+    epoch: Epoch
+    map_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchResume:
+    """Ask a rank to run on with the map named here."""
+
+    group: str
+    epoch: Epoch
+    map_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchAbort:
+    """Ask a rank to drop a switch that was not committed anywhere."""
+
+    group: str
+    epoch: Epoch
+    map_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchQuery:
+    """Ask a rank to promise an epoch and to report its state."""
+
+    group: str
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchStatus:
+    """Report a rank's state in a switch, as reply to every switch message.
+
+    :param promised: highest epoch the rank has promised.
+    :param map_version: map the rank runs or last ran.
+    :param next_map_version: map it has prepared, 0 for none.
+    :param step: last completed step.
+    """
+
+    group: str
+    rank: int
+    promised: Epoch
+    phase: RankPhase
+    map_version: int
+    next_map_version: int
+    step: int
+
+
+Message = (
+    Heartbeat
+    | PeerList
+    | Suspicion
+    | SheetOffer
+    | SheetQuery
+    | PartRequest
+    | PartReply
+    | RankReport
+    | GroupReport
+    | ZoneDigest
+    | CacheEvents
+    | CrashReport
+    | SuspectCleared
+    | LimitDemand
+    | LimitLease
+    | SwitchPrepare
+    | SwitchHold
+    | SwitchCommit
+    | SwitchResume
+    | SwitchAbort
+    | SwitchQuery
+    | SwitchStatus
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """Wrap a message with its sender and the sheet revision the sender holds.
+
+    :param routing_digest: digest over all sheet parts other than accounts.
+    """
+
+    sender: Peer
+    revision: int
+    digest: str
+    body: Message
+    routing_digest: str = field(default="")
