--- /dev/null
+++ b/lacewingcleat/chat_api.py
@@ -0,0 +1,118 @@
+"""protocol: request bodies and model lists of the model API.
+
+Only the members that routing and limits need are read; the body itself is passed on
+unchanged.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETIONS_PATH = "/v1/completions"
+MODELS_PATH = "/v1/models"
+TICKETS_PATH = "/v1/tickets"
+SERVICES_PREFIX = "/services/"
+
+BYTES_PER_TOKEN = 4
+DEFAULT_MAX_TOKENS = 512
+MAX_MAX_TOKENS = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class ModelRequest:
+    """Hold what routing and limits need of a request.
+
+    :param model: model name without version and adapter.
+    :param version: version asked for, empty for any.
+    :param adapter: adapter asked for, empty for none.
+    :param prompt_tokens: estimated from the length of the text.
+    :param max_tokens: bound on the answer.
+    :param prompt_text: text that prefix affinity hashes.
+    :param session: caller's session name, empty for none.
+    """
+
+    model: str
+    version: str
+    adapter: str
+    prompt_tokens: int
+    max_tokens: int
+    stream: bool
+    prompt_text: str
+    session: str
+
+
+class _Body(msgspec.Struct):
+    model: str
+    messages: list[dict[str, Any]] | None = None
+    prompt: str | list[Any] | None = None
+    stream: bool | None = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    user: str | None = None
+
+
+def parse_model_request(path: str, body: bytes) -> Result[ModelRequest, str]:
+    """Read a request body of the model API.
+
+    A model name may carry a version and an adapter as `model@version:adapter`.
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=_Body)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        return Err(f"the body is not a valid request: {error}")
+    text = _prompt_text(path, parsed)
+    if text is None:
+        wanted = "messages" if path == CHAT_PATH else "prompt"
+        return Err(f"the body needs a non-empty '{wanted}' member")
+    max_tokens = parsed.max_completion_tokens or parsed.max_tokens or DEFAULT_MAX_TOKENS
+    if not 0 < max_tokens <= MAX_MAX_TOKENS:
+        return Err(f"'max_tokens' must be from 1 to {MAX_MAX_TOKENS}")
+    name, _, adapter = parsed.model.partition(":")
+    model, _, version = name.partition("@")
+    if not model:
+        return Err("the 'model' member is empty")
+    return Ok(
+        ModelRequest(
+            model,
+            version,
+            adapter,
+            max(1, len(text) // BYTES_PER_TOKEN),
+            max_tokens,
+            bool(parsed.stream),
+            text,
+            parsed.user or "",
+        ),
+    )
+
+
+def _prompt_text(path: str, body: _Body) -> str | None:
+    if path == CHAT_PATH:
+        if not body.messages:
+            return None
+        return "\n".join(_message_text(message) for message in body.messages)
+    if isinstance(body.prompt, str):
+        return body.prompt or None
+    if not body.prompt:
+        return None
+    return "\n".join(str(item) for item in body.prompt)
+
+
+def _message_text(message: dict[str, Any]) -> str:
+    role = message.get("role", "")
+    content = message.get("content", "")
+    if isinstance(content, str):
+        return f"{role}: {content}"
+    return f"{role}: {msgspec.json.encode(content).decode()}"
+
+
+def encode_model_list(names: Iterable[str]) -> bytes:
+    """Encode the answer to `GET /v1/models`."""
+    models = [
+        {"id": name, "object": "model", "created": 0, "owned_by": "lacewingcleat"}
+        for name in names
+    ]
+    return msgspec.json.encode({"object": "list", "data": models})
--- /dev/null
+++ b/lacewingcleat/http_headers.py
@@ -0,0 +1,105 @@
+"""protocol: names and values of the HTTP headers used between the processes.
+
+Values come from callers, so each parser returns a `Result` and never raises.
+"""
+
+import re
+from enum import Enum
+
+from result import Err, Ok, Result
+
+from lacewingcleat.sheet import LEAST_URGENT_PRIORITY, MOST_URGENT_PRIORITY
+
+AUTHORIZATION = "Authorization"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+RETRY_AFTER = "Retry-After"
+TRACEPARENT = "traceparent"
+TICKET = "Lacewing-Ticket"
+DEADLINE_MS = "Lacewing-Deadline-Ms"
+PRIORITY = "Lacewing-Priority"
+REQUEST_ID = "Lacewing-Request-Id"
+ACCOUNT = "Lacewing-Account"
+FIRM = "Lacewing-Firm"
+REVISION = "Lacewing-Revision"
+DIGEST = "Lacewing-Digest"
+ROUTING_DIGEST = "Lacewing-Routing-Digest"
+GROUP = "Lacewing-Group"
+SERVICE = "Lacewing-Service"
+RUN_ALONE = "Lacewing-Run-Alone"
+RESUME_OFFSET = "Lacewing-Resume-Offset"
+FINGERPRINT = "Lacewing-Fingerprint"
+COST_SECONDS = "Lacewing-Cost-Seconds"
+OUTCOME = "Lacewing-Outcome"
+OUTCOME_CODE = "Lacewing-Outcome-Code"
+
+DEFAULT_DEADLINE_SECONDS = 120.0
+MAX_DEADLINE_SECONDS = 3600.0
+MAX_IDEMPOTENCY_KEY_LENGTH = 255
+
+_TRACEPARENT_PATTERN = re.compile(r"00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
+_PRINTABLE_PATTERN = re.compile(r"[\x21-\x7e]+")
+
+
+class Outcome(Enum):
+    """Say whether the request ran at the backend server."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+def parse_bearer(value: str | None) -> Result[str, str]:
+    """Return the key of a bearer authorization."""
+    if value is None:
+        return Err("the Authorization header is missing")
+    scheme, _, key = value.partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        return Err("the Authorization header must be 'Bearer KEY'")
+    return Ok(key.strip())
+
+
+def parse_deadline(value: str | None) -> Result[float, str]:
+    """Return the seconds a caller is ready to wait."""
+    if value is None:
+        return Ok(DEFAULT_DEADLINE_SECONDS)
+    if not value.isascii() or not value.isdigit() or len(value) > 9:
+        return Err(f"{DEADLINE_MS} must be a whole number of milliseconds")
+    seconds = int(value) / 1000.0
+    if not 0 < seconds <= MAX_DEADLINE_SECONDS:
+        return Err(f"{DEADLINE_MS} must be from 1 to {MAX_DEADLINE_SECONDS * 1000:.0f}")
+    return Ok(seconds)
+
+
+def parse_priority(value: str | None, default: int) -> Result[int, str]:
+    """Return a priority, 0 being the most urgent."""
+    if value is None:
+        return Ok(default)
+    if len(value) == 1 and value.isascii() and value.isdigit():
+        return Ok(int(value))
+    return Err(
+        f"{PRIORITY} must be from {MOST_URGENT_PRIORITY} to {LEAST_URGENT_PRIORITY}",
+    )
+
+
+def parse_idempotency_key(value: str | None) -> Result[str, str]:
+    """Return the idempotency key, empty if there is none."""
+    if value is None:
+        return Ok("")
+    if len(value) > MAX_IDEMPOTENCY_KEY_LENGTH or not _PRINTABLE_PATTERN.fullmatch(
+        value,
+    ):
+        return Err(
+            f"{IDEMPOTENCY_KEY} must be 1 to {MAX_IDEMPOTENCY_KEY_LENGTH} "
+            "printable ASCII characters",
+        )
+    return Ok(value)
+
+
+def parse_traceparent(value: str | None) -> str:
+    """Return a valid traceparent or an empty string.
+
+    A malformed one is dropped rather than refused, as the W3C recommendation asks.
+    """
+    if value is None or not _TRACEPARENT_PATTERN.fullmatch(value):
+        return ""
+    return value
