--- /dev/null
+++ b/lacewingcleat/fields.py
@@ -0,0 +1,211 @@
+"""state: read typed fields out of parsed documents.
+
+A reader never fails: a missing or wrong field becomes a finding and a placeholder, so
+that one pass finds every error. The caller drops its result if there are findings.
+"""
+
+import ipaddress
+import re
+from collections.abc import Iterable
+
+from lacewingcleat.documents import member_path
+from lacewingcleat.findings import Findings
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+MAX_TEXT_LENGTH = 1_024
+MAX_COUNT = 1_000_000_000
+
+
+class RecordReader:
+    """Read the members of one object.
+
+    :param value: what the document holds at `path`.
+    """
+
+    __slots__ = ("_findings", "_members", "_path", "_read")
+
+    def __init__(self, value: object, path: str, findings: Findings) -> None:
+        self._path = path
+        self._findings = findings
+        self._read: set[str] = set()
+        self._members: dict[str, object] = {}
+        if isinstance(value, dict):
+            self._members = value
+        else:
+            findings.add(path, "must be an object")
+
+    def place(self, name: str) -> str:
+        """Return the path of a member."""
+        return member_path(self._path, name)
+
+    def report(self, name: str, text: str) -> None:
+        """Add a finding at a member."""
+        self._findings.add(self.place(name), text)
+
+    def has(self, name: str) -> bool:
+        """Return whether a member is present."""
+        return name in self._members
+
+    def name(self, name: str, default: str | None = None) -> str:
+        """Read a name: lower case letters, digits, `.`, `_` and `-`."""
+        value = self.text(name, default)
+        if value != default and not NAME_PATTERN.fullmatch(value):
+            self.report(name, "must be 1 to 63 of a-z, 0-9, '.', '_', '-'")
+        return value
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """Read a string; without a default it must be present and not empty."""
+        value = self._get(name, default)
+        if isinstance(value, str) and len(value) <= MAX_TEXT_LENGTH:
+            if value.isprintable() and (value or default is not None):
+                return value
+        if value is not None:
+            limit = f"1 to {MAX_TEXT_LENGTH} printable characters"
+            self.report(name, f"must be a string of {limit}")
+        return default or ""
+
+    def choice(
+        self,
+        name: str,
+        options: Iterable[str],
+        default: str | None = None,
+    ) -> str:
+        """Read one of several words."""
+        known = list(options)
+        value = self._get(name, default)
+        if isinstance(value, str) and value in known:
+            return value
+        if value is not None:
+            self.report(name, f"must be one of {', '.join(known)}")
+        return default or known[0]
+
+    def flag(self, name: str, default: bool | None = None) -> bool:
+        """Read true or false."""
+        value = self._get(name, default)
+        if isinstance(value, bool):
+            return value
+        if value is not None:
+            self.report(name, "must be true or false")
+        return bool(default)
+
+    def integer(
+        self,
+        name: str,
+        low: int,
+        high: int = MAX_COUNT,
+        default: int | None = None,
+    ) -> int:
+        """Read an integer within bounds."""
+        value = self._get(name, default)
+        if isinstance(value, int) and not isinstance(value, bool):
+            if low <= value <= high:
+                return value
+        if value is not None:
+            self.report(name, f"must be an integer from {low} to {high}")
+        return low
+
+    def number(
+        self,
+        name: str,
+        low: float,
+        high: float = float(MAX_COUNT),
+        default: float | None = None,
+    ) -> float:
+        """Read a number within bounds."""
+        value = self._get(name, default)
+        if isinstance(value, int | float) and not isinstance(value, bool):
+            if low <= value <= high:
+                return float(value)
+        if value is not None:
+            self.report(name, f"must be a number from {low:g} to {high:g}")
+        return low
+
+    def names(self, name: str, default: tuple[str, ...] | None = None) -> list[str]:
+        """Read a list of distinct names."""
+        value = self._get(name, None if default is None else list(default))
+        if not isinstance(value, list):
+            if value is not None:
+                self.report(name, "must be a list of names")
+            return []
+        seen: set[str] = set()
+        for index, item in enumerate(value):
+            if not isinstance(item, str) or not NAME_PATTERN.fullmatch(item):
+                self.report(f"{name}[{index}]", "must be a name")
+            elif item in seen:
+                self.report(f"{name}[{index}]", f"{item!r} is listed twice")
+            else:
+                seen.add(item)
+        return [item for item in value if isinstance(item, str)]
+
+    def items(self, name: str, default: bool = False) -> list[tuple[str, object]]:
+        """Read a list as pairs of path and value.
+
+        :param default: whether a missing list counts as empty.
+        """
+        value = self._get(name, [] if default else None)
+        if isinstance(value, list):
+            place = self.place(name)
+            return [(f"{place}[{index}]", item) for index, item in enumerate(value)]
+        if value is not None:
+            self.report(name, "must be a list")
+        return []
+
+    def records(self, name: str, default: bool = False) -> list["RecordReader"]:
+        """Read a list of objects.
+
+        :param default: whether a missing list counts as empty.
+        """
+        return [
+            RecordReader(item, path, self._findings)
+            for path, item in self.items(name, default)
+        ]
+
+    def record(self, name: str) -> "RecordReader":
+        """Read an object."""
+        return RecordReader(self._get(name, {}), self.place(name), self._findings)
+
+    def address(
+        self,
+        name: str,
+        default: str | None = None,
+        listen: bool = False,
+    ) -> str:
+        """Read `IP:port`; IPv6 addresses stand in brackets.
+
+        :param listen: whether port 0, which lets the system choose, is allowed.
+        """
+        value = self.text(name, default)
+        if value and not is_address(value, 0 if listen else 1):
+            self.report(name, "must be IP:port, such as 192.0.2.1:8080 or [::1]:8080")
+        return value
+
+    def finish(self) -> None:
+        """Report members that nobody has read."""
+        for name in self._members:
+            if name not in self._read:
+                self.report(str(name), "unknown member")
+
+    def _get(self, name: str, default: object) -> object:
+        """Return the member, or the default; report a missing or null member."""
+        self._read.add(name)
+        if name not in self._members:
+            if default is None:
+                self.report(name, "is missing")
+            return default
+        value = self._members[name]
+        if value is None:
+            self.report(name, "must not be null")
+        return value
+
+
+def is_address(text: str, low_port: int = 1) -> bool:
+    """Return whether a text has the form `IP:port`."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= 5):
+        return False
+    bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        ip = ipaddress.ip_address(host[1:-1] if bracketed else host)
+    except ValueError:
+        return False
+    return bracketed == (ip.version == 6) and low_port <= int(port) <= 65_535
--- a/lacewingcleat/findings.py
+++ b/lacewingcleat/findings.py
@@ -3,8 +3,13 @@
 A check reports all findings at once, so that operators fix a document in one pass.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+# An operator fixes the first ones and checks again; a limit keeps a hostile document
+# from filling memory and logs.
+MAX_FINDINGS = 200
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class Finding:
@@ -24,3 +29,32 @@
     def __str__(self) -> str:
         """Format the finding as `source:line: path: text`."""
         return f"{self.source}:{self.line}: {self.path}: {self.text}"
+
+
+def _unknown_line(path: str) -> int:
+    return 0
+
+
+class Findings:
+    """Collect the findings of one document, up to a limit.
+
+    :param source: file name or another name of the document.
+    :param line_of: gives the line of a path, 0 if unknown.
+    """
+
+    __slots__ = ("_line_of", "_source", "items")
+
+    def __init__(
+        self,
+        source: str,
+        line_of: Callable[[str], int] = _unknown_line,
+    ) -> None:
+        self._source = source
+        self._line_of = line_of
+        self.items: list[Finding] = []
+
+    def add(self, path: str, text: str) -> None:
+        """Record a finding; findings beyond the limit are dropped."""
+        if len(self.items) < MAX_FINDINGS:
+            finding = Finding(self._source, self._line_of(path), path, text)
+            self.items.append(finding)
--- /dev/null
+++ b/lacewingcleat/hours.py
@@ -0,0 +1,196 @@
+"""state: which firm may use a shared pool at a moment.
+
+Claims are in the local time of the firm. A moment is converted to each firm's local
+time, never the other way round, so an hour that a clock change skips claims nothing and
+an hour that it repeats is claimed both times.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
+from functools import lru_cache
+from importlib.resources import files
+from zoneinfo import ZoneInfo
+
+from lacewingcleat.sheet import Claim, Firm, Sheet
+
+MINUTES_PER_DAY = 24 * 60
+MINUTES_PER_WEEK = 7 * MINUTES_PER_DAY
+# Shares are decimal fractions such as 0.1, whose sums are inexact.
+SHARE_TOLERANCE = 1e-9
+# Offsets that occur in these years decide whether claims overlap. The years are fixed,
+# because whether a sheet is valid must not depend on the day of the check.
+FIRST_REFERENCE_DAY = datetime(2026, 1, 1, tzinfo=UTC)
+REFERENCE_DAYS = 2 * 366
+OFFSET_STEP = timedelta(minutes=15)
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimConflict:
+    """Describe claims on one pool that exclude each other.
+
+    :param index: position of the claim that conflicts with earlier ones.
+    """
+
+    index: int
+    text: str
+
+
+@lru_cache(maxsize=256)
+def load_time_zone(name: str) -> ZoneInfo | None:
+    """Return a time zone of the tzdata package, or None if there is none.
+
+    The system's own files are not used, because instances may have different releases
+    of them and would then disagree about the same sheet.
+    """
+    parts = name.split("/")
+    if not all(part.isascii() and part.replace("_", "a").isalnum() for part in parts):
+        return None
+    try:
+        with files("tzdata.zoneinfo").joinpath(*parts).open("rb") as data:
+            return ZoneInfo.from_file(data, key=name)
+    except (OSError, ValueError):
+        return None
+
+
+def claim_share(sheet: Sheet, pool: str, wall: datetime) -> dict[str, float]:
+    """Return the share of a pool that each firm claims at a moment.
+
+    Firms without a claim at that moment are absent. The rest of the pool up to 1 is
+    open to every firm.
+
+    :param wall: the moment, as an aware datetime.
+    """
+    shares: dict[str, float] = {}
+    for claim in sheet.claims_by_pool.get(pool, ()):
+        zone = load_time_zone(sheet.firm_by_name[claim.firm].time_zone)
+        if zone is not None and is_active(claim, wall.astimezone(zone)):
+            shares[claim.firm] = shares.get(claim.firm, 0.0) + claim.share
+    return shares
+
+
+def is_active(claim: Claim, local: datetime) -> bool:
+    """Return whether a claim covers a local time of its firm."""
+    minute = local.hour * 60 + local.minute
+    return _covers(claim, local.weekday(), minute)
+
+
+def find_claim_conflicts(
+    claims: Sequence[Claim],
+    firm_by_name: Mapping[str, Firm],
+) -> list[ClaimConflict]:
+    """Return overlapping claims of one firm, and claims that exceed a pool.
+
+    :param claims: all claims on one pool.
+    """
+    return _find_overlaps(claims) + _find_excess(claims, firm_by_name)
+
+
+def _covers(claim: Claim, weekday: int, minute: int) -> bool:
+    started_today = weekday in claim.days
+    if claim.from_minute < claim.to_minute:
+        return started_today and claim.from_minute <= minute < claim.to_minute
+    started_yesterday = (weekday - 1) % 7 in claim.days
+    return (started_today and minute >= claim.from_minute) or (
+        started_yesterday and minute < claim.to_minute
+    )
+
+
+def _week_periods(claim: Claim) -> list[tuple[int, int]]:
+    """Return start and length of a claim's periods, in minutes of the local week."""
+    length = claim.to_minute - claim.from_minute
+    if length <= 0:
+        length += MINUTES_PER_DAY
+    return [(day * MINUTES_PER_DAY + claim.from_minute, length) for day in claim.days]
+
+
+def _find_overlaps(claims: Sequence[Claim]) -> list[ClaimConflict]:
+    conflicts: list[ClaimConflict] = []
+    for index, claim in enumerate(claims):
+        for earlier_index, earlier in enumerate(claims[:index]):
+            if claim.firm == earlier.firm and _overlap(claim, earlier):
+                text = f"overlaps claim {earlier_index + 1} of the same firm and pool"
+                conflicts.append(ClaimConflict(index, text))
+    return conflicts
+
+
+def _overlap(claim: Claim, other: Claim) -> bool:
+    return any(
+        (start - other_start) % MINUTES_PER_WEEK < other_length
+        or (other_start - start) % MINUTES_PER_WEEK < length
+        for start, length in _week_periods(claim)
+        for other_start, other_length in _week_periods(other)
+    )
+
+
+def _find_excess(
+    claims: Sequence[Claim],
+    firm_by_name: Mapping[str, Firm],
+) -> list[ClaimConflict]:
+    """Find the first claim with which a pool's shares exceed 1 at some moment."""
+    zones = sorted({firm_by_name[claim.firm].time_zone for claim in claims})
+    for offsets in _offset_combinations(tuple(zones)):
+        offset_by_zone = dict(zip(zones, offsets, strict=True))
+        offset_by_claim = [
+            offset_by_zone[firm_by_name[claim.firm].time_zone] for claim in claims
+        ]
+        conflict = _find_excess_in_week(claims, offset_by_claim)
+        if conflict is not None:
+            return [conflict]
+    return []
+
+
+def _find_excess_in_week(
+    claims: Sequence[Claim],
+    offset_by_claim: Sequence[int],
+) -> ClaimConflict | None:
+    """Check each start of a period, because shares only rise there."""
+    periods = [
+        ((start - offset) % MINUTES_PER_WEEK, length, index)
+        for index, (claim, offset) in enumerate(
+            zip(claims, offset_by_claim, strict=True)
+        )
+        for start, length in _week_periods(claim)
+    ]
+    for moment, _length, _index in periods:
+        active = {
+            index
+            for start, length, index in periods
+            if (moment - start) % MINUTES_PER_WEEK < length
+        }
+        total = sum(claims[index].share for index in active)
+        if total > 1 + SHARE_TOLERANCE:
+            day, minute = divmod(moment, MINUTES_PER_DAY)
+            name = ("Mon", "Tue", "Wed", "Thu", "Fri", "Sat", "Sun")[day]
+            return ClaimConflict(
+                max(active),
+                f"claims on the pool add up to {total:.0%}"
+                f" on {name} {minute // 60:02d}:{minute % 60:02d} UTC",
+            )
+    return None
+
+
+@lru_cache(maxsize=256)
+def _offset_combinations(names: tuple[str, ...]) -> frozenset[tuple[int, ...]]:
+    """Return the UTC offsets in minutes that occur together in the reference years."""
+    zones = [load_time_zone(name) for name in names]
+    days = [FIRST_REFERENCE_DAY + timedelta(days=day) for day in range(REFERENCE_DAYS)]
+    by_day = [_offsets_at(zones, day) for day in days]
+    combinations = set(by_day)
+    for day, before, after in zip(days, by_day, by_day[1:], strict=False):
+        if before != after:
+            # Two zones may change their clocks minutes apart on the same day.
+            combinations |= {
+                _offsets_at(zones, day + step * OFFSET_STEP) for step in range(96)
+            }
+    return frozenset(combinations)
+
+
+def _offsets_at(
+    zones: Iterable[ZoneInfo | None],
+    moment: datetime,
+) -> tuple[int, ...]:
+    offsets = [moment.astimezone(zone).utcoffset() for zone in zones]
+    return tuple(
+        int((offset or timedelta()).total_seconds() // 60) for offset in offsets
+    )
--- /dev/null
+++ b/lacewingcleat/settings.py
@@ -0,0 +1,192 @@
+"""state: settings of entries and agents.
+
+Settings say who a process is and where it listens. Everything that may change while it
+runs is in the sheet.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from result import Err, Ok, Result
+
+from lacewingcleat.documents import parse_document
+from lacewingcleat.fields import RecordReader, is_address
+from lacewingcleat.findings import Finding, Findings
+
+MAX_SETTINGS_BYTES = 64 * 1024
+DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
+DEFAULT_OPEN_REQUEST_LIMIT = 2_000
+DEFAULT_QUEUE_LIMIT = 512
+# Spans of 1% of 8,700 requests/s stay readable, and their cost is small.
+DEFAULT_TRACE_SAMPLING_RATIO = 0.01
+LOG_FORMATS = ("text", "json")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+BACKEND_KINDS = ("engine", "service")
+
+_Settings = TypeVar("_Settings")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ProcessSettings:
+    """Hold what entries and agents have in common.
+
+    :param instance: stable name of the process, unique in the system.
+    :param zone: availability zone.
+    :param request_address: IP and port of the HTTP listener for requests.
+    :param control_address: IP and port of the control socket.
+    :param admin_address: IP and port of metrics and health checks.
+    :param peers: control addresses of entries to ask first.
+    :param body_limit_bytes: largest request body.
+    :param open_request_limit: requests open at once in the process.
+    :param queue_limit: requests waiting at once in the process.
+    :param trace_export_address: IP and port of the OTLP/HTTP receiver, empty for none.
+    :param trace_sampling_ratio: share of new traces that are recorded, 0 to 1.
+    """
+
+    instance: str
+    zone: str
+    request_address: str
+    control_address: str
+    admin_address: str
+    peers: tuple[str, ...]
+    body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES
+    open_request_limit: int = DEFAULT_OPEN_REQUEST_LIMIT
+    queue_limit: int = DEFAULT_QUEUE_LIMIT
+    log_format: str = "text"
+    log_level: str = "info"
+    trace_export_address: str = ""
+    trace_sampling_ratio: float = DEFAULT_TRACE_SAMPLING_RATIO
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntrySettings(ProcessSettings):
+    """Hold the settings of an entry.
+
+    :param config_address: IP and port of the configuration service.
+    """
+
+    config_address: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AgentSettings(ProcessSettings):
+    """Hold the settings of an agent.
+
+    :param server: name of its backend server in the sheet.
+    :param backend_kind: `engine` or `service`.
+    :param backend_address: IP and port of the engine or service behind the agent.
+    """
+
+    server: str
+    backend_kind: str
+    backend_address: str
+
+
+def load_entry_settings(
+    text: str | bytes,
+    source: str,
+) -> Result[EntrySettings, list[Finding]]:
+    """Read the settings of an entry; all findings are reported at once."""
+    return _load(text, source, _read_entry)
+
+
+def load_agent_settings(
+    text: str | bytes,
+    source: str,
+) -> Result[AgentSettings, list[Finding]]:
+    """Read the settings of an agent; all findings are reported at once."""
+    return _load(text, source, _read_agent)
+
+
+def _load(
+    text: str | bytes,
+    source: str,
+    read: Callable[[RecordReader], _Settings],
+) -> Result[_Settings, list[Finding]]:
+    parsed = parse_document(text, source, MAX_SETTINGS_BYTES)
+    if isinstance(parsed, Err):
+        return parsed
+    findings = Findings(source, parsed.ok_value.line_of)
+    reader = RecordReader(parsed.ok_value.value, "", findings)
+    settings = read(reader)
+    reader.finish()
+    if findings.items:
+        return Err(findings.items)
+    return Ok(settings)
+
+
+def _read_entry(reader: RecordReader) -> EntrySettings:
+    return EntrySettings(
+        instance=reader.name("instance"),
+        zone=reader.name("zone"),
+        request_address=_read_advertised(reader, "request_address"),
+        control_address=_read_advertised(reader, "control_address"),
+        admin_address=reader.address("admin_address", listen=True),
+        peers=_read_peers(reader),
+        body_limit_bytes=_read_body_limit(reader),
+        open_request_limit=_read_open_limit(reader),
+        queue_limit=_read_queue_limit(reader),
+        log_format=reader.choice("log_format", LOG_FORMATS, "text"),
+        log_level=reader.choice("log_level", LOG_LEVELS, "info"),
+        trace_export_address=reader.address("trace_export_address", ""),
+        trace_sampling_ratio=_read_sampling_ratio(reader),
+        config_address=reader.address("config_address"),
+    )
+
+
+def _read_agent(reader: RecordReader) -> AgentSettings:
+    return AgentSettings(
+        instance=reader.name("instance"),
+        zone=reader.name("zone"),
+        request_address=_read_advertised(reader, "request_address"),
+        control_address=_read_advertised(reader, "control_address"),
+        admin_address=reader.address("admin_address", listen=True),
+        peers=_read_peers(reader),
+        body_limit_bytes=_read_body_limit(reader),
+        open_request_limit=_read_open_limit(reader),
+        queue_limit=_read_queue_limit(reader),
+        log_format=reader.choice("log_format", LOG_FORMATS, "text"),
+        log_level=reader.choice("log_level", LOG_LEVELS, "info"),
+        trace_export_address=reader.address("trace_export_address", ""),
+        trace_sampling_ratio=_read_sampling_ratio(reader),
+        server=reader.name("server"),
+        backend_kind=reader.choice("backend_kind", BACKEND_KINDS),
+        backend_address=reader.address("backend_address"),
+    )
+
+
+def _read_advertised(reader: RecordReader, name: str) -> str:
+    """Read a listen address that is told to peers, so it must be a real one."""
+    address = reader.address(name, listen=True)
+    if address.startswith(("0.0.0.0:", "[::]:")):
+        reader.report(name, "peers dial this address, so it must name one interface")
+    return address
+
+
+def _read_peers(reader: RecordReader) -> tuple[str, ...]:
+    peers: list[str] = []
+    for index, (_path, value) in enumerate(reader.items("peers", default=True)):
+        if isinstance(value, str) and is_address(value):
+            peers.append(value)
+        else:
+            reader.report(f"peers[{index}]", "must be IP:port of an entry")
+    return tuple(peers)
+
+
+def _read_body_limit(reader: RecordReader) -> int:
+    return reader.integer(
+        "body_limit_bytes", 1_024, 64 * 1024 * 1024, DEFAULT_BODY_LIMIT_BYTES
+    )
+
+
+def _read_open_limit(reader: RecordReader) -> int:
+    return reader.integer("open_request_limit", 1, 100_000, DEFAULT_OPEN_REQUEST_LIMIT)
+
+
+def _read_queue_limit(reader: RecordReader) -> int:
+    return reader.integer("queue_limit", 0, 100_000, DEFAULT_QUEUE_LIMIT)
+
+
+def _read_sampling_ratio(reader: RecordReader) -> float:
+    return reader.number("trace_sampling_ratio", 0, 1, DEFAULT_TRACE_SAMPLING_RATIO)
