--- a/lacewingcleat/hours.py
+++ b/lacewingcleat/hours.py
@@ -5,6 +5,7 @@
 an hour that it repeats is claimed both times.
 """
 
+import re
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
@@ -24,6 +25,8 @@
 REFERENCE_DAYS = 2 * 366
 OFFSET_STEP = timedelta(minutes=15)
 
+_TIME_ZONE_NAME = re.compile(r"[A-Za-z0-9_+-]+(/[A-Za-z0-9_+-]+){0,2}")
+
 
 @dataclass(frozen=True, slots=True)
 class ClaimConflict:
@@ -43,21 +46,27 @@
     The system's own files are not used, because instances may have different releases
     of them and would then disagree about the same sheet.
     """
-    parts = name.split("/")
-    if not all(part.isascii() and part.replace("_", "a").isalnum() for part in parts):
+    if not is_time_zone_name(name):
         return None
     try:
-        with files("tzdata.zoneinfo").joinpath(*parts).open("rb") as data:
+        path = files("tzdata.zoneinfo").joinpath(*name.split("/"))
+        with path.open("rb") as data:
             return ZoneInfo.from_file(data, key=name)
     except (OSError, ValueError):
         return None
 
 
+def is_time_zone_name(name: str) -> bool:
+    """Return whether a text has the form of an IANA time zone name."""
+    return _TIME_ZONE_NAME.fullmatch(name) is not None
+
+
 def claim_share(sheet: Sheet, pool: str, wall: datetime) -> dict[str, float]:
     """Return the share of a pool that each firm claims at a moment.
 
     Firms without a claim at that moment are absent. The rest of the pool up to 1 is
-    open to every firm.
+    open to every firm. Shares are scaled down if they exceed 1 together, which happens
+    only if a country changed its clocks after the sheet was checked.
 
     :param wall: the moment, as an aware datetime.
     """
@@ -66,6 +75,9 @@
         zone = load_time_zone(sheet.firm_by_name[claim.firm].time_zone)
         if zone is not None and is_active(claim, wall.astimezone(zone)):
             shares[claim.firm] = shares.get(claim.firm, 0.0) + claim.share
+    total = sum(shares.values())
+    if total > 1 + SHARE_TOLERANCE:
+        return {firm: share / total for firm, share in shares.items()}
     return shares
 
 
@@ -75,15 +87,41 @@
     return _covers(claim, local.weekday(), minute)
 
 
-def find_claim_conflicts(
+def find_claim_overlaps(claims: Sequence[Claim]) -> list[ClaimConflict]:
+    """Return claims of one firm that overlap; one firm has one local time.
+
+    :param claims: all claims on one pool.
+    """
+    conflicts: list[ClaimConflict] = []
+    for index, claim in enumerate(claims):
+        for earlier_index, earlier in enumerate(claims[:index]):
+            if claim.firm == earlier.firm and _overlap(claim, earlier):
+                text = f"overlaps claim {earlier_index + 1} of the same firm and pool"
+                conflicts.append(ClaimConflict(index, text))
+    return conflicts
+
+
+def find_claim_excess(
     claims: Sequence[Claim],
     firm_by_name: Mapping[str, Firm],
 ) -> list[ClaimConflict]:
-    """Return overlapping claims of one firm, and claims that exceed a pool.
+    """Find the first claim with which a pool's shares exceed 1 at some moment.
+
+    The result depends on the release of the time zone data, so it is for the check
+    before publishing. A process that already runs must not refuse a sheet for it.
 
     :param claims: all claims on one pool.
     """
-    return _find_overlaps(claims) + _find_excess(claims, firm_by_name)
+    zones = sorted({firm_by_name[claim.firm].time_zone for claim in claims})
+    for offsets in _offset_combinations(tuple(zones)):
+        offset_by_zone = dict(zip(zones, offsets, strict=True))
+        offset_by_claim = [
+            offset_by_zone[firm_by_name[claim.firm].time_zone] for claim in claims
+        ]
+        conflict = _find_excess_in_week(claims, offset_by_claim)
+        if conflict is not None:
+            return [conflict]
+    return []
 
 
 def _covers(claim: Claim, weekday: int, minute: int) -> bool:
@@ -104,16 +142,6 @@
     return [(day * MINUTES_PER_DAY + claim.from_minute, length) for day in claim.days]
 
 
-def _find_overlaps(claims: Sequence[Claim]) -> list[ClaimConflict]:
-    conflicts: list[ClaimConflict] = []
-    for index, claim in enumerate(claims):
-        for earlier_index, earlier in enumerate(claims[:index]):
-            if claim.firm == earlier.firm and _overlap(claim, earlier):
-                text = f"overlaps claim {earlier_index + 1} of the same firm and pool"
-                conflicts.append(ClaimConflict(index, text))
-    return conflicts
-
-
 def _overlap(claim: Claim, other: Claim) -> bool:
     return any(
         (start - other_start) % MINUTES_PER_WEEK < other_length
@@ -123,23 +151,6 @@
     )
 
 
-def _find_excess(
-    claims: Sequence[Claim],
-    firm_by_name: Mapping[str, Firm],
-) -> list[ClaimConflict]:
-    """Find the first claim with which a pool's shares exceed 1 at some moment."""
-    zones = sorted({firm_by_name[claim.firm].time_zone for claim in claims})
-    for offsets in _offset_combinations(tuple(zones)):
-        offset_by_zone = dict(zip(zones, offsets, strict=True))
-        offset_by_claim = [
-            offset_by_zone[firm_by_name[claim.firm].time_zone] for claim in claims
-        ]
-        conflict = _find_excess_in_week(claims, offset_by_claim)
-        if conflict is not None:
-            return [conflict]
-    return []
-
-
 def _find_excess_in_week(
     claims: Sequence[Claim],
     offset_by_claim: Sequence[int],
--- a/lacewingcleat/sheet_check.py
+++ b/lacewingcleat/sheet_check.py
@@ -1,7 +1,9 @@
 """state: check a sheet and build it.
 
-The result depends on the content alone: not on the time, the sheet in force or the
-process. Otherwise processes would disagree about which revision is valid.
+Whether a process accepts a sheet (`check_parts`) depends on the content alone: not on
+the time, the sheet in force or the process. Otherwise processes would disagree about
+which revision is valid. The check before publishing (`check_sheet`) also finds what
+depends on the release of the time zone data.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -12,7 +14,7 @@
 
 from lacewingcleat.fields import RecordReader
 from lacewingcleat.findings import Finding, Findings
-from lacewingcleat.hours import find_claim_conflicts
+from lacewingcleat.hours import find_claim_excess, find_claim_overlaps, load_time_zone
 from lacewingcleat.sheet import (
     BackendServer,
     Claim,
@@ -96,6 +98,8 @@
     records = _Records(placed)
     if not findings.items:
         records.check(findings)
+    if not findings.items:
+        records.check_time_zones(findings)
     if findings.items or not isinstance(value, dict):
         return Err(findings.items)
     manifest = split_sheet(value, buckets).manifest
@@ -175,9 +179,10 @@
 
     def build(self, revision: int, manifest: Manifest) -> Sheet:
         """Build the sheet; call only after a check without findings."""
-        claims_by_pool: dict[str, tuple[Claim, ...]] = {}
-        for _path, claim in self._claims:
-            claims_by_pool[claim.pool] = (*claims_by_pool.get(claim.pool, ()), claim)
+        claims_by_pool = {
+            pool: tuple(claim for _path, claim in placed)
+            for pool, placed in self._claims_by_pool().items()
+        }
         return Sheet(
             revision=revision,
             digest=manifest.digest,
@@ -272,25 +277,38 @@
                 findings.add(f"{place}[{index}]", f"{name!r} already serves {other}")
 
     def _check_claims(self, findings: Findings) -> None:
-        firms = self._firm_by_name
         groups = _by_name(self._groups)
-        placed_by_pool: dict[str, list[tuple[str, Claim]]] = {}
         for path, claim in self._claims:
             group = groups.get(claim.pool)
-            if claim.firm not in firms:
+            if claim.firm not in self._firm_by_name:
                 findings.add(f"{path}.firm", f"no firm is named {claim.firm!r}")
             elif group is None:
                 findings.add(f"{path}.pool", f"no group is named {claim.pool!r}")
             elif group.firm:
                 text = f"{claim.pool!r} belongs to {group.firm!r}; it is not shared"
                 findings.add(f"{path}.pool", text)
-            else:
-                placed_by_pool.setdefault(claim.pool, []).append((path, claim))
-        for placed in placed_by_pool.values():
+        for placed in self._claims_by_pool().values():
             claims = [claim for _path, claim in placed]
-            for conflict in find_claim_conflicts(claims, firms):
+            for conflict in find_claim_overlaps(claims):
                 findings.add(placed[conflict.index][0], conflict.text)
 
+    def check_time_zones(self, findings: Findings) -> None:
+        """Check what depends on the release of the time zone data."""
+        for path, firm in self._firms:
+            if load_time_zone(firm.time_zone) is None:
+                text = f"{firm.time_zone!r} is not an IANA time zone"
+                findings.add(f"{path}.time_zone", text)
+        for placed in self._claims_by_pool().values():
+            claims = [claim for _path, claim in placed]
+            for conflict in find_claim_excess(claims, self._firm_by_name):
+                findings.add(placed[conflict.index][0], conflict.text)
+
+    def _claims_by_pool(self) -> dict[str, list[tuple[str, Claim]]]:
+        placed_by_pool: dict[str, list[tuple[str, Claim]]] = {}
+        for path, claim in self._claims:
+            placed_by_pool.setdefault(claim.pool, []).append((path, claim))
+        return placed_by_pool
+
 
 def _select(
     kind: type[_Record],
--- /dev/null
+++ b/lacewingcleat/sheet_diff.py
@@ -0,0 +1,238 @@
+"""state: what a new sheet changes, for operators to read before they publish it."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, fields, replace
+from datetime import UTC, datetime, timedelta
+
+from lacewingcleat.hours import claim_share
+from lacewingcleat.sheet import (
+    BackendServer,
+    ClientAccount,
+    ModelGroup,
+    ServerState,
+    Service,
+    Sheet,
+)
+
+DIFF_HOURS = 24
+
+
+@dataclass(frozen=True, slots=True)
+class FieldChange:
+    """Describe a changed field of a record; an absent record has empty values.
+
+    :param kind: `account`, `server`, `group` or `service`.
+    """
+
+    kind: str
+    name: str
+    field: str
+    before: str
+    after: str
+
+    def __str__(self) -> str:
+        """Format the change for operators."""
+        return f"{self.kind} {self.name}: {self.field} {self.before} -> {self.after}"
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityChange:
+    """Describe a firm's claimed slots in a pool from one hour to another.
+
+    :param start: first hour with these figures.
+    :param end: hour at which they end.
+    """
+
+    pool: str
+    firm: str
+    start: datetime
+    end: datetime
+    slots_before: float
+    slots_after: float
+
+    def __str__(self) -> str:
+        """Format the change for operators."""
+        hours = f"{self.start:%a %H:%M}-{self.end:%a %H:%M} {self.start:%Z}"
+        return (
+            f"capacity of {self.firm} in {self.pool}, {hours}:"
+            f" {self.slots_before:g} -> {self.slots_after:g} slots"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class SheetDiff:
+    """Hold the differences of two sheets.
+
+    :param joining: servers that begin to join.
+    :param leaving: servers that begin to leave, or disappear without leaving first.
+    :param removed: servers that are gone.
+    """
+
+    revision_before: int
+    revision_after: int
+    joining: tuple[str, ...]
+    leaving: tuple[str, ...]
+    added: tuple[str, ...]
+    removed: tuple[str, ...]
+    limits: tuple[FieldChange, ...]
+    other_fields: tuple[FieldChange, ...]
+    capacity: tuple[CapacityChange, ...]
+
+    def lines(self) -> list[str]:
+        """Return one line per difference."""
+        servers = (
+            ("joining", self.joining),
+            ("leaving", self.leaving),
+            ("added", self.added),
+            ("removed", self.removed),
+        )
+        return [
+            f"revision {self.revision_before} -> {self.revision_after}",
+            *(f"server {name}: {word}" for word, names in servers for name in names),
+            *map(str, self.limits),
+            *map(str, self.other_fields),
+            *map(str, self.capacity),
+        ]
+
+
+def diff_sheets(before: Sheet, after: Sheet, wall: datetime) -> SheetDiff:
+    """Compare two sheets.
+
+    :param wall: aware time from whose hour on capacity is compared, for 24 hours; it
+        is printed in this time's zone.
+    """
+    old, new = before.server_by_name, after.server_by_name
+    removed = sorted(old.keys() - new.keys())
+    left_early = [name for name in removed if old[name].state != ServerState.LEAVING]
+    return SheetDiff(
+        revision_before=before.revision,
+        revision_after=after.revision,
+        joining=_newly_in(ServerState.JOINING, old, new),
+        leaving=(*_newly_in(ServerState.LEAVING, old, new), *left_early),
+        added=tuple(sorted(new.keys() - old.keys())),
+        removed=tuple(removed),
+        limits=tuple(
+            _diff_records("account", before.account_by_name, after.account_by_name)
+        ),
+        other_fields=(
+            *_diff_records("server", old, new, ignored=("state",), common_only=True),
+            *_diff_records("group", before.group_by_name, after.group_by_name),
+            *_diff_records("service", before.service_by_name, after.service_by_name),
+        ),
+        capacity=tuple(_diff_capacity(before, after, wall)),
+    )
+
+
+def claimed_slots(sheet: Sheet, wall: datetime) -> dict[tuple[str, str], float]:
+    """Return claimed slots by pool and firm at a moment.
+
+    A firm's own group counts as claimed in full.
+    """
+    slots: dict[tuple[str, str], float] = {}
+    for name, group in sheet.group_by_name.items():
+        capacity = sheet.server_by_name[group.front_server].slots
+        shares = {group.firm: 1.0} if group.firm else claim_share(sheet, name, wall)
+        for firm, share in shares.items():
+            slots[name, firm] = round(share * capacity, 6)
+    return slots
+
+
+def _newly_in(
+    state: ServerState,
+    before: Mapping[str, BackendServer],
+    after: Mapping[str, BackendServer],
+) -> tuple[str, ...]:
+    return tuple(
+        sorted(
+            name
+            for name, server in after.items()
+            if server.state == state
+            and (name not in before or before[name].state != state)
+        )
+    )
+
+
+_Record = ClientAccount | BackendServer | ModelGroup | Service
+
+
+def _diff_records(
+    kind: str,
+    before: Mapping[str, _Record],
+    after: Mapping[str, _Record],
+    ignored: Iterable[str] = (),
+    common_only: bool = False,
+) -> list[FieldChange]:
+    changes: list[FieldChange] = []
+    for name in sorted(before.keys() | after.keys()):
+        old, new = before.get(name), after.get(name)
+        if common_only and (old is None or new is None):
+            continue
+        known = old or new
+        if known is None:
+            continue
+        for item in fields(known):
+            if item.name == "name" or item.name in ignored:
+                continue
+            texts = _text_of(old, item.name), _text_of(new, item.name)
+            if texts[0] != texts[1]:
+                changes.append(FieldChange(kind, name, item.name, *texts))
+    return changes
+
+
+def _text_of(record: _Record | None, field: str) -> str:
+    if record is None:
+        return "absent"
+    value = getattr(record, field)
+    # A listing of key hashes helps nobody; that the key changed is enough.
+    return f"{value[:8]}..." if field == "key_sha256" else str(value)
+
+
+def _diff_capacity(
+    before: Sheet,
+    after: Sheet,
+    wall: datetime,
+) -> list[CapacityChange]:
+    """Compare hour by hour and join hours with equal figures.
+
+    Hours are steps of real time, so that a clock change neither skips nor repeats one.
+    """
+    first = wall.replace(minute=0, second=0, microsecond=0)
+    changes: list[CapacityChange] = []
+    for hour in range(DIFF_HOURS):
+        start = _later(first, hour)
+        slots_before = claimed_slots(before, start)
+        slots_after = claimed_slots(after, start)
+        for key in sorted(slots_before.keys() | slots_after.keys()):
+            old, new = slots_before.get(key, 0.0), slots_after.get(key, 0.0)
+            if old != new:
+                change = CapacityChange(*key, start, _later(first, hour + 1), old, new)
+                _append_or_extend(changes, change)
+    return sorted(changes, key=lambda change: (change.pool, change.firm, change.start))
+
+
+def _later(moment: datetime, hours: int) -> datetime:
+    zone = moment.tzinfo
+    utc = moment.astimezone(UTC) + timedelta(hours=hours)
+    return utc.astimezone(zone)
+
+
+def _append_or_extend(changes: list[CapacityChange], change: CapacityChange) -> None:
+    for index, earlier in enumerate(changes):
+        if earlier.end == change.start and _same_figures(earlier, change):
+            changes[index] = replace(earlier, end=change.end)
+            return
+    changes.append(change)
+
+
+def _same_figures(first: CapacityChange, second: CapacityChange) -> bool:
+    return (
+        first.pool,
+        first.firm,
+        first.slots_before,
+        first.slots_after,
+    ) == (
+        second.pool,
+        second.firm,
+        second.slots_before,
+        second.slots_after,
+    )
--- a/lacewingcleat/sheet_records.py
+++ b/lacewingcleat/sheet_records.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from lacewingcleat.fields import RecordReader
-from lacewingcleat.hours import load_time_zone
+from lacewingcleat.hours import is_time_zone_name
 from lacewingcleat.sheet import (
     DEFAULT_PRIORITY,
     DEFAULT_TICKET_SECONDS,
@@ -60,8 +60,10 @@
 
 def _read_firm(reader: RecordReader) -> Firm:
     time_zone = reader.text("time_zone")
-    if time_zone and load_time_zone(time_zone) is None:
-        reader.report("time_zone", f"{time_zone!r} is not an IANA time zone")
+    if time_zone and not is_time_zone_name(time_zone):
+        reader.report(
+            "time_zone", "must be an IANA time zone, such as Pacific/Auckland"
+        )
     return Firm(
         name=reader.name("name"),
         time_zone=time_zone,
