Add the base of the transport layer

Cause: entry and agent need a listener, a client, control sockets, traces and metrics. Bodies stay in memory up to a limit; control messages are read on the reactor's thread. Conclusion: entry and agent can be written.

--- /dev/null
+++ b/lacewingcleat/admin_server.py
@@ -0,0 +1,67 @@
+"""transport: the admin port with metrics, health checks and status."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+from lacewingcleat.http_server import BoundedFactory, BoundedRequest
+
+ADMIN_BODY_LIMIT_BYTES = 64 << 10
+JSON_CONTENT_TYPE = "application/json"
+
+
+class AdminServer:
+    """Answer requests of operators and of the platform's health checks.
+
+    :param ready: returns the reason why the process is not ready, empty if it is.
+    :param status: returns the status document.
+    :param refresh: called before metrics are read.
+    :param explain: answers `POST /explain` with a document, if the process routes.
+    """
+
+    def __init__(
+        self,
+        registry: CollectorRegistry,
+        ready: Callable[[], str],
+        status: Callable[[], dict[str, Any]],
+        refresh: Callable[[], None],
+        explain: Callable[[bytes], dict[str, Any]] | None = None,
+    ) -> None:
+        self._registry = registry
+        self._ready = ready
+        self._status = status
+        self._refresh = refresh
+        self._explain = explain
+        self.factory = BoundedFactory(self.handle, ADMIN_BODY_LIMIT_BYTES)
+
+    def handle(self, request: BoundedRequest) -> None:
+        """Answer one request."""
+        path = request.path_text()
+        if request.method == b"POST" and path == "/explain" and self._explain:
+            document = self._explain(request.body.getvalue())
+            request.respond(200, JSON_CONTENT_TYPE, msgspec.json.encode(document))
+            return
+        if request.method not in (b"GET", b"HEAD"):
+            request.respond(405, "text/plain", b"method not allowed\n")
+            return
+        match path:
+            case "/metrics":
+                self._refresh()
+                exposition = generate_latest(self._registry)
+                request.respond(200, CONTENT_TYPE_LATEST, exposition)
+            case "/healthz":
+                request.respond(200, "text/plain", b"ok\n")
+            case "/readyz":
+                reason = self._ready()
+                status = 503 if reason else 200
+                text = f"{reason or 'ready'}\n".encode()
+                request.respond(status, "text/plain", text)
+            case "/status":
+                self._refresh()
+                body = msgspec.json.encode(self._status())
+                request.respond(200, JSON_CONTENT_TYPE, body)
+            case _:
+                request.respond(404, "text/plain", b"not found\n")
--- /dev/null
+++ b/lacewingcleat/control_channel.py
@@ -0,0 +1,175 @@
+"""transport: control messages over pynng sockets in the reactor.
+
+Each process listens on one Pull socket and dials a Push socket per peer. The receive
+descriptor of the Pull socket is a reader of the reactor, so every message is handled on
+the loop's thread. Sends never block: a full queue drops the message, and the state
+machines repeat what matters.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import pynng
+from result import Err, Ok
+from twisted.internet.interfaces import IReadDescriptor
+from zope.interface import implementer
+
+from lacewingcleat.control_wire import MAX_FRAME_BYTES, decode, encode
+from lacewingcleat.messages import Envelope
+
+SEND_QUEUE_MESSAGES = 64
+RECEIVE_QUEUE_MESSAGES = 1024
+MAX_RECEIVES_PER_TURN = 64
+MAX_PEER_SOCKETS = 512
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 2000
+
+
+class ReaderReactor(Protocol):
+    """Describe the part of the reactor that the channel uses."""
+
+    def addReader(self, reader: Any) -> None:
+        """Watch a descriptor."""
+
+    def removeReader(self, reader: Any) -> None:
+        """Stop watching a descriptor."""
+
+    def callLater(
+        self,
+        delay: float,
+        callable: Callable[..., object],
+        *args: object,
+    ) -> object:
+        """Call a function after a delay."""
+
+
+class ChannelCounters:
+    """Count traffic of a channel."""
+
+    __slots__ = (
+        "dropped",
+        "malformed",
+        "received",
+        "received_bytes",
+        "sent",
+        "sent_bytes",
+    )
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.sent_bytes = 0
+        self.received = 0
+        self.received_bytes = 0
+        self.dropped = 0
+        self.malformed = 0
+
+
+@implementer(IReadDescriptor)
+class ControlChannel:
+    """Send and receive envelopes.
+
+    :param reactor: the loop.
+    :param address: IP and port to listen on.
+    :param deliver: called with each envelope.
+    """
+
+    def __init__(
+        self,
+        reactor: ReaderReactor,
+        address: str,
+        deliver: Callable[[Envelope], None],
+    ) -> None:
+        self._reactor = reactor
+        self._deliver = deliver
+        self._push_by_address: OrderedDict[str, pynng.Push0] = OrderedDict()
+        self.counters = ChannelCounters()
+        self._pull = pynng.Pull0(
+            recv_buffer_size=RECEIVE_QUEUE_MESSAGES,
+            recv_max_size=MAX_FRAME_BYTES,
+        )
+        self._pull.listen(f"tcp://{address}")
+        self._descriptor: int = self._pull.recv_fd
+        self._closed = False
+        reactor.addReader(self)
+
+    def fileno(self) -> int:
+        """Return the descriptor that is readable while messages wait."""
+        return self._descriptor
+
+    def logPrefix(self) -> str:
+        """Return the name that the reactor logs."""
+        return "control"
+
+    def connectionLost(self, reason: object) -> None:
+        """Ignore the loss of the descriptor; `close` ends the channel."""
+
+    def doRead(self) -> None:
+        """Deliver waiting messages, at most a fixed number in a turn.
+
+        The bound keeps a burst of control messages from delaying token streams.
+        """
+        for _ in range(MAX_RECEIVES_PER_TURN):
+            if self._closed:
+                return
+            try:
+                data: bytes = self._pull.recv(block=False)
+            except pynng.TryAgain:
+                return
+            except pynng.exceptions.NNGException:
+                self.counters.malformed += 1
+                return
+            self._receive(data)
+        self._reactor.callLater(0, self.doRead)
+
+    def _receive(self, data: bytes) -> None:
+        self.counters.received += 1
+        self.counters.received_bytes += len(data)
+        match decode(data):
+            case Ok(envelope):
+                self._deliver(envelope)
+            case Err():
+                self.counters.malformed += 1
+
+    def send(self, address: str, envelope: Envelope) -> bool:
+        """Send an envelope; return whether it was queued."""
+        data = encode(envelope)
+        if len(data) > MAX_FRAME_BYTES or self._closed:
+            self.counters.dropped += 1
+            return False
+        try:
+            self._push_socket(address).send(data, block=False)
+        except pynng.exceptions.NNGException:
+            self.counters.dropped += 1
+            return False
+        self.counters.sent += 1
+        self.counters.sent_bytes += len(data)
+        return True
+
+    def _push_socket(self, address: str) -> pynng.Push0:
+        socket = self._push_by_address.get(address)
+        if socket is not None:
+            self._push_by_address.move_to_end(address)
+            return socket
+        if len(self._push_by_address) >= MAX_PEER_SOCKETS:
+            _, oldest = self._push_by_address.popitem(last=False)
+            oldest.close()
+        socket = pynng.Push0(
+            send_buffer_size=SEND_QUEUE_MESSAGES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        socket.dial(f"tcp://{address}", block=False)
+        self._push_by_address[address] = socket
+        return socket
+
+    def close(self) -> None:
+        """Close all sockets."""
+        if self._closed:
+            return
+        self._closed = True
+        self._reactor.removeReader(self)
+        for socket in self._push_by_address.values():
+            socket.close()
+        self._push_by_address.clear()
+        self._pull.close()
--- /dev/null
+++ b/lacewingcleat/http_relay.py
@@ -0,0 +1,240 @@
+"""transport: requests to the next hop over pooled connections.
+
+A connection carries one request at a time and is closed when an answer breaks off, so
+an answer can only belong to its own request. Automatic retries of the HTTP client are
+switched off: whether to retry is decided by `retries` alone.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from io import BytesIO
+from typing import Any
+
+from result import Err, Ok, Result
+from twisted.internet import defer, error
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+from twisted.web import http
+from twisted.web.client import (
+    Agent,
+    FileBodyProducer,
+    HTTPConnectionPool,
+    ResponseDone,
+)
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IResponse
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+IDLE_CONNECTION_SECONDS = 30
+MAX_IDLE_CONNECTIONS_PER_HOST = 256
+
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"host",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    },
+)
+
+
+CONNECTION_DONE = Failure(error.ConnectionDone())
+
+
+class SendState(Enum):
+    """Say how far a failed request has come."""
+
+    NOT_SENT = "not-sent"
+    SENT = "sent"
+
+
+@dataclass(frozen=True, slots=True)
+class SendFailure:
+    """Describe a request that got no answer."""
+
+    state: SendState
+    text: str
+
+
+class BodyReceiver(Protocol):
+    """Pass the body of an answer on as it arrives.
+
+    :param on_data: called with each part.
+    :param on_end: called once, with whether the body is complete.
+    """
+
+    def __init__(
+        self,
+        on_data: Callable[[bytes], None],
+        on_end: Callable[[bool], None],
+    ) -> None:
+        self._on_data = on_data
+        self._on_end = on_end
+
+    def dataReceived(self, data: bytes) -> None:
+        """Pass a part on."""
+        self._on_data(data)
+
+    def connectionLost(self, reason: Failure = CONNECTION_DONE) -> None:
+        """Report the end of the body."""
+        self._on_end(reason.check(ResponseDone) is not None)
+
+    def abort(self) -> None:
+        """Close the connection, which cancels the rest of the answer."""
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
+
+
+class RelayClient:
+    """Send requests to other hops.
+
+    :param reactor: the loop.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor: IReactorTime = reactor
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
+        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_SECONDS
+        self._pool.retryAutomatically = False
+        self._agent = Agent(
+            reactor,
+            connectTimeout=CONNECT_TIMEOUT_SECONDS,
+            pool=self._pool,
+        )
+
+    async def send(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        timeout: float,
+        on_pending: Callable[["defer.Deferred[IResponse]"], None] | None = None,
+    ) -> Result[IResponse, SendFailure]:
+        """Send a request and wait for the head of the answer.
+
+        :param timeout: seconds until the head of the answer must have arrived.
+        :param on_pending: receives the pending answer, so that a caller's disconnect
+            can cancel it.
+        """
+        producer: Any = FileBodyProducer(BytesIO(body)) if body else None
+        pending = self._agent.request(
+            method.encode(),
+            f"http://{address}{path}".encode(),
+            headers,
+            producer,
+        )
+        if on_pending is not None:
+            on_pending(pending)
+        pending.addTimeout(max(0.001, timeout), self._reactor)
+        try:
+            return Ok(await pending)
+        except (
+            error.ConnectError,
+            error.ConnectionRefusedError,
+            error.ConnectingCancelledError,
+            error.DNSLookupError,
+        ) as reason:
+            return Err(SendFailure(SendState.NOT_SENT, _text(reason)))
+        except Exception as reason:
+            # Everything else may have happened after the request was on the wire.
+            return Err(SendFailure(SendState.SENT, _text(reason)))
+
+    async def fetch(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        timeout: float,
+        limit: int,
+    ) -> Result[tuple[IResponse, bytes], SendFailure]:
+        """Send a request and read its whole answer, at most `limit` bytes."""
+        sent = await self.send(method, address, path, headers, body, timeout)
+        if isinstance(sent, Err):
+            return sent
+        response = sent.ok_value
+        content = await self.read_body(response, limit, timeout)
+        if content is None:
+            return Err(SendFailure(SendState.SENT, "the answer broke off"))
+        return Ok((response, content))
+
+    async def read_body(
+        self,
+        response: Any,
+        limit: int,
+        timeout: float,
+    ) -> bytes | None:
+        """Return the whole body, or `None` if it broke off or exceeds the limit."""
+        parts: list[bytes] = []
+        size = 0
+        ended: defer.Deferred[bool] = defer.Deferred(lambda _: receiver.abort())
+
+        def receive(data: bytes) -> None:
+            nonlocal size
+            size += len(data)
+            if size > limit:
+                receiver.abort()
+                return
+            parts.append(data)
+
+        def end(complete: bool) -> None:
+            if not ended.called:
+                ended.callback(complete)
+
+        receiver = BodyReceiver(receive, end)
+        response.deliverBody(receiver)
+        ended.addTimeout(max(0.001, timeout), self._reactor)
+        try:
+            complete = await ended
+        except (defer.TimeoutError, defer.CancelledError):
+            return None
+        return b"".join(parts) if complete and size <= limit else None
+
+    def close(self) -> "defer.Deferred[Any]":
+        """Close idle connections."""
+        closing: defer.Deferred[Any] = self._pool.closeCachedConnections()
+        return closing
+
+
+def _text(reason: BaseException) -> str:
+    return f"{type(reason).__name__}: {reason}"[:200]
+
+
+def copy_headers(headers: Headers, dropped: frozenset[bytes] = frozenset()) -> Headers:
+    """Return the end-to-end headers of a message."""
+    copied = Headers()
+    for name, values in headers.getAllRawHeaders():
+        lower = name.lower()
+        if lower not in HOP_BY_HOP_HEADERS and lower not in dropped:
+            copied.setRawHeaders(name, values)
+    return copied
+
+
+def set_headers(headers: Headers, values: Mapping[str, str]) -> None:
+    """Set headers, leaving out empty values."""
+    for name, value in values.items():
+        if value:
+            headers.setRawHeaders(name, [value])
+
+
+def first_header(headers: Headers, name: str) -> str:
+    """Return the first value of a header, empty if there is none."""
+    values = headers.getRawHeaders(name)
+    return values[0] if values else ""
+
+
+def has_body(status: int, method: str) -> bool:
+    """Return whether an answer can have a body."""
+    return method != "HEAD" and status not in http.NO_BODY_CODES
--- /dev/null
+++ b/lacewingcleat/metrics.py
@@ -0,0 +1,176 @@
+"""transport: metrics of entries and agents.
+
+Each process has its own registry, so that several can run in one interpreter. Labels
+hold only names with few values; client accounts are left out because 5,600 of them
+would make the exposition larger than the control budget of a node.
+"""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_SECONDS = (
+    0.005,
+    0.01,
+    0.027,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.1,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    120.0,
+)
+
+
+class ProcessMetrics:
+    """Hold the metrics that entries and agents share."""
+
+    __slots__ = (
+        "alarms",
+        "control_bytes",
+        "control_dropped",
+        "control_messages",
+        "open_requests",
+        "pauses",
+        "registry",
+        "sheet_revision",
+        "sheet_stage_seconds",
+    )
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.alarms = Counter(
+            "lacewing_alarms_total",
+            "Conditions that operators must see.",
+            ["code"],
+            registry=self.registry,
+        )
+        self.control_messages = Gauge(
+            "lacewing_control_messages",
+            "Control messages since the start.",
+            ["direction"],
+            registry=self.registry,
+        )
+        self.control_bytes = Gauge(
+            "lacewing_control_bytes",
+            "Bytes of control messages since the start.",
+            ["direction"],
+            registry=self.registry,
+        )
+        self.control_dropped = Gauge(
+            "lacewing_control_dropped",
+            "Control messages dropped or malformed since the start.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.open_requests = Gauge(
+            "lacewing_open_requests",
+            "Requests that are open.",
+            registry=self.registry,
+        )
+        self.pauses = Counter(
+            "lacewing_pauses_total",
+            "Times the process noticed that it had been paused.",
+            registry=self.registry,
+        )
+        self.sheet_revision = Gauge(
+            "lacewing_sheet_revision",
+            "Sheet revision in force.",
+            registry=self.registry,
+        )
+        self.sheet_stage_seconds = Gauge(
+            "lacewing_sheet_stage_seconds",
+            "Delay of the last change of the sheet by stage.",
+            ["stage"],
+            registry=self.registry,
+        )
+
+
+class EntryMetrics(ProcessMetrics):
+    """Hold the metrics of an entry."""
+
+    __slots__ = (
+        "first_byte_seconds",
+        "limit_refusals",
+        "requests",
+        "retries",
+        "route_rule",
+        "stream_resumes",
+        "tokens",
+    )
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests = Counter(
+            "lacewing_requests_total",
+            "Requests by outcome and code; the code is empty for regular answers.",
+            ["outcome", "code"],
+            registry=self.registry,
+        )
+        self.retries = Counter(
+            "lacewing_retries_total",
+            "Attempts after the first one, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.stream_resumes = Counter(
+            "lacewing_stream_resumes_total",
+            "Streams that went on at another backend server.",
+            registry=self.registry,
+        )
+        self.limit_refusals = Counter(
+            "lacewing_limit_refusals_total",
+            "Requests refused by a client account's limit.",
+            ["limit"],
+            registry=self.registry,
+        )
+        self.route_rule = Counter(
+            "lacewing_route_rule_total",
+            "Routing choices by the rule that decided.",
+            ["rule"],
+            registry=self.registry,
+        )
+        self.tokens = Counter(
+            "lacewing_tokens_total",
+            "Tokens passed to callers.",
+            registry=self.registry,
+        )
+        self.first_byte_seconds = Histogram(
+            "lacewing_first_byte_seconds",
+            "Time from a request's arrival to the first byte of its answer.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_SECONDS,
+        )
+
+
+class AgentMetrics(ProcessMetrics):
+    """Hold the metrics of an agent."""
+
+    __slots__ = ("backend_crashes", "decisions", "tickets", "waiting")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.decisions = Counter(
+            "lacewing_agent_decisions_total",
+            "Decisions of the gate by reason; `started` for admitted work.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.tickets = Counter(
+            "lacewing_ticket_outcomes_total",
+            "Presented tickets by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.backend_crashes = Counter(
+            "lacewing_backend_crashes_total",
+            "Crashes of the engine or service.",
+            registry=self.registry,
+        )
+        self.waiting = Gauge(
+            "lacewing_waiting_requests",
+            "Requests waiting for a slot.",
+            registry=self.registry,
+        )
