--- a/lacewingcleat/messages.py
+++ b/lacewingcleat/messages.py
@@ -20,6 +20,7 @@
     :param leaving: whether the sender refuses new work.
     :param in_flight: requests running at the sender.
     :param capacity: requests the sender can run at once.
+    :param sent_at: the sender's clock, so that a delayed copy is no sign of life.
     """
 
     control_address: str
@@ -28,6 +29,7 @@
     leaving: bool
     in_flight: int
     capacity: int
+    sent_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,10 +51,12 @@
     """Pass on the processes that the sender knows to be alive.
 
     :param reply_wanted: whether the receiver should answer with its own list.
+    :param sent_at: the sender's clock, against which the ages are counted.
     """
 
     peers: tuple[PeerAddress, ...]
     reply_wanted: bool = False
+    sent_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lacewingcleat/retries.py
@@ -0,0 +1,289 @@
+"""coordination: decide what an entry does after an attempt at a request.
+
+Only idempotent requests and requests that certainly did not run are sent again. The
+caller is told "not run" only if no attempt, of this entry or of another one, can have
+run the request or can still run it.
+"""
+
+from dataclasses import dataclass
+from enum import Enum, StrEnum
+
+RETRY_SHARE = 0.1
+RETRIES_PER_SECOND = 1.0
+# Retries that may be saved up, so that one lost server's requests can move at once.
+RETRY_BURST = 10.0
+SETTLE_SECONDS = 1.0
+# A retry with less time left cannot give a useful response.
+MIN_RETRY_SECONDS = 0.05
+# Refusals that every server would repeat.
+FINAL_CODES = frozenset(
+    {
+        "crashes-server",
+        "deadline-passed",
+        "key-already-run",
+        "ticket-expired",
+        "ticket-required",
+    }
+)
+
+
+class RetryCode(StrEnum):
+    """Name the reasons that the entry itself gives in outcomes."""
+
+    NOT_SENT = "not-sent"
+    UNREACHABLE = "agent-unreachable"
+    CONNECTION_LOST = "connection-lost"
+    STREAM_BROKEN = "stream-broken"
+    NOT_RUN_AFTER_UNKNOWN = "earlier-attempt-unknown"
+
+
+class Sent(Enum):
+    """Say how much of the request may have left the entry."""
+
+    NOTHING = "nothing"
+    SOME = "some"
+
+
+class Said(Enum):
+    """Say how the agent answered an attempt."""
+
+    NOTHING = "no response"
+    COMPLETE = "complete response"
+    BROKEN = "response broke off"
+    NOT_RUN = "not-run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class TicketOrigin(Enum):
+    """Say who obtained the ticket of a request."""
+
+    NONE = "none"
+    ENTRY = "entry"
+    CALLER = "caller"
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Describe one attempt that has ended.
+
+    :param target: backend server, service instance or group.
+    :param code: code of the agent's problem document.
+    :param retry_after: seconds that the agent asked to wait, 0 for none.
+    :param revocation: whether the attempt was an order to revoke the ticket.
+    """
+
+    target: str
+    sent: Sent
+    said: Said
+    code: str = ""
+    retry_after: float = 0.0
+    revocation: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """Describe a request over all its attempts.
+
+    :param deadline: time by which the response must be there.
+    :param failed_targets: targets that have failed this request.
+    :param may_have_run: whether an earlier attempt ended without a known result.
+    :param has_other_target: whether a target is left that has not failed.
+    :param delivered: tokens that the caller has received.
+    :param body_begun: whether the caller has received a part of the response.
+    :param resumable: whether the response is a stream with known token offsets.
+    """
+
+    idempotent: bool
+    deadline: float
+    ticket: TicketOrigin = TicketOrigin.NONE
+    failed_targets: frozenset[str] = frozenset()
+    may_have_run: bool = False
+    has_other_target: bool = True
+    delivered: int = 0
+    body_begun: bool = False
+    resumable: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RetryElsewhere:
+    """Send the request again, with a new ticket if it needs one.
+
+    :param excluded: targets that must not be chosen.
+    :param may_have_run: what to put into the facts of the next attempt.
+    """
+
+    excluded: frozenset[str]
+    may_have_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeAt:
+    """Continue a stream on another target after the tokens already delivered."""
+
+    offset: int
+    excluded: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class RevokeFirst:
+    """Ask the agent to revoke the ticket, then decide again with its response."""
+
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReportNotRun:
+    """Tell the caller that the request was not run."""
+
+    code: str
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ReportUnknown:
+    """Tell the caller that nobody knows whether the request ran."""
+
+    code: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnResult:
+    """Pass the agent's response on to the caller."""
+
+
+RetryDecision = (
+    RetryElsewhere
+    | ResumeAt
+    | RevokeFirst
+    | ReportNotRun
+    | ReportUnknown
+    | ReturnResult
+)
+
+
+class RetryBudget:
+    """Limit retries of one entry to a share of its requests.
+
+    Without it, retries would multiply the load in the moments of least capacity.
+    """
+
+    __slots__ = ("_available", "_burst", "_last", "_requests")
+
+    def __init__(self, now: float) -> None:
+        self._available = RETRY_BURST
+        self._burst = RETRY_BURST
+        self._last = now
+        self._requests = 0
+
+    def count_request(self, now: float) -> None:
+        """Count a request of a caller."""
+        self._settle(now)
+        self._requests += 1
+
+    def may_spend(self, now: float) -> bool:
+        """Return whether a retry is left, without using it."""
+        self._settle(now)
+        return self._available >= 1.0
+
+    def spend(self, now: float) -> bool:
+        """Use one retry if one is left."""
+        if not self.may_spend(now):
+            return False
+        self._available -= 1.0
+        return True
+
+    def _settle(self, now: float) -> None:
+        elapsed = now - self._last
+        if elapsed < SETTLE_SECONDS:
+            return
+        earned = max(self._requests * RETRY_SHARE, elapsed * RETRIES_PER_SECOND)
+        self._burst = max(RETRY_BURST, self._requests * RETRY_SHARE / elapsed)
+        self._available = min(self._burst, self._available + earned)
+        self._last = now
+        self._requests = 0
+
+
+def decide_retry(
+    attempt: Attempt,
+    facts: RequestFacts,
+    budget: RetryBudget,
+    now: float,
+) -> RetryDecision:
+    """Decide what follows an attempt; uses the budget if that is a retry."""
+    if attempt.said in (Said.COMPLETE, Said.RAN):
+        return ReturnResult()
+    certain = _certainly_not_run(attempt)
+    if facts.ticket is TicketOrigin.CALLER:
+        return _report_for_callers_ticket(attempt)
+    if not certain and not facts.idempotent:
+        return _settle_non_idempotent(attempt, facts)
+    may_have_run = facts.may_have_run or not certain or facts.delivered > 0
+    if _may_retry(attempt, facts, now) and budget.spend(now):
+        excluded = facts.failed_targets | {attempt.target}
+        if facts.delivered:
+            return ResumeAt(facts.delivered, excluded)
+        return RetryElsewhere(excluded, may_have_run)
+    if not may_have_run:
+        return ReportNotRun(attempt.code or RetryCode.NOT_SENT, attempt.retry_after)
+    if certain:
+        return ReportUnknown(RetryCode.NOT_RUN_AFTER_UNKNOWN)
+    return ReportUnknown(_unknown_code(attempt))
+
+
+def report_unsent(
+    facts: RequestFacts,
+    code: str,
+    retry_after: float = 0.0,
+) -> ReportNotRun | ReportUnknown:
+    """Report that this entry sends the request nowhere (limits, overload, no route).
+
+    A copy of a request with the caller's own ticket may be on its way through another
+    entry, so for such a request only its agent can say that it was not run.
+    """
+    if facts.ticket is TicketOrigin.CALLER or facts.may_have_run or facts.delivered:
+        return ReportUnknown(code)
+    return ReportNotRun(code, retry_after)
+
+
+def _certainly_not_run(attempt: Attempt) -> bool:
+    if attempt.revocation:
+        return attempt.said is Said.NOT_RUN
+    return attempt.sent is Sent.NOTHING or attempt.said is Said.NOT_RUN
+
+
+def _report_for_callers_ticket(attempt: Attempt) -> ReportNotRun | ReportUnknown:
+    """Report without a retry.
+
+    The caller asks again with its ticket. If the entry ran the request under another
+    ticket, the agent would answer about the first one, which did not run.
+    """
+    if attempt.said is Said.NOT_RUN:
+        return ReportNotRun(attempt.code, attempt.retry_after)
+    if attempt.sent is Sent.NOTHING:
+        return ReportUnknown(RetryCode.UNREACHABLE)
+    return ReportUnknown(_unknown_code(attempt))
+
+
+def _settle_non_idempotent(
+    attempt: Attempt,
+    facts: RequestFacts,
+) -> RevokeFirst | ReportUnknown:
+    silent = attempt.said is Said.NOTHING and not attempt.revocation
+    if silent and facts.ticket is TicketOrigin.ENTRY:
+        return RevokeFirst(attempt.target)
+    return ReportUnknown(_unknown_code(attempt))
+
+
+def _may_retry(attempt: Attempt, facts: RequestFacts, now: float) -> bool:
+    if attempt.said is Said.NOT_RUN and attempt.code in FINAL_CODES:
+        return False
+    if (facts.body_begun or facts.delivered) and not facts.resumable:
+        return False
+    return facts.has_other_target and now + MIN_RETRY_SECONDS < facts.deadline
+
+
+def _unknown_code(attempt: Attempt) -> str:
+    if attempt.said is Said.BROKEN:
+        return attempt.code or RetryCode.STREAM_BROKEN
+    return attempt.code or RetryCode.CONNECTION_LOST
--- /dev/null
+++ b/lacewingcleat/tickets.py
@@ -0,0 +1,482 @@
+"""coordination: run a non-idempotent request at most once, at the agent that minted it.
+
+The book belongs to one agent process. A request runs only if the book returns `RunNow`
+and then `Started` for its ticket, and each ticket reaches `Started` at most once. The
+book says "not run" only about a ticket that can never start any more, so that a copy of
+the request that is still on its way cannot make the statement false.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum, StrEnum
+from heapq import heappop, heappush
+
+from result import Err, Ok, Result
+
+from lacewingcleat.identity import Peer
+from lacewingcleat.sheet import DEFAULT_TICKET_SECONDS, Service
+from lacewingcleat.ticket_token import Ticket, read_ticket, seal_ticket, verify_ticket
+
+MAX_TICKETS = 100_000
+MAX_RESPONSE_BYTES = 1 << 20
+MAX_STORED_BYTES = 64 << 20
+# How long an expired ticket is still known, so that one that was never started can be
+# reported as not run. Afterwards the book can no longer tell, and says unknown.
+EXPIRED_KEPT_SECONDS = 60.0
+
+
+class TicketCode(StrEnum):
+    """Name the reasons in outcomes, as in the `code` member of a problem."""
+
+    REQUIRED = "ticket-required"
+    EXPIRED = "ticket-expired"
+    REVOKED = "ticket-revoked"
+    TOO_MANY = "too-many-tickets"
+    ANSWER_NOT_KEPT = "answer-not-kept"
+    SERVER_LOST = "server-lost"
+    OTHER_INCARNATION = "ticket-of-another-process"
+    NOT_RECOGNISED = "ticket-not-recognised"
+    OTHER_REQUEST = "ticket-of-another-request"
+    KEY_RUN = "key-already-run"
+    KEY_IN_USE = "key-in-use"
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """Hold a complete response of a service."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def size(self) -> int:
+        """Return the bytes that storing it takes."""
+        fields = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.body) + fields
+
+
+@dataclass(frozen=True, slots=True)
+class RunNow:
+    """Admit the request; the caller of the book queues it and then calls `start`."""
+
+    ticket_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Attach:
+    """Wait for the response of the copy that is queued or running."""
+
+    ticket_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """Return the response of the earlier run."""
+
+    ticket_id: str
+    response: Response
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Say that the request did not run under this ticket and never will."""
+
+    code: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """Say that the request ran, but that its response is not at hand."""
+
+    code: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """Say that nobody can tell whether the request ran; it will not run again."""
+
+    code: str
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """Confirm that the request may be handed to the service now."""
+
+    ticket_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Minted:
+    """Hold a new ticket and its token."""
+
+    ticket: Ticket
+    token: str
+
+
+Presented = RunNow | Attach | Stored | NotRun | Ran | Unknown
+Revoked = Attach | Stored | NotRun | Ran | Unknown
+StartOutcome = Started | NotRun | Unknown
+
+
+class TicketUse(Enum):
+    """Say how an entry deals with a request to a plain service."""
+
+    NONE = "send without a ticket; the call is idempotent"
+    PRESENT = "present the caller's ticket"
+    OBTAIN = "obtain a ticket and run once"
+    DEMAND = "answer 428 with a ticket and do not run"
+
+
+class _State(Enum):
+    MINTED = 0
+    QUEUED = 1
+    RUNNING = 2
+    DONE = 3
+    LOST = 4
+    REFUSED = 5
+
+
+@dataclass(slots=True)
+class _Record:
+    ticket: Ticket
+    state: _State = _State.MINTED
+    fingerprint: str = ""
+    code: str = ""
+    response: Response | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Key:
+    account: str
+    service: str
+    key: str
+
+
+@dataclass(slots=True)
+class _KeyUse:
+    last_expiry: float
+    ticket_id: str = ""
+
+
+def _key_of(ticket: Ticket) -> _Key:
+    return _Key(ticket.account, ticket.service, ticket.key)
+
+
+def choose_ticket_use(
+    service: Service,
+    method: str,
+    path: str,
+    has_ticket: bool,
+    has_key: bool,
+) -> TicketUse:
+    """Return whether a call needs a ticket and who supplies it.
+
+    :param path: path below the service.
+    """
+    if has_ticket:
+        return TicketUse.PRESENT
+    if service.is_idempotent(method, path):
+        return TicketUse.NONE
+    if has_key or service.require_ticket:
+        return TicketUse.DEMAND
+    return TicketUse.OBTAIN
+
+
+class TicketBook:
+    """Keep the tickets of one agent process.
+
+    :param me: the agent.
+    :param address: IP and port of the agent's HTTP listener.
+    :param secret: random bytes made at the start of the process.
+    """
+
+    __slots__ = (
+        "_address",
+        "_expiries",
+        "_me",
+        "_record_by_id",
+        "_secret",
+        "_size_by_stored_id",
+        "_use_by_key",
+        "stored_bytes",
+    )
+
+    def __init__(self, me: Peer, address: str, secret: bytes) -> None:
+        self._me = me
+        self._address = address
+        self._secret = secret
+        self._record_by_id: dict[str, _Record] = {}
+        self._use_by_key: dict[_Key, _KeyUse] = {}
+        self._expiries: list[tuple[float, str]] = []
+        self._size_by_stored_id: OrderedDict[str, int] = OrderedDict()
+        self.stored_bytes = 0
+
+    def __len__(self) -> int:
+        """Return the number of tickets that the book remembers."""
+        return len(self._record_by_id)
+
+    def mint(
+        self,
+        service: str,
+        account: str,
+        random_bytes: bytes,
+        now: float,
+        key: str = "",
+        ticket_seconds: float = DEFAULT_TICKET_SECONDS,
+    ) -> Result[Minted, NotRun | Ran | Unknown]:
+        """Make a ticket, or say why there is none.
+
+        :param random_bytes: 16 bytes from a cryptographic source.
+        :param key: idempotency key to which the ticket is bound.
+        """
+        self.forget_expired(now)
+        if len(self._record_by_id) >= MAX_TICKETS:
+            return Err(NotRun(TicketCode.TOO_MANY))
+        ticket = Ticket(
+            self._me.instance,
+            self._address,
+            self._me.incarnation,
+            random_bytes.hex(),
+            service,
+            account,
+            key,
+            now + ticket_seconds,
+        )
+        refusal = self._key_refusal(ticket)
+        if refusal is not None:
+            return Err(refusal)
+        if key:
+            use = self._use_by_key.setdefault(_key_of(ticket), _KeyUse(0.0))
+            use.last_expiry = max(use.last_expiry, ticket.expires)
+        self._record_by_id[ticket.ticket_id] = _Record(ticket)
+        forget_at = ticket.expires + EXPIRED_KEPT_SECONDS
+        heappush(self._expiries, (forget_at, ticket.ticket_id))
+        return Ok(Minted(ticket, seal_ticket(ticket, self._secret)))
+
+    def present(
+        self,
+        token: str,
+        service: str,
+        account: str,
+        fingerprint: str,
+        now: float,
+        key: str = "",
+    ) -> Presented:
+        """Decide what happens to a request that carries a ticket.
+
+        The first request that is admitted binds the ticket to its fingerprint; a ticket
+        answers for one request only.
+
+        :param fingerprint: hash over the request's method, path and body.
+        :param key: the request's idempotency key. It has no effect on a ticket that is
+            not bound to a key, because the key may have been forgotten before such a
+            ticket expires.
+        """
+        self.forget_expired(now)
+        match self._find(token, service, account):
+            case Err(unknown):
+                return unknown
+            case Ok(record):
+                return self._present(record, fingerprint, key, now)
+
+    def start(self, ticket_id: str, now: float) -> StartOutcome:
+        """Mark an admitted request as running, immediately before it is sent on.
+
+        Time may have passed in the queue or in a pause, so expiry is checked again.
+        """
+        record = self._record_by_id.get(ticket_id)
+        if record is None:
+            return Unknown(TicketCode.EXPIRED)
+        if record.state is _State.REFUSED:
+            return NotRun(record.code)
+        if record.state is not _State.QUEUED:
+            return Unknown(TicketCode.OTHER_REQUEST)
+        if now >= record.ticket.expires:
+            return self._refuse(record, TicketCode.EXPIRED)
+        record.state = _State.RUNNING
+        return Started(ticket_id)
+
+    def finish(self, ticket_id: str, response: Response, now: float) -> None:
+        """Store the response of a run, within the bounds."""
+        record = self._record_by_id.get(ticket_id)
+        if record is None or record.state is not _State.RUNNING:
+            return
+        record.state = _State.DONE
+        if response.size > MAX_RESPONSE_BYTES or now >= record.ticket.expires:
+            return
+        record.response = response
+        self._size_by_stored_id[ticket_id] = response.size
+        self.stored_bytes += response.size
+        while self.stored_bytes > MAX_STORED_BYTES:
+            # The oldest response is the least likely to be asked for again.
+            self._drop_response(next(iter(self._size_by_stored_id)))
+
+    def finish_without_response(self, ticket_id: str) -> None:
+        """Mark a run as complete whose response was not kept, such as a stream."""
+        record = self._record_by_id.get(ticket_id)
+        if record is not None and record.state is _State.RUNNING:
+            record.state = _State.DONE
+
+    def refuse(self, ticket_id: str, code: str) -> NotRun | Unknown:
+        """Refuse an admitted request that has not started, for good.
+
+        The ticket becomes a tombstone. Otherwise a delayed copy could still run after
+        its caller was told that the request did not.
+        """
+        record = self._record_by_id.get(ticket_id)
+        if record is None:
+            return Unknown(TicketCode.EXPIRED)
+        if record.state in (_State.MINTED, _State.QUEUED):
+            return self._refuse(record, code)
+        if record.state is _State.REFUSED:
+            return NotRun(record.code)
+        return Unknown(TicketCode.OTHER_REQUEST)
+
+    def revoke(self, token: str, account: str, now: float) -> Revoked:
+        """Make sure that a ticket never starts, or say how far its request has come."""
+        self.forget_expired(now)
+        match self._find(token, None, account):
+            case Err(unknown):
+                return unknown
+            case Ok(record):
+                pass
+        if record.state is _State.MINTED and now >= record.ticket.expires:
+            return self._refuse(record, TicketCode.EXPIRED)
+        if record.state in (_State.MINTED, _State.QUEUED):
+            return self._refuse(record, TicketCode.REVOKED)
+        return self._outcome(record, now)
+
+    def lose(self, ticket_id: str) -> None:
+        """Mark one run as lost, after its connection to the service broke."""
+        record = self._record_by_id.get(ticket_id)
+        if record is not None and record.state is _State.RUNNING:
+            record.state = _State.LOST
+
+    def lose_running(self) -> list[str]:
+        """Mark all runs as lost after the engine or service died or restarted.
+
+        Requests that wait in the agent's queue were never sent and stay admitted.
+
+        :return: the tickets whose waiting requests must be answered with `Unknown`.
+        """
+        lost = []
+        for ticket_id, record in self._record_by_id.items():
+            if record.state is _State.RUNNING:
+                record.state = _State.LOST
+                lost.append(ticket_id)
+        return lost
+
+    def forget_expired(self, now: float) -> None:
+        """Drop tickets whose time is over, but none that is queued or running."""
+        while self._expiries and self._expiries[0][0] <= now:
+            _, ticket_id = heappop(self._expiries)
+            record = self._record_by_id[ticket_id]
+            if record.state in (_State.QUEUED, _State.RUNNING):
+                heappush(self._expiries, (now + EXPIRED_KEPT_SECONDS, ticket_id))
+                continue
+            self._drop_response(ticket_id)
+            del self._record_by_id[ticket_id]
+            self._forget_key(record.ticket, now)
+
+    def _find(
+        self,
+        token: str,
+        service: str | None,
+        account: str,
+    ) -> Result[_Record, Unknown]:
+        match read_ticket(token):
+            case Err(_):
+                return Err(Unknown(TicketCode.NOT_RECOGNISED))
+            case Ok(ticket):
+                pass
+        if ticket.incarnation != self._me.incarnation:
+            return Err(Unknown(TicketCode.OTHER_INCARNATION))
+        if not verify_ticket(token, self._secret):
+            return Err(Unknown(TicketCode.NOT_RECOGNISED))
+        if ticket.account != account or service not in (None, ticket.service):
+            return Err(Unknown(TicketCode.OTHER_REQUEST))
+        record = self._record_by_id.get(ticket.ticket_id)
+        if record is None:
+            return Err(Unknown(TicketCode.EXPIRED))
+        return Ok(record)
+
+    def _present(
+        self,
+        record: _Record,
+        fingerprint: str,
+        key: str,
+        now: float,
+    ) -> Presented:
+        if record.state is _State.REFUSED:
+            return NotRun(record.code)
+        if record.ticket.key and key and key != record.ticket.key:
+            return Unknown(TicketCode.OTHER_REQUEST)
+        if record.state is not _State.MINTED:
+            # A body that differs is not proof of another request: a caller may build
+            # the same request anew. So this is never reported as not run.
+            if fingerprint != record.fingerprint:
+                return Unknown(TicketCode.OTHER_REQUEST)
+            return self._outcome(record, now)
+        if now >= record.ticket.expires:
+            return self._refuse(record, TicketCode.EXPIRED)
+        refusal = self._key_refusal(record.ticket)
+        if refusal is not None:
+            return refusal
+        if record.ticket.key:
+            use = self._use_by_key[_key_of(record.ticket)]
+            use.ticket_id = record.ticket.ticket_id
+        record.fingerprint = fingerprint
+        record.state = _State.QUEUED
+        return RunNow(record.ticket.ticket_id)
+
+    def _outcome(self, record: _Record, now: float) -> Revoked:
+        match record.state:
+            case _State.QUEUED | _State.RUNNING:
+                return Attach(record.ticket.ticket_id)
+            case _State.REFUSED:
+                return NotRun(record.code)
+            case _State.LOST:
+                return Unknown(TicketCode.SERVER_LOST)
+        if now >= record.ticket.expires:
+            return Unknown(TicketCode.EXPIRED)
+        if record.response is None:
+            return Ran(TicketCode.ANSWER_NOT_KEPT)
+        return Stored(record.ticket.ticket_id, record.response)
+
+    def _refuse(self, record: _Record, code: str) -> NotRun:
+        record.state = _State.REFUSED
+        record.code = code
+        use = self._use_by_key.get(_key_of(record.ticket))
+        if use is not None and use.ticket_id == record.ticket.ticket_id:
+            use.ticket_id = ""
+        return NotRun(code)
+
+    def _key_refusal(self, ticket: Ticket) -> Ran | Unknown | None:
+        use = self._use_by_key.get(_key_of(ticket))
+        if use is None or use.ticket_id in ("", ticket.ticket_id):
+            return None
+        other = self._record_by_id.get(use.ticket_id)
+        if other is None:
+            return Unknown(TicketCode.KEY_RUN)
+        match other.state:
+            case _State.DONE:
+                return Ran(TicketCode.KEY_RUN)
+            case _State.LOST:
+                return Unknown(TicketCode.SERVER_LOST)
+        return Unknown(TicketCode.KEY_IN_USE)
+
+    def _forget_key(self, ticket: Ticket, now: float) -> None:
+        key = _key_of(ticket)
+        use = self._use_by_key.get(key)
+        if use is None or use.ticket_id in self._record_by_id:
+            return
+        # Tickets for the same key that are still valid must find that it was used.
+        if use.last_expiry + EXPIRED_KEPT_SECONDS <= now:
+            del self._use_by_key[key]
+
+    def _drop_response(self, ticket_id: str) -> None:
+        size = self._size_by_stored_id.pop(ticket_id, None)
+        if size is not None:
+            self.stored_bytes -= size
+            self._record_by_id[ticket_id].response = None
