--- /dev/null
+++ b/lacewingcleat/agent_gate.py
@@ -0,0 +1,367 @@
+"""coordination: the last gate before a backend server.
+
+An agent runs a request only if this gate admits it. The gate holds what must be true
+at that moment: a sheet is in force, the sender's routing is not older, the server takes
+new work, the process was not paused, firm claims and slots allow the start, and a
+suspect of crashes runs alone. It queues what may run later and refuses the rest as not
+run.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from math import inf
+
+from lacewingcleat.firm_claims import FirmClaims
+from lacewingcleat.load_shedding import AdmissionQueue, QueuedRequest, Shed, ShedReason
+from lacewingcleat.sheet import ServerState, Sheet
+
+# A caller of a server that is leaving or has no sheet goes elsewhere at once; this is
+# for callers that know no other server.
+UNAVAILABLE_RETRY_SECONDS = 1.0
+
+
+class RefusalReason(Enum):
+    """Say why the gate refused a request as not run."""
+
+    NO_SHEET = "no-sheet"
+    OLD_REVISION = "old-revision"
+    NOT_IN_SHEET = "not-in-sheet"
+    LEAVING = "leaving"
+    PAUSED = "paused"
+    OVERLOAD = "overload"
+    DEADLINE = "deadline"
+    DISPLACED = "displaced"
+    ALONE_BUSY = "alone-busy"
+    DUPLICATE = "duplicate"
+
+
+@dataclass(frozen=True, slots=True)
+class GateRequest:
+    """Describe a request at the gate.
+
+    :param request_id: unique among the requests of this agent's lifetime.
+    :param priority: 0 is the most urgent.
+    :param revision: revision that the sender holds.
+    :param routing_digest: digest of the sender's sheet without accounts.
+    :param deadline: latest useful moment on the agent's clock, infinite for none.
+    :param run_alone: whether it is a suspect that must run alone on the server.
+    """
+
+    request_id: str
+    account: str
+    firm: str
+    priority: int
+    revision: int
+    routing_digest: str
+    deadline: float = inf
+    run_alone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """Tell that a request holds a slot and has to be sent to the server now."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """Tell that a request waits; a later event starts or refuses it.
+
+    :param expected_seconds: expected wait.
+    """
+
+    request_id: str
+    expected_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Tell that a request was not run.
+
+    :param retry_after_seconds: when the same request can expect to be taken here.
+    """
+
+    request_id: str
+    reason: RefusalReason
+    retry_after_seconds: float
+
+
+GateEvent = Started | Refused
+GateDecision = Started | Queued | Refused
+
+
+@dataclass(slots=True)
+class _Running:
+    request: GateRequest
+    since: float
+
+
+class AgentGate:
+    """Admit, queue or refuse the requests to one backend server.
+
+    Every function that frees a slot or changes a condition returns the events that
+    follow from it: queued requests that start now, or that are refused.
+
+    :param server: name of the backend server in the sheet.
+    :param max_waiting: bound on the queue.
+    """
+
+    __slots__ = (
+        "_alone_id",
+        "_claims",
+        "_displaced",
+        "_draining",
+        "_paused",
+        "_queue",
+        "_request_by_waiting_id",
+        "_running_by_id",
+        "_server",
+        "_sheet",
+        "_state",
+    )
+
+    def __init__(self, server: str, max_waiting: int = 1024) -> None:
+        self._server = server
+        self._claims = FirmClaims(0)
+        self._queue = AdmissionQueue(0, max_waiting)
+        self._sheet: Sheet | None = None
+        self._state: ServerState | None = None
+        self._draining = False
+        self._paused = False
+        self._alone_id = ""
+        self._displaced: list[GateEvent] = []
+        self._running_by_id: dict[str, _Running] = {}
+        self._request_by_waiting_id: dict[str, GateRequest] = {}
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether the server takes no new work."""
+        return self._draining or self._state is ServerState.LEAVING
+
+    @property
+    def drained(self) -> bool:
+        """Return whether the server is leaving and nothing runs any more."""
+        return self.leaving and not self._running_by_id
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests that hold a slot."""
+        return len(self._running_by_id)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests in the queue."""
+        return len(self._queue)
+
+    @property
+    def slots(self) -> int:
+        """Return the number of requests that the server runs at once."""
+        return self._claims.slots
+
+    @property
+    def claims(self) -> FirmClaims:
+        """Return the firm claims, for metrics and status pages."""
+        return self._claims
+
+    @property
+    def queue(self) -> AdmissionQueue:
+        """Return the queue, for metrics and status pages."""
+        return self._queue
+
+    def apply_sheet(self, sheet: Sheet, now: float) -> list[GateEvent]:
+        """Put a revision in force, with the server's state and slots."""
+        self._sheet = sheet
+        server = sheet.server_by_name.get(self._server)
+        self._state = server.state if server else None
+        slots = server.slots if server else 0
+        self._claims.set_slots(slots)
+        self._queue.set_slots(slots)
+        return self._settle(now)
+
+    def set_shares(
+        self,
+        share_by_firm: Mapping[str, float],
+        now: float,
+    ) -> list[GateEvent]:
+        """Put the firms' shares of the present hour in force.
+
+        :param share_by_firm: shares from `hours.claim_share`; call it on each tick.
+        """
+        self._claims.set_shares(share_by_firm)
+        return self._settle(now)
+
+    def drain(self, now: float) -> list[GateEvent]:
+        """Take no new work from now on; what runs is finished.
+
+        Called when the platform lists the instance as leaving, and on SIGTERM.
+        """
+        self._draining = True
+        return self._settle(now)
+
+    def undrain(self, now: float) -> list[GateEvent]:
+        """Take new work again, when the platform list was wrong."""
+        self._draining = False
+        return self._settle(now)
+
+    def pause(self, now: float) -> list[GateEvent]:
+        """Start nothing until the sheet is confirmed, after a pause of the process."""
+        self._paused = True
+        return self._settle(now)
+
+    def resume(self, now: float) -> list[GateEvent]:
+        """Go on, when a peer confirmed the sheet or none answered in time."""
+        self._paused = False
+        return self._settle(now)
+
+    def admit(self, request: GateRequest, now: float) -> GateDecision:
+        """Decide about a new request.
+
+        A request that was displaced by this one is refused by the next event list.
+        """
+        reason = self._refusal(request)
+        if reason is not None:
+            return self._refuse(request, reason)
+        if request.run_alone and self._alone_id:
+            return self._refuse(request, RefusalReason.ALONE_BUSY)
+        queued = QueuedRequest(
+            request.request_id,
+            request.account,
+            request.firm,
+            request.priority,
+            request.deadline,
+        )
+        if request.run_alone:
+            self._alone_id = request.request_id
+        self._request_by_waiting_id[request.request_id] = request
+        # Nothing in the queue may start now, because every change settles the queue.
+        # A request that may start therefore passes nobody.
+        if now < request.deadline and self._may_start(queued):
+            self._start(queued, now)
+            return Started(request.request_id)
+        expected = self._queue.expected_wait(request.priority)
+        for shed in self._queue.offer(queued, now):
+            refused = self._refused(shed)
+            if shed.request.request_id == request.request_id:
+                return refused
+            self._displaced.append(refused)
+        return Queued(request.request_id, expected)
+
+    def finish(self, request_id: str, now: float) -> list[GateEvent]:
+        """Free the slot of a request that ended."""
+        running = self._running_by_id.pop(request_id, None)
+        if running is None:
+            return []
+        self._claims.finish(running.request.firm)
+        if self._alone_id == request_id:
+            self._alone_id = ""
+        self._queue.record_service(now - running.since)
+        return self._settle(now)
+
+    def cancel(self, request_id: str, now: float) -> list[GateEvent]:
+        """Forget a request whose caller has gone, waiting or running."""
+        running = self._running_by_id.pop(request_id, None)
+        if running is not None:
+            self._claims.finish(running.request.firm)
+        else:
+            self._queue.remove(request_id)
+            self._forget_waiting(request_id)
+        if self._alone_id == request_id:
+            self._alone_id = ""
+        return self._settle(now)
+
+    def tick(self, now: float) -> list[GateEvent]:
+        """Drop late work and start what may start; call it every 0.25 s."""
+        return self._settle(now)
+
+    def _refusal(self, request: GateRequest) -> RefusalReason | None:
+        sheet = self._sheet
+        if sheet is None:
+            return RefusalReason.NO_SHEET
+        if self._state is None:
+            return RefusalReason.NOT_IN_SHEET
+        if self.leaving:
+            return RefusalReason.LEAVING
+        if self._paused:
+            return RefusalReason.PAUSED
+        if (
+            request.revision < sheet.revision
+            and request.routing_digest != sheet.routing_digest
+        ):
+            return RefusalReason.OLD_REVISION
+        known = self._running_by_id.keys() | self._request_by_waiting_id.keys()
+        if request.request_id in known:
+            return RefusalReason.DUPLICATE
+        return None
+
+    def _refuse(self, request: GateRequest, reason: RefusalReason) -> Refused:
+        match reason:
+            case RefusalReason.OVERLOAD | RefusalReason.DEADLINE:
+                seconds = self._queue.retry_after(request.priority)
+            case RefusalReason.ALONE_BUSY:
+                seconds = self._queue.service_seconds
+            case _:
+                seconds = UNAVAILABLE_RETRY_SECONDS
+        return Refused(request.request_id, reason, seconds)
+
+    def _refused(self, shed: Shed) -> Refused:
+        self._forget_waiting(shed.request.request_id)
+        reason = {
+            ShedReason.OVERLOAD: RefusalReason.OVERLOAD,
+            ShedReason.DEADLINE: RefusalReason.DEADLINE,
+            ShedReason.DISPLACED: RefusalReason.DISPLACED,
+        }[shed.reason]
+        return Refused(shed.request.request_id, reason, shed.retry_after_seconds)
+
+    def _forget_waiting(self, request_id: str) -> None:
+        self._request_by_waiting_id.pop(request_id, None)
+        if self._alone_id == request_id:
+            self._alone_id = ""
+
+    def _may_start(self, queued: QueuedRequest) -> bool:
+        if self._paused or self.leaving or self._state is None:
+            return False
+        if self._alone_id and not self._alone_allows(queued):
+            return False
+        return self._claims.may_start(queued.firm, self._waiting_firms())
+
+    def _waiting_firms(self) -> set[str]:
+        return {request.firm for request in self._request_by_waiting_id.values()}
+
+    def _alone_allows(self, queued: QueuedRequest) -> bool:
+        """Return whether the suspect that runs or waits leaves room for a request."""
+        if queued.request_id == self._alone_id:
+            return not self._running_by_id
+        if self._alone_id in self._running_by_id:
+            return False
+        alone = self._request_by_waiting_id[self._alone_id]
+        # While the claim of another firm keeps the suspect waiting, holding back other
+        # work for it would only leave the server idle.
+        others = self._waiting_firms() - {alone.firm}
+        claims = self._claims
+        holder_waits = any(claims.running_of(f) < claims.claim_of(f) for f in others)
+        return holder_waits and claims.claim_of(alone.firm) == 0
+
+    def _start(self, queued: QueuedRequest, now: float) -> None:
+        request = self._request_by_waiting_id.pop(queued.request_id)
+        self._claims.start(request.firm)
+        self._running_by_id[request.request_id] = _Running(request, now)
+
+    def _settle(self, now: float) -> list[GateEvent]:
+        """Refuse what can no longer run and start what may run now."""
+        events: list[GateEvent] = list(self._displaced)
+        self._displaced.clear()
+        if self.leaving or (self._sheet is not None and self._state is None):
+            reason = RefusalReason.LEAVING if self.leaving else None
+            for queued in self._queue.clear():
+                request = self._request_by_waiting_id[queued.request_id]
+                self._forget_waiting(queued.request_id)
+                events.append(
+                    self._refuse(request, reason or RefusalReason.NOT_IN_SHEET),
+                )
+        events += [self._refused(shed) for shed in self._queue.drop_late(now)]
+        while (queued_next := self._queue.take(self._may_start)) is not None:
+            self._start(queued_next, now)
+            events.append(Started(queued_next.request_id))
+        return events
--- /dev/null
+++ b/lacewingcleat/load_shedding.py
@@ -0,0 +1,225 @@
+"""coordination: bounded queue in front of a backend server.
+
+The queue serves the most urgent priority first and, within a priority, the accounts in
+turn. It refuses early: work is queued only if the wait expected from the measured
+service rate fits its deadline and the longest useful wait. When the queue is full, the
+least urgent work makes room for more urgent work.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from lacewingcleat.sheet import LEAST_URGENT_PRIORITY
+
+# A caller that waits longer than this for its first token has usually given up: the
+# target for the first token is 1.1 s at the 95th percentile.
+MAX_WAIT_SECONDS = 1.0
+# Each step of priority gives up this share of the longest wait, so that the least
+# urgent work is shed while there is still room for the most urgent.
+WAIT_STEP_SHARE = 0.08
+MIN_RETRY_AFTER_SECONDS = 0.1
+MAX_RETRY_AFTER_SECONDS = 60.0
+INITIAL_SERVICE_SECONDS = 0.5
+# Weight of the newest service time in the moving average.
+SERVICE_WEIGHT = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedRequest:
+    """Describe a request to a backend server's queue.
+
+    :param priority: 0 is the most urgent.
+    :param deadline: latest useful moment on the agent's clock, infinite for none.
+    """
+
+    request_id: str
+    account: str
+    firm: str
+    priority: int
+    deadline: float
+
+
+class ShedReason(Enum):
+    """Say why the queue did not keep a request."""
+
+    OVERLOAD = "overload"
+    DEADLINE = "deadline"
+    DISPLACED = "displaced"
+
+
+@dataclass(frozen=True, slots=True)
+class Shed:
+    """Name a request that the queue gave up, as not run.
+
+    :param retry_after_seconds: expected time until the same request would be queued.
+    """
+
+    request: QueuedRequest
+    reason: ShedReason
+    retry_after_seconds: float
+
+
+class AdmissionQueue:
+    """Keep the requests that wait for a slot of one backend server.
+
+    :param slots: requests that the server runs at once.
+    :param max_waiting: bound on the requests waiting.
+    :param max_wait_seconds: longest useful wait of the most urgent priority.
+    """
+
+    __slots__ = (
+        "_max_wait",
+        "_max_waiting",
+        "_queue_by_account_by_priority",
+        "_request_by_id",
+        "_service_seconds",
+        "_slots",
+    )
+
+    def __init__(
+        self,
+        slots: int,
+        max_waiting: int = 1024,
+        max_wait_seconds: float = MAX_WAIT_SECONDS,
+    ) -> None:
+        self._slots = slots
+        self._max_waiting = max_waiting
+        self._max_wait = max_wait_seconds
+        self._service_seconds = INITIAL_SERVICE_SECONDS
+        self._request_by_id: dict[str, QueuedRequest] = {}
+        self._queue_by_account_by_priority: list[
+            OrderedDict[str, deque[QueuedRequest]]
+        ] = [OrderedDict() for _ in range(LEAST_URGENT_PRIORITY + 1)]
+
+    def __len__(self) -> int:
+        return len(self._request_by_id)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._request_by_id
+
+    def __iter__(self) -> Iterator[QueuedRequest]:
+        return iter(list(self._request_by_id.values()))
+
+    @property
+    def service_seconds(self) -> float:
+        """Return the measured mean time that a request holds a slot."""
+        return self._service_seconds
+
+    @property
+    def service_rate(self) -> float:
+        """Return the requests a second that the server finishes when busy."""
+        return max(self._slots, 1) / self._service_seconds
+
+    @property
+    def waiting_firms(self) -> set[str]:
+        """Return the firms that have work waiting."""
+        return {request.firm for request in self._request_by_id.values()}
+
+    def set_slots(self, slots: int) -> None:
+        """Change the size of the server."""
+        self._slots = slots
+
+    def record_service(self, seconds: float) -> None:
+        """Measure the service time of a request that ran to its end."""
+        difference = max(seconds, 1e-3) - self._service_seconds
+        self._service_seconds += SERVICE_WEIGHT * difference
+
+    def expected_wait(self, priority: int) -> float:
+        """Return the time until a new request of a priority would start."""
+        return self._ahead(priority) / self.service_rate
+
+    def longest_wait(self, priority: int) -> float:
+        """Return the wait beyond which work of a priority is shed."""
+        return self._max_wait * (1.0 - WAIT_STEP_SHARE * priority)
+
+    def retry_after(self, priority: int) -> float:
+        """Return when a request of a priority can expect to be queued.
+
+        It is the time in which the server works off what is queued beyond the longest
+        wait of this priority, and at least the time of one service.
+        """
+        excess = self.expected_wait(priority) - self.longest_wait(priority)
+        seconds = max(excess, 1.0 / self.service_rate, MIN_RETRY_AFTER_SECONDS)
+        return min(seconds, MAX_RETRY_AFTER_SECONDS)
+
+    def offer(self, request: QueuedRequest, now: float) -> list[Shed]:
+        """Queue a request, or shed it or a less urgent one.
+
+        :returns: what was shed; the request itself is queued if it is not in the list.
+        """
+        wait = self.expected_wait(request.priority)
+        if now + wait >= request.deadline:
+            return [self._shed(request, ShedReason.DEADLINE)]
+        if wait > self.longest_wait(request.priority):
+            return [self._shed(request, ShedReason.OVERLOAD)]
+        shed: list[Shed] = []
+        if len(self) >= self._max_waiting:
+            victim = self._least_urgent_below(request.priority)
+            if victim is None:
+                return [self._shed(request, ShedReason.OVERLOAD)]
+            self.remove(victim.request_id)
+            shed.append(self._shed(victim, ShedReason.DISPLACED))
+        queues = self._queue_by_account_by_priority[request.priority]
+        queues.setdefault(request.account, deque()).append(request)
+        self._request_by_id[request.request_id] = request
+        return shed
+
+    def drop_late(self, now: float) -> list[Shed]:
+        """Drop the requests that can no longer meet their deadline."""
+        late = [item for item in self._request_by_id.values() if item.deadline <= now]
+        for request in late:
+            self.remove(request.request_id)
+        return [self._shed(request, ShedReason.DEADLINE) for request in late]
+
+    def take(self, may_start: Callable[[QueuedRequest], bool]) -> QueuedRequest | None:
+        """Remove and return the next request that may start.
+
+        :param may_start: whether a request may start now, by claims and slots.
+        """
+        for queues in self._queue_by_account_by_priority:
+            for account, queue in queues.items():
+                if not may_start(queue[0]):
+                    continue
+                request = queue[0]
+                queues.move_to_end(account)
+                self.remove(request.request_id)
+                return request
+        return None
+
+    def remove(self, request_id: str) -> QueuedRequest | None:
+        """Remove a request that was cancelled; return it if it was waiting."""
+        request = self._request_by_id.pop(request_id, None)
+        if request is None:
+            return None
+        queues = self._queue_by_account_by_priority[request.priority]
+        queue = queues[request.account]
+        queue.remove(request)
+        if not queue:
+            del queues[request.account]
+        return request
+
+    def clear(self) -> list[QueuedRequest]:
+        """Remove and return all requests."""
+        waiting = list(self._request_by_id.values())
+        for request in waiting:
+            self.remove(request.request_id)
+        return waiting
+
+    def _ahead(self, priority: int) -> int:
+        return sum(
+            len(queue)
+            for queues in self._queue_by_account_by_priority[: priority + 1]
+            for queue in queues.values()
+        )
+
+    def _least_urgent_below(self, priority: int) -> QueuedRequest | None:
+        for queues in reversed(self._queue_by_account_by_priority[priority + 1 :]):
+            if queues:
+                # The account with the most waiting gives way, its newest work first.
+                return max(queues.values(), key=len)[-1]
+        return None
+
+    def _shed(self, request: QueuedRequest, reason: ShedReason) -> Shed:
+        return Shed(request, reason, self.retry_after(request.priority))
