--- /dev/null
+++ b/lacewingcleat/load_view.py
@@ -0,0 +1,326 @@
+"""coordination: the present load of groups, estimated from lagged reports.
+
+A report describes a group at a past moment. The view adds what this entry has sent
+since that moment and what other entries have probably sent, and lets the group work off
+its queue meanwhile. Reports may be lost, doubled, reordered, late or from an agent that
+has been replaced.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from lacewingcleat.messages import GroupReport, ZoneDigest
+
+STALE_SECONDS = 10.0
+"""Age above which a report says nothing about the load; reports come twice a second."""
+
+LEADER_SILENCE_SECONDS = 3.0
+"""Silence after which an earlier incarnation may report again: three heartbeats."""
+
+REMEMBERED_INCARNATIONS = 4
+MAX_RECENT_SENDS = 1024
+RATE_SMOOTHING_SECONDS = 5.0
+MAX_OTHERS_RATE = 1.0
+"""Cap of the estimated rate: agents shed above it, so the queue cannot grow faster."""
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Name a place that can take a request.
+
+    :param group: model group or plain service.
+    :param server: backend server that takes the request.
+    """
+
+    group: str
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class RequestCost:
+    """Hold the estimated cost of a request in seconds of group time.
+
+    :param decode_seconds: expected output tokens times a slot's share of a step.
+    """
+
+    prefill_seconds: float
+    decode_seconds: float
+
+    @property
+    def total_seconds(self) -> float:
+        """Return the whole cost."""
+        return self.prefill_seconds + self.decode_seconds
+
+
+@dataclass(slots=True, eq=False)
+class Sent:
+    """Follow one own request from its send to its end."""
+
+    target: Target
+    at: float
+    work_seconds: float
+    finished: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadEstimate:
+    """Estimate the load of a target now.
+
+    :param known: whether a report that is not stale stands behind the figures.
+    :param age: seconds since the figures of the report were taken.
+    :param queued_seconds: work waiting, including sends since the report.
+    """
+
+    known: bool
+    age: float
+    queued_seconds: float
+    running: int
+    capacity: int
+    step_seconds: float
+    prefill_tokens_per_second: float
+    kv_free_share: float
+    adapters: tuple[str, ...]
+    versions: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class _TargetLoad:
+    """Hold the last report of a target and what happened since.
+
+    `backlog` is the queue at `backlog_at`; it drains at one second of work per second.
+    """
+
+    report: GroupReport | None = None
+    incarnation: str = ""
+    taken_at: float = float("-inf")
+    backlog: float = 0.0
+    backlog_at: float = float("-inf")
+    running: int = 0
+    others_rate: float = 0.0
+    own_work: float = 0.0
+    own_work_at_report: float = 0.0
+    own_rate: float = 0.0
+    own_rate_at: float = 0.0
+    recent: deque[Sent] = field(default_factory=lambda: deque(maxlen=MAX_RECENT_SENDS))
+    ended: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_RECENT_SENDS))
+    sequence_by_incarnation: dict[str, int] = field(default_factory=dict)
+
+
+class LoadView:
+    """Combine reports and sends into the present load of each target.
+
+    :param entries: entries that send to the same targets, this one included; used where
+        reports do not tell the work admitted.
+    """
+
+    __slots__ = ("_load_by_target", "entries")
+
+    def __init__(self, entries: int = 1) -> None:
+        self.entries = entries
+        self._load_by_target: dict[Target, _TargetLoad] = {}
+
+    def apply_report(self, report: GroupReport, incarnation: str, now: float) -> bool:
+        """Take in a report and return whether it was news.
+
+        :param incarnation: that of the sender; the report's own comes first.
+        """
+        maker = report.incarnation or incarnation
+        target = Target(report.group, report.server)
+        load = self._load_by_target.setdefault(target, _TargetLoad())
+        taken_at = now - max(0.0, report.age)
+        if not _is_news(load, maker, report.sequence, taken_at, now):
+            return False
+        _learn_others_rate(load, report, maker, taken_at)
+        if maker == load.incarnation:
+            taken_at = max(taken_at, load.taken_at)
+        _remember_sequence(load, maker, report.sequence)
+        load.report = report
+        load.incarnation = maker
+        load.taken_at = taken_at
+        load.own_work_at_report = load.own_work
+        _replay_sends(load, report, taken_at)
+        return True
+
+    def apply_digest(self, digest: ZoneDigest, incarnation: str, now: float) -> int:
+        """Take in the reports of another zone and return how many were news.
+
+        :param incarnation: that of the entry that passed them on; used only for reports
+            that do not name their maker.
+        """
+        return sum(
+            self.apply_report(report, incarnation, now) for report in digest.reports
+        )
+
+    def make_digest(
+        self, zone: str, targets: Iterable[Target], now: float
+    ) -> ZoneDigest:
+        """Return the last reports of a zone's targets, with their ages, to pass on."""
+        reports = []
+        for target in targets:
+            load = self._load_by_target.get(target)
+            if load is None or load.report is None:
+                continue
+            age = now - load.taken_at
+            if age > STALE_SECONDS:
+                continue
+            reports.append(
+                replace(load.report, age=age, incarnation=load.incarnation),
+            )
+        return ZoneDigest(zone, tuple(reports))
+
+    def record_send(self, target: Target, cost: RequestCost, now: float) -> Sent:
+        """Count a request that this entry has just sent."""
+        load = self._load_by_target.setdefault(target, _TargetLoad())
+        work = cost.total_seconds
+        sent = Sent(target, now, work)
+        load.recent.append(sent)
+        load.running += 1
+        load.backlog = _drained(load, now) + work
+        load.backlog_at = now
+        load.own_work += work
+        elapsed = max(0.0, now - load.own_rate_at)
+        decay = max(0.0, 1.0 - elapsed / RATE_SMOOTHING_SECONDS)
+        load.own_rate = load.own_rate * decay + work / RATE_SMOOTHING_SECONDS
+        load.own_rate_at = now
+        return sent
+
+    def record_finish(self, sent: Sent, now: float) -> None:
+        """Count the end of a request; a second call is ignored."""
+        if sent.finished:
+            return
+        sent.finished = True
+        load = self._load_by_target.get(sent.target)
+        if load is None:
+            return
+        load.running = max(0, load.running - 1)
+        if sent.at <= load.taken_at:
+            load.ended.append(now)
+
+    def estimate(self, target: Target, now: float) -> LoadEstimate:
+        """Return the load of a target now."""
+        load = self._load_by_target.get(target)
+        if load is None or load.report is None:
+            queued = 0.0 if load is None else _drained(load, now)
+            running = 0 if load is None else load.running
+            return LoadEstimate(
+                False, float("inf"), queued, running, 0, 0.0, 0.0, 1.0, (), ()
+            )
+        report = load.report
+        age = max(0.0, now - load.taken_at)
+        return LoadEstimate(
+            age <= STALE_SECONDS,
+            age,
+            _drained(load, now, self._others_rate(load, now)),
+            load.running,
+            report.capacity,
+            report.step_seconds,
+            report.prefill_tokens_per_second,
+            report.kv_free_share,
+            report.adapters,
+            report.versions,
+        )
+
+    def drop_older_views(self) -> None:
+        """Forget all reports, because the process was paused or cut off.
+
+        Sequence numbers stay, so that a report from before the pause is not taken for a
+        new one, and so do own requests in flight.
+        """
+        for load in self._load_by_target.values():
+            load.report = None
+            load.taken_at = float("-inf")
+            load.backlog = 0.0
+            load.others_rate = 0.0
+
+    def retain(self, targets: Iterable[Target]) -> None:
+        """Forget all other targets, because the sheet no longer has them."""
+        kept = set(targets)
+        for target in [name for name in self._load_by_target if name not in kept]:
+            del self._load_by_target[target]
+
+    def __len__(self) -> int:
+        """Return the number of targets with any information."""
+        return len(self._load_by_target)
+
+    def _others_rate(self, load: _TargetLoad, now: float) -> float:
+        report = load.report
+        if report is not None and report.admitted_seconds > 0.0:
+            return load.others_rate
+        elapsed = max(0.0, now - load.own_rate_at)
+        decay = max(0.0, 1.0 - elapsed / RATE_SMOOTHING_SECONDS)
+        return min(MAX_OTHERS_RATE, load.own_rate * decay * (self.entries - 1))
+
+
+def _is_news(
+    load: _TargetLoad,
+    maker: str,
+    sequence: int,
+    taken_at: float,
+    now: float,
+) -> bool:
+    """Return whether a report is newer than what is known.
+
+    Incarnations have no order. One that was replaced may report again only when its
+    successor is silent, as when a leader returns after a short absence.
+    """
+    last_sequence = load.sequence_by_incarnation.get(maker)
+    if last_sequence is not None and sequence <= last_sequence:
+        return False
+    if maker == load.incarnation or load.report is None:
+        return True
+    if last_sequence is None:
+        return taken_at > load.taken_at
+    return now - load.taken_at > LEADER_SILENCE_SECONDS
+
+
+def _remember_sequence(load: _TargetLoad, maker: str, sequence: int) -> None:
+    load.sequence_by_incarnation.pop(maker, None)
+    load.sequence_by_incarnation[maker] = sequence
+    while len(load.sequence_by_incarnation) > REMEMBERED_INCARNATIONS:
+        del load.sequence_by_incarnation[next(iter(load.sequence_by_incarnation))]
+
+
+def _learn_others_rate(
+    load: _TargetLoad,
+    report: GroupReport,
+    maker: str,
+    taken_at: float,
+) -> None:
+    previous = load.report
+    if previous is None or maker != load.incarnation:
+        load.others_rate = 0.0
+        return
+    elapsed = taken_at - load.taken_at
+    if elapsed <= 0.0 or report.admitted_seconds <= 0.0:
+        return
+    admitted = report.admitted_seconds - previous.admitted_seconds
+    own = load.own_work - load.own_work_at_report
+    rate = min(MAX_OTHERS_RATE, max(0.0, (admitted - own) / elapsed))
+    share = min(1.0, elapsed / RATE_SMOOTHING_SECONDS)
+    load.others_rate += share * (rate - load.others_rate)
+
+
+def _replay_sends(load: _TargetLoad, report: GroupReport, taken_at: float) -> None:
+    """Start from the report and add the sends that it cannot contain."""
+    while load.recent and load.recent[0].at <= taken_at:
+        load.recent.popleft()
+    while load.ended and load.ended[0] <= taken_at:
+        load.ended.popleft()
+    load.backlog = max(0.0, report.queued_seconds)
+    load.backlog_at = taken_at
+    load.running = max(0, report.running - len(load.ended))
+    for sent in load.recent:
+        load.backlog = _drained(load, sent.at) + sent.work_seconds
+        load.backlog_at = sent.at
+        if not sent.finished:
+            load.running += 1
+
+
+def _drained(load: _TargetLoad, now: float, others_rate: float | None = None) -> float:
+    """Return the queue left after the group has worked and others have sent."""
+    elapsed = now - load.backlog_at
+    if elapsed <= 0.0 or load.backlog == 0.0:
+        return load.backlog
+    rate = load.others_rate if others_rate is None else others_rate
+    return max(0.0, load.backlog - (1.0 - rate) * elapsed)
--- a/lacewingcleat/messages.py
+++ b/lacewingcleat/messages.py
@@ -126,6 +126,10 @@
     :param slowest_rank: its number.
     :param sequence: rises with each report of one incarnation.
     :param age: seconds since the figures were taken, when passed on.
+    :param incarnation: that of the agent that took the figures, because a report that
+        is passed on has another sender; empty means the sender's.
+    :param admitted_seconds: work admitted since the incarnation began, in seconds of
+        group time; readers derive the rate of all entries' sends from it. 0 if unknown.
     """
 
     group: str
@@ -141,6 +145,8 @@
     kv_free_share: float
     sequence: int
     age: float = 0.0
+    incarnation: str = ""
+    admitted_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
