Add the order fence, the map switch and the group leader

Change: messages.py gains Grant (agent incarnation and number), a `grant` field on all Switch messages and on SwitchStatus, `reading` on SwitchQuery and SwitchStatus, `base_version` and `encoded_changes` on SwitchPrepare, OrderKind, ServerOrder and ServerOrderStatus. All new fields have defaults and stand last.

order_fence FenceNumber(epoch, sequence); Order(kind, map_version=0, step=0, name="") EngineState(incarnation, map_version, next_map_version, hold_step, held, step, loaded, role) # what GET /state returns actions: IssueOrder(fence, order) -> POST /orders; ReadState(read_id) -> GET /state; Alarm OrderFence(incarnation, engine_checks, now) .grant(now) -> Grant # put into replies to the leader .submit(fence, grant, order, now) -> Result[list[FenceAction], Refusal] .order_answered(fence, now) -> list[FenceAction] # only if the engine answered .state_read(read_id, state, now) -> list[FenceAction] .tick(now), .refresh(now) -> list[FenceAction] .ready, .state, .outstanding, .next_sequence(epoch), .observe_epoch(epoch)

map_switch (re-exports rank_switch) RankSwitch(group, rank, fence) .receive(sender_instance, message, now) -> list[RankAction] .engine_read(now) -> list[RankAction] # after each fence.state_read .weights_ready(map_version, now) -> list[RankAction] # after FetchMap is done .status(now), .phase, .promised RankAction = IssueOrder | ReadState | Alarm | Send | FetchMap(map_version, map_digest, base_version, encoded_changes) EncodedMap(version, digest, base_version, changes: bytes, complete: bytes) SwitchLeader(group, instance, instance_by_rank, now) .lead(now) -> list[Action]; .stop(); .propose(encoded_map, now) -> bool .learn_map(encoded_map); .receive(status, now) -> list[Action] .tick(now) -> list[Action]; .alarms(now); .phase; .map_version; .leading

group_leader GroupLeader(group, rank, instance_by_rank) .set_live(instances); .leads; .leader_instance .observe_own(step_seconds, load_by_expert, map_version) .receive(sender_instance, rank_report, now); .tick(now) -> list[Action] .aggregate(now) -> RankReport | None .group_report(FrontState(...), now) -> GroupReport | None tree_parent(rank, live_ranks)

--- /dev/null
+++ b/lacewingcleat/group_leader.py
@@ -0,0 +1,186 @@
+"""coordination: who leads a group, and how its ranks' reports reach the leader.
+
+The lowest live rank leads. Rank reports travel up a tree with a fan-in of 16 over the
+live ranks in their order, so the leader of 256 ranks receives 16 reports a second
+instead of 255.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lacewingcleat.actions import Action, Send
+from lacewingcleat.messages import GroupReport, RankReport
+
+FAN_IN = 16
+REPORT_SECONDS = 1.0
+STALE_REPORT_SECONDS = 3.5
+KEPT_EXPERTS = 1024
+
+
+def tree_parent(rank: int, live_ranks: tuple[int, ...]) -> int | None:
+    """Return the rank to which a rank reports, or None for the leader.
+
+    :param live_ranks: sorted; the tree is laid over their positions.
+    """
+    position = live_ranks.index(rank)
+    return None if position == 0 else live_ranks[(position - 1) // FAN_IN]
+
+
+@dataclass(frozen=True, slots=True)
+class FrontState:
+    """Hold what the front server's agent knows about the group's queue.
+
+    :param queued_seconds: estimated work queued, in seconds of group time.
+    """
+
+    queued_seconds: float
+    running: int
+    capacity: int
+    prefill_tokens_per_second: float
+    adapters: tuple[str, ...]
+    versions: tuple[str, ...]
+    kv_free_share: float
+
+
+@dataclass(slots=True)
+class _Received:
+    report: RankReport
+    at: float
+
+
+class GroupLeader:
+    """Aggregate rank reports at one rank's agent; lead if it is the lowest live rank.
+
+    :param instance_by_rank: agents of all ranks, in rank order.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        rank: int,
+        instance_by_rank: tuple[str, ...],
+    ) -> None:
+        self.group = group
+        self.rank = rank
+        self._instances = instance_by_rank
+        self._live = tuple(range(len(instance_by_rank)))
+        self._own: RankReport | None = None
+        self._received_by_instance: dict[str, _Received] = {}
+        self._sequence = 0
+        self._report_sequence = 0
+        self._sent_at = float("-inf")
+
+    @property
+    def leads(self) -> bool:
+        """Return whether this rank is the lowest live one."""
+        return not self._live or self._live[0] >= self.rank
+
+    @property
+    def leader_instance(self) -> str:
+        """Return the agent that leads the group in this process's view."""
+        return self._instances[min((self.rank, *self._live))]
+
+    def set_live(self, instances: Iterable[str]) -> None:
+        """Take the instances that this process knows to be alive."""
+        alive = set(instances)
+        self._live = tuple(
+            rank
+            for rank, instance in enumerate(self._instances)
+            if instance in alive or rank == self.rank
+        )
+
+    def observe_own(
+        self,
+        step_seconds: float,
+        load_by_expert: dict[tuple[int, int], int],
+        map_version: int,
+    ) -> None:
+        """Take the own engine's figures of the last period."""
+        self._own = RankReport(
+            self.group,
+            map_version,
+            {self.rank: step_seconds},
+            load_by_expert,
+            0,
+        )
+
+    def receive(self, sender: str, report: RankReport, now: float) -> None:
+        """Take the report of a child in the tree; older ones are ignored.
+
+        :param sender: instance name of the child.
+        """
+        if report.group != self.group:
+            return
+        known = self._received_by_instance.get(sender)
+        if known is not None and known.report.sequence >= report.sequence:
+            if now - known.at < STALE_REPORT_SECONDS:
+                return
+        self._received_by_instance[sender] = _Received(report, now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Send the aggregate to the parent once a second, unless this rank leads."""
+        if now - self._sent_at < REPORT_SECONDS or self.leads:
+            return []
+        parent = tree_parent(self.rank, self._live)
+        report = self.aggregate(now)
+        if parent is None or report is None:
+            return []
+        self._sent_at = now
+        return [Send(self._instances[parent], report)]
+
+    def aggregate(self, now: float) -> RankReport | None:
+        """Return the figures of this rank and its subtree as one report.
+
+        Figures of the newest map only: a subtree that reports an older one is behind
+        a switch, and its loads belong to other replicas.
+        """
+        reports = [
+            received.report
+            for received in self._received_by_instance.values()
+            if now - received.at < STALE_REPORT_SECONDS
+        ]
+        if self._own is not None:
+            reports.append(self._own)
+        if not reports:
+            return None
+        newest = max(report.map_version for report in reports)
+        step_seconds_by_rank: dict[int, float] = {}
+        load_by_expert: dict[tuple[int, int], int] = {}
+        for report in reports:
+            if report.map_version != newest:
+                continue
+            step_seconds_by_rank |= report.step_seconds_by_rank
+            for expert, load in report.load_by_expert.items():
+                load_by_expert[expert] = load_by_expert.get(expert, 0) + load
+        heaviest = sorted(load_by_expert.items(), key=lambda item: -item[1])
+        self._sequence += 1
+        return RankReport(
+            self.group,
+            newest,
+            step_seconds_by_rank,
+            dict(heaviest[:KEPT_EXPERTS]),
+            self._sequence,
+        )
+
+    def group_report(self, front: FrontState, now: float) -> GroupReport | None:
+        """Return the group's report for the entries, if this rank leads."""
+        total = self.aggregate(now) if self.leads else None
+        if total is None or not total.step_seconds_by_rank:
+            return None
+        seconds_by_rank = total.step_seconds_by_rank
+        slowest = max(seconds_by_rank, key=lambda rank: (seconds_by_rank[rank], -rank))
+        self._report_sequence += 1
+        return GroupReport(
+            group=self.group,
+            server=self._instances[0],
+            queued_seconds=front.queued_seconds,
+            running=front.running,
+            capacity=front.capacity,
+            step_seconds=seconds_by_rank[slowest],
+            slowest_rank=slowest,
+            prefill_tokens_per_second=front.prefill_tokens_per_second,
+            adapters=front.adapters,
+            versions=front.versions,
+            kv_free_share=front.kv_free_share,
+            sequence=self._report_sequence,
+        )
--- /dev/null
+++ b/lacewingcleat/map_switch.py
@@ -0,0 +1,393 @@
+"""coordination: the switch of a group to a new expert map.
+
+`SwitchLeader` runs at the agent of the group's leader, `RankSwitch` at the agent of
+each rank. A switch has four phases, each on all ranks: Prepare, Hold, Commit, Resume.
+Each attempt has its own epoch. A leader first reads the state of all ranks twice: after
+the first reading all ranks have promised the epoch, and the second one shows that no
+agent has restarted and forgotten an earlier promise in between.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from lacewingcleat.actions import Action, Alarm, Send
+from lacewingcleat.messages import (
+    Epoch,
+    Grant,
+    RankPhase,
+    SwitchAbort,
+    SwitchCommit,
+    SwitchHold,
+    SwitchPrepare,
+    SwitchQuery,
+    SwitchResume,
+    SwitchStatus,
+)
+from lacewingcleat.pause_watch import PauseWatch
+from lacewingcleat.rank_switch import FetchMap, RankAction, RankSwitch, SwitchMessage
+
+__all__ = [
+    "EncodedMap",
+    "FetchMap",
+    "LeaderPhase",
+    "RankAction",
+    "RankSwitch",
+    "SwitchLeader",
+    "SwitchMessage",
+]
+
+RESEND_SECONDS = 0.05
+PREPARE_RESEND_SECONDS = 2.0
+HOLD_SECONDS = 0.3
+STUCK_SECONDS = 2.0
+BACKOFF_SECONDS = 1.0
+MAX_BACKOFF_SECONDS = 60.0
+HOLD_LEAD_STEPS = 4
+MAX_HOLD_LEAD_STEPS = 64
+
+
+class LeaderPhase(Enum):
+    """Say what a leader is doing."""
+
+    FOLLOWING = "following"
+    READING = "reading"
+    CONFIRMING = "confirming"
+    SETTLING = "settling"
+    IDLE = "idle"
+    PREPARING = "preparing"
+    HOLDING = "holding"
+    BACKING_OFF = "backing-off"
+
+
+@dataclass(frozen=True, slots=True)
+class EncodedMap:
+    """Hold a map as it is sent to ranks.
+
+    :param changes: packed changes against `base_version`.
+    :param complete: the whole map, packed, for a rank that has none.
+    """
+
+    version: int
+    digest: str
+    base_version: int
+    changes: bytes
+    complete: bytes
+
+
+class SwitchLeader:
+    """Lead the switches of one group.
+
+    :param instance: name of this leader's instance, part of its epoch.
+    :param instance_by_rank: agents of all ranks, in rank order.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        instance: str,
+        instance_by_rank: tuple[str, ...],
+        now: float,
+    ) -> None:
+        self.group = group
+        self.phase = LeaderPhase.FOLLOWING
+        self.epoch = Epoch(0, instance)
+        self.map_version = 0
+        self.finished = 0
+        self.aborted = 0
+        self.rounds = 0
+        self._instance = instance
+        self._instances = instance_by_rank
+        self._watch = PauseWatch(now)
+        self._highest_term = 0
+        self._grant_by_rank: dict[int, Grant] = {}
+        self._incarnations: dict[int, str] = {}
+        self._status_by_rank: dict[int, SwitchStatus] = {}
+        self._known_by_version: dict[int, EncodedMap] = {}
+        self._proposal: EncodedMap | None = None
+        self._target = 0
+        self._hold_step = 0
+        self._hold_lead = HOLD_LEAD_STEPS
+        self._since = now
+        self._sent_at = float("-inf")
+        self._retry_at = now
+        self._backoff = BACKOFF_SECONDS
+
+    @property
+    def leading(self) -> bool:
+        """Return whether this process acts as leader."""
+        return self.phase is not LeaderPhase.FOLLOWING
+
+    def lead(self, now: float) -> list[Action]:
+        """Take the lead with an epoch above all that were seen."""
+        if self.leading:
+            return []
+        return self._start_epoch(now)
+
+    def stop(self) -> None:
+        """Stop leading; a switch under way is left to the successor."""
+        self.phase = LeaderPhase.FOLLOWING
+        self._proposal = None
+
+    def learn_map(self, known: EncodedMap) -> None:
+        """Keep a map for ranks that come back without one."""
+        self._known_by_version[known.version] = known
+
+    def propose(self, proposal: EncodedMap, now: float) -> bool:
+        """Ask for a switch; returns whether it was taken up."""
+        if not self.leading or self._proposal is not None:
+            return False
+        if proposal.version <= self.map_version:
+            return False
+        self._proposal = proposal
+        self.learn_map(proposal)
+        return True
+
+    def receive(self, status: SwitchStatus, now: float) -> list[Action]:
+        """Take a rank's status and go on if all ranks allow it."""
+        if status.group != self.group or not 0 <= status.rank < len(self._instances):
+            return []
+        self._highest_term = max(self._highest_term, status.promised.term)
+        self._note_grant(status.rank, status.grant)
+        if self._watch.observe(now) and self.leading:
+            return self._start_epoch(now)
+        if not self.leading or self.phase is LeaderPhase.BACKING_OFF:
+            return []
+        if status.promised > self.epoch:
+            return self._back_off(now)
+        if status.grant.incarnation != self._incarnations.get(status.rank, ""):
+            return self._start_epoch(now)
+        if status.promised < self.epoch:
+            return []
+        self._status_by_rank[status.rank] = status
+        return self._advance(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Resend what is unanswered and keep the bound on the hold."""
+        if self._watch.observe(now) and self.leading:
+            return self._start_epoch(now)
+        match self.phase:
+            case LeaderPhase.FOLLOWING:
+                return []
+            case LeaderPhase.BACKING_OFF:
+                return self._start_epoch(now) if now >= self._retry_at else []
+            case LeaderPhase.IDLE:
+                return self._begin_switch(now)
+            case LeaderPhase.HOLDING if now - self._since > HOLD_SECONDS:
+                return self._abort(now)
+            case LeaderPhase.SETTLING if now - self._since > STUCK_SECONDS:
+                return self._start_epoch(now)
+            case _:
+                return self._resend(now)
+
+    def _start_epoch(self, now: float) -> list[Action]:
+        self._highest_term = max(self._highest_term, self.epoch.term) + 1
+        self.epoch = Epoch(self._highest_term, self._instance)
+        self._incarnations = {
+            rank: grant.incarnation for rank, grant in self._grant_by_rank.items()
+        }
+        return self._enter(LeaderPhase.READING, now)
+
+    def _enter(self, phase: LeaderPhase, now: float) -> list[Action]:
+        self.phase = phase
+        self.rounds += 1
+        self._since = now
+        self._sent_at = float("-inf")
+        if phase is LeaderPhase.READING:
+            self._status_by_rank = {}
+        return self._resend(now)
+
+    def _back_off(self, now: float) -> list[Action]:
+        self.phase = LeaderPhase.BACKING_OFF
+        self._retry_at = now + self._backoff
+        self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
+        return []
+
+    def _note_grant(self, rank: int, grant: Grant) -> None:
+        known = self._grant_by_rank.get(rank, Grant())
+        if grant.incarnation != known.incarnation or grant.number > known.number:
+            self._grant_by_rank[rank] = grant
+
+    def _all(self, condition: Callable[[SwitchStatus], bool]) -> bool:
+        statuses = self._status_by_rank.values()
+        return len(statuses) == len(self._instances) and all(
+            condition(status) for status in statuses
+        )
+
+    def _advance(self, now: float) -> list[Action]:
+        match self.phase:
+            case LeaderPhase.READING if self._all(lambda status: status.reading >= 1):
+                return self._enter(LeaderPhase.CONFIRMING, now)
+            case LeaderPhase.CONFIRMING if self._all(
+                lambda status: status.reading >= 2,
+            ):
+                return self._decide(now)
+            case LeaderPhase.PREPARING if self._all(self._is_prepared):
+                return self._hold(now)
+            case LeaderPhase.PREPARING | LeaderPhase.HOLDING if self._lost_a_rank():
+                return self._abort(now)
+            case LeaderPhase.HOLDING if self._all(self._is_holding):
+                self._target = self._proposal.version if self._proposal else 0
+                return self._enter(LeaderPhase.SETTLING, now)
+            case LeaderPhase.SETTLING:
+                return self._settle(now)
+            case _:
+                return []
+
+    def _decide(self, now: float) -> list[Action]:
+        versions = [status.map_version for status in self._status_by_rank.values()]
+        self._target = max(versions)
+        self.map_version = self._target
+        if self._target == 0:
+            return self._enter(LeaderPhase.IDLE, now)
+        if self._all(self._is_settled):
+            return self._enter(LeaderPhase.IDLE, now)
+        return self._enter(LeaderPhase.SETTLING, now)
+
+    def _begin_switch(self, now: float) -> list[Action]:
+        if self._proposal is None or now < self._retry_at:
+            return []
+        if self._proposal.version <= self.map_version:
+            self._proposal = None
+            return []
+        return self._enter(LeaderPhase.PREPARING, now)
+
+    def _hold(self, now: float) -> list[Action]:
+        steps = [status.step for status in self._status_by_rank.values()]
+        self._hold_step = max(steps) + self._hold_lead
+        return self._enter(LeaderPhase.HOLDING, now)
+
+    def _abort(self, now: float) -> list[Action]:
+        self.aborted += 1
+        self._target = self.map_version
+        self._retry_at = now + self._backoff
+        self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
+        self._hold_lead = min(2 * self._hold_lead, MAX_HOLD_LEAD_STEPS)
+        return self._enter(LeaderPhase.SETTLING, now)
+
+    def _settle(self, now: float) -> list[Action]:
+        if not self._all(self._is_settled):
+            actions: list[Action] = []
+            for rank, status in self._status_by_rank.items():
+                message = self._settling_message(rank, status)
+                if message is not None and not isinstance(message, SwitchPrepare):
+                    actions.append(Send(self._instances[rank], message))
+            return actions if self._all_switched() else []
+        if self._proposal is not None and self._target == self._proposal.version:
+            self.finished += 1
+            self._proposal = None
+            self._backoff = BACKOFF_SECONDS
+            self._hold_lead = HOLD_LEAD_STEPS
+        self.map_version = self._target
+        return self._start_epoch(now)
+
+    def _resend(self, now: float) -> list[Action]:
+        preparing = self.phase is LeaderPhase.PREPARING
+        period = PREPARE_RESEND_SECONDS if preparing else RESEND_SECONDS
+        if now - self._sent_at < period:
+            return []
+        self._sent_at = now
+        actions: list[Action] = []
+        for rank, instance in enumerate(self._instances):
+            message = self._message_to(rank)
+            if message is not None:
+                actions.append(Send(instance, message))
+        return actions
+
+    def _message_to(self, rank: int) -> SwitchMessage | None:
+        grant = self._grant_by_rank.get(rank, Grant())
+        status = self._status_by_rank.get(rank)
+        group, epoch, proposal = self.group, self.epoch, self._proposal
+        match self.phase:
+            case LeaderPhase.READING if status is None:
+                return SwitchQuery(group, epoch, 1, grant)
+            case LeaderPhase.CONFIRMING if status and status.reading < 2:
+                return SwitchQuery(group, epoch, 2, grant)
+            case LeaderPhase.PREPARING if proposal and status:
+                if self._is_prepared(status):
+                    return None
+                return self._prepare_message(proposal, status, grant)
+            case LeaderPhase.HOLDING if proposal and status:
+                if self._is_holding(status):
+                    return None
+                step = self._hold_step
+                return SwitchHold(group, epoch, proposal.version, step, grant)
+            case LeaderPhase.SETTLING if status:
+                return self._settling_message(rank, status)
+            case _:
+                return None
+
+    def _settling_message(
+        self,
+        rank: int,
+        status: SwitchStatus,
+    ) -> SwitchMessage | None:
+        grant = self._grant_by_rank.get(rank, Grant())
+        group, epoch, target = self.group, self.epoch, self._target
+        if status.map_version == target:
+            match status.phase:
+                case RankPhase.RUNNING | RankPhase.DOWN:
+                    return None
+                case RankPhase.SWITCHED:
+                    if not self._all_switched():
+                        return SwitchQuery(group, epoch, 2, grant)
+                    return SwitchResume(group, epoch, target, grant)
+                case _:
+                    version = status.next_map_version
+                    return SwitchAbort(group, epoch, version, grant)
+        if status.phase is RankPhase.DOWN:
+            known = self._known_by_version.get(target)
+            if known is None:
+                return None
+            return self._prepare_message(known, status, grant)
+        if status.next_map_version == target:
+            return SwitchCommit(group, epoch, target, grant)
+        return SwitchAbort(group, epoch, status.next_map_version, grant)
+
+    def _prepare_message(
+        self,
+        new_map: EncodedMap,
+        status: SwitchStatus,
+        grant: Grant,
+    ) -> SwitchPrepare:
+        has_base = status.map_version == new_map.base_version != 0
+        return SwitchPrepare(
+            self.group,
+            self.epoch,
+            new_map.version,
+            new_map.digest,
+            new_map.base_version if has_base else 0,
+            new_map.changes if has_base else new_map.complete,
+            grant,
+        )
+
+    def _all_switched(self) -> bool:
+        return self._all(lambda status: status.map_version == self._target)
+
+    def _is_settled(self, status: SwitchStatus) -> bool:
+        running = status.phase is RankPhase.RUNNING
+        return running and status.map_version == self._target
+
+    def _is_prepared(self, status: SwitchStatus) -> bool:
+        proposal = self._proposal
+        if proposal is None or status.next_map_version != proposal.version:
+            return False
+        return status.phase in (RankPhase.PREPARED, RankPhase.HELD)
+
+    def _is_holding(self, status: SwitchStatus) -> bool:
+        if not self._is_prepared(status) or status.phase is not RankPhase.HELD:
+            return False
+        return status.map_version == 0 or status.step == self._hold_step
+
+    def _lost_a_rank(self) -> bool:
+        versions = {status.map_version for status in self._status_by_rank.values()}
+        return versions != {self.map_version}
+
+    def alarms(self, now: float) -> list[Alarm]:
+        """Report a group that has been held for long."""
+        waiting = self.phase in (LeaderPhase.READING, LeaderPhase.CONFIRMING)
+        if not waiting or now - self._since < STUCK_SECONDS:
+            return []
+        missing = sorted(set(range(len(self._instances))) - set(self._status_by_rank))
+        text = f"group {self.group} waits for ranks {missing}"
+        return [Alarm("switch-waits-for-ranks", text)]
--- a/lacewingcleat/messages.py
+++ b/lacewingcleat/messages.py
@@ -226,6 +226,22 @@
     instance: str
 
 
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Identify an agent's permission to act on its server.
+
+    :param incarnation: the agent process that granted it; another process under the
+        same name has forgotten its promises and ignores messages with this grant.
+    :param number: rises with each grant of one process, so the agent knows its age.
+    """
+
+    incarnation: str = ""
+    number: int = 0
+
+
+NO_GRANT = Grant()
+
+
 class RankPhase(Enum):
     """Say how far a rank has come in a switch of the expert map."""
 
@@ -238,12 +254,19 @@
 
 @dataclass(frozen=True, slots=True)
 class SwitchPrepare:
-    """Ask a rank to load the weights of a new map."""
+    """Ask a rank to load the weights of a new map.
+
+    :param base_version: map to which the changes apply, 0 for a complete map.
+    :param encoded_changes: the changes, as packed by `expert_placement`.
+    """
 
     group: str
     epoch: Epoch
     map_version: int
     map_digest: str
+    base_version: int = 0
+    encoded_changes: bytes = b""
+    grant: Grant = NO_GRANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,6 +277,7 @@
     epoch: Epoch
     map_version: int
     step: int
+    grant: Grant = NO_GRANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,6 +287,7 @@
     group: str
     epoch: Epoch
     map_version: int
+    grant: Grant = NO_GRANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -272,6 +297,7 @@
     group: str
     epoch: Epoch
     map_version: int
+    grant: Grant = NO_GRANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -281,14 +307,21 @@
     group: str
     epoch: Epoch
     map_version: int
+    grant: Grant = NO_GRANT
 
 
 @dataclass(frozen=True, slots=True)
 class SwitchQuery:
-    """Ask a rank to promise an epoch and to report its state."""
+    """Ask a rank to promise an epoch and to report its state.
+
+    :param reading: 1 asks for the promise; 2 is sent when all ranks have promised and
+        shows that none has restarted in between.
+    """
 
     group: str
     epoch: Epoch
+    reading: int = 1
+    grant: Grant = NO_GRANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -299,6 +332,8 @@
     :param map_version: map the rank runs or last ran.
     :param next_map_version: map it has prepared, 0 for none.
     :param step: last completed step.
+    :param reading: highest reading that was asked for in the promised epoch.
+    :param grant: permission to be named in the next message to this rank.
     """
 
     group: str
@@ -308,6 +343,53 @@
     map_version: int
     next_map_version: int
     step: int
+    reading: int = 0
+    grant: Grant = NO_GRANT
+
+
+class OrderKind(Enum):
+    """Say what an order asks of an engine."""
+
+    BARRIER = "barrier"
+    LOAD_MAP = "load-map"
+    HOLD = "hold"
+    SWITCH_MAP = "switch-map"
+    RESUME = "resume"
+    DROP_MAP = "drop-map"
+    LOAD = "load"
+    UNLOAD = "unload"
+    SET_ROLE = "set-role"
+
+
+@dataclass(frozen=True, slots=True)
+class ServerOrder:
+    """Ask an agent to give its engine an order.
+
+    :param sequence: number within the epoch; with it, it forms the fencing number.
+    :param name: model, adapter, version or role.
+    """
+
+    group: str
+    epoch: Epoch
+    sequence: int
+    kind: OrderKind
+    name: str
+    grant: Grant = NO_GRANT
+
+
+@dataclass(frozen=True, slots=True)
+class ServerOrderStatus:
+    """Report what became of an order, as reply to every `ServerOrder`.
+
+    :param outcome: `applied`, `pending` or the code of the refusal.
+    :param grant: permission to be named in the next order.
+    """
+
+    group: str
+    epoch: Epoch
+    sequence: int
+    outcome: str
+    grant: Grant = NO_GRANT
 
 
 Message = (
@@ -333,6 +415,8 @@
     | SwitchAbort
     | SwitchQuery
     | SwitchStatus
+    | ServerOrder
+    | ServerOrderStatus
 )
 
 
--- /dev/null
+++ b/lacewingcleat/order_fence.py
@@ -0,0 +1,314 @@
+"""coordination: keep outdated orders away from an engine.
+
+Every order to an engine passes the fence at the engine's agent. The fence admits one
+order at a time, in the order of fencing numbers, and only under authority that is
+younger than 5 s and does not date from before a pause. After each order it reads the
+state back.
+
+Engines that check fencing numbers refuse whatever is late inside the engine. For
+engines that ignore the numbers one window remains: an order that is already inside the
+engine when the agent dies can take effect after the next agent has read the state. The
+next agent waits `SETTLE_SECONDS` before its first reading to make this unlikely; an
+order that stays longer inside the engine is not caught.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from result import Err, Ok, Result
+
+from lacewingcleat.actions import Alarm
+from lacewingcleat.messages import Epoch, Grant, OrderKind
+from lacewingcleat.pause_watch import PauseWatch
+
+AUTHORITY_SECONDS = 5.0
+SETTLE_SECONDS = 2.0
+READ_RETRY_SECONDS = 0.5
+UNSETTLED_ALARM_SECONDS = 5.0
+KEPT_GRANTS = 64
+NO_EPOCH = Epoch(0, "")
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class FenceNumber:
+    """Order the orders to an engine over all leaders."""
+
+    epoch: Epoch
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """Describe one order to an engine.
+
+    :param map_version: expert map for orders about maps.
+    :param step: last step to run, for `HOLD`.
+    :param name: model, adapter, version or role for other orders.
+    """
+
+    kind: OrderKind
+    map_version: int = 0
+    step: int = 0
+    name: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """Hold what an engine reports about itself.
+
+    :param incarnation: new at each start of the engine.
+    :param map_version: expert map in use, 0 for none; an engine starts held, without
+        a map.
+    :param next_map_version: expert map that is loaded but not in use, 0 for none.
+    :param hold_step: step after which it was asked to hold, -1 for none.
+    :param held: whether it stands at a step boundary and starts no step.
+    :param step: last completed step.
+    """
+
+    incarnation: str
+    map_version: int = 0
+    next_map_version: int = 0
+    hold_step: int = -1
+    held: bool = True
+    step: int = 0
+    loaded: frozenset[str] = field(default_factory=frozenset)
+    role: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class IssueOrder:
+    """Ask the transport to send an order to the engine."""
+
+    fence: FenceNumber
+    order: Order
+
+
+@dataclass(frozen=True, slots=True)
+class ReadState:
+    """Ask the transport to read the engine's state.
+
+    :param read_id: to be passed back with the state.
+    """
+
+    read_id: int
+
+
+FenceAction = IssueOrder | ReadState | Alarm
+
+
+class Refusal(Enum):
+    """Say why the fence refused an order."""
+
+    OLD_EPOCH = "old-epoch"
+    OLD_SEQUENCE = "old-sequence"
+    NO_AUTHORITY = "no-authority"
+    BUSY = "busy"
+    UNREAD = "unread"
+
+
+@dataclass(slots=True)
+class _Outstanding:
+    fence: FenceNumber
+    order: Order
+    since: float
+    engine_incarnation: str
+    answered: bool = False
+    answered_read: int = 0
+    alarmed: bool = False
+
+
+class OrderFence:
+    """Admit orders to one engine.
+
+    :param incarnation: of the agent process.
+    :param engine_checks: whether the engine refuses old fencing numbers itself.
+    """
+
+    def __init__(self, incarnation: str, engine_checks: bool, now: float) -> None:
+        self.state: EngineState | None = None
+        self.highest = NO_EPOCH
+        self.engine_checks = engine_checks
+        self._incarnation = incarnation
+        self._watch = PauseWatch(now)
+        self._started = now
+        self._last = FenceNumber(NO_EPOCH, 0)
+        self._outstanding: _Outstanding | None = None
+        self._issued_at_by_grant: dict[int, float] = {}
+        self._grants = 0
+        self._reads = 0
+        self._last_read_at = float("-inf")
+        self._usable_read = 1
+
+    @property
+    def outstanding(self) -> IssueOrder | None:
+        """Return the order whose effect is not yet confirmed."""
+        if self._outstanding is None:
+            return None
+        return IssueOrder(self._outstanding.fence, self._outstanding.order)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the state is known and no order is outstanding."""
+        return self._outstanding is None and self.state is not None
+
+    def observe_epoch(self, epoch: Epoch) -> None:
+        """Refuse orders of lower epochs from now on."""
+        self.highest = max(self.highest, epoch)
+
+    def grant(self, now: float) -> Grant:
+        """Return a new permission, which lasts 5 s from now.
+
+        The agent counts the age from its own issue of the grant, so a message that was
+        late on the way to the leader or back cannot extend it.
+        """
+        self._observe(now)
+        self._grants += 1
+        self._issued_at_by_grant[self._grants] = now
+        self._issued_at_by_grant.pop(self._grants - KEPT_GRANTS, None)
+        return Grant(self._incarnation, self._grants)
+
+    def is_own(self, grant: Grant) -> bool:
+        """Return whether a grant was issued by this process, at any time."""
+        return grant.incarnation == self._incarnation
+
+    def has_authority(self, grant: Grant, now: float) -> bool:
+        """Return whether a grant is this process's own and young enough."""
+        self._observe(now)
+        if grant.incarnation != self._incarnation:
+            return False
+        issued_at = self._issued_at_by_grant.get(grant.number)
+        return issued_at is not None and now - issued_at <= AUTHORITY_SECONDS
+
+    def next_sequence(self, epoch: Epoch) -> int:
+        """Return the lowest sequence number that an order of an epoch may use."""
+        return self._last.sequence + 1 if self._last.epoch == epoch else 1
+
+    def submit(
+        self,
+        fence: FenceNumber,
+        grant: Grant,
+        order: Order,
+        now: float,
+    ) -> Result[list[FenceAction], Refusal]:
+        """Admit an order, or say why not.
+
+        :param grant: the permission named by the leader's message.
+        """
+        has_authority = self.has_authority(grant, now)
+        if fence.epoch < self.highest:
+            return Err(Refusal.OLD_EPOCH)
+        if fence <= self._last:
+            return Err(Refusal.OLD_SEQUENCE)
+        if not has_authority:
+            return Err(Refusal.NO_AUTHORITY)
+        if self._outstanding is not None:
+            return Err(Refusal.BUSY)
+        if self.state is None:
+            return Err(Refusal.UNREAD)
+        self.observe_epoch(fence.epoch)
+        self._last = fence
+        self._usable_read = self._reads + 1
+        self._outstanding = _Outstanding(fence, order, now, self.state.incarnation)
+        return Ok([IssueOrder(fence, order)])
+
+    def order_answered(self, fence: FenceNumber, now: float) -> list[FenceAction]:
+        """Note that the engine has answered an order, and read the state back.
+
+        Accepted and refused orders are treated alike; the state decides.
+        """
+        self._observe(now)
+        if self._outstanding is None or self._outstanding.fence != fence:
+            return []
+        self._outstanding.answered = True
+        read = self._read(now)
+        self._outstanding.answered_read = read.read_id
+        return [read]
+
+    def state_read(
+        self,
+        read_id: int,
+        state: EngineState,
+        now: float,
+    ) -> list[FenceAction]:
+        """Take the engine's state; a reading older than the last order is ignored."""
+        self._observe(now)
+        if read_id < self._usable_read:
+            return []
+        waiting = self._outstanding
+        if waiting is None:
+            self.state = state
+            return []
+        if waiting.answered and read_id >= waiting.answered_read:
+            self._settle(state)
+            return []
+        if not waiting.answered and _is_settled(waiting, state):
+            self._settle(state)
+        return []
+
+    def tick(self, now: float) -> list[FenceAction]:
+        """Read the state where it is unknown or an order is outstanding."""
+        self._observe(now)
+        if self.ready:
+            return []
+        settling = not self.engine_checks and self.state is None
+        if settling and now - self._started < SETTLE_SECONDS:
+            return []
+        if now - self._last_read_at < READ_RETRY_SECONDS:
+            return []
+        actions: list[FenceAction] = [self._read(now)]
+        waiting = self._outstanding
+        if waiting is None or waiting.alarmed:
+            return actions
+        if now - waiting.since > UNSETTLED_ALARM_SECONDS:
+            waiting.alarmed = True
+            text = f"order {waiting.order.kind.value} is without result"
+            actions.append(Alarm("order-unsettled", text))
+        return actions
+
+    def refresh(self, now: float) -> list[FenceAction]:
+        """Read the state again, for example after a step."""
+        self._observe(now)
+        return [self._read(now)]
+
+    def _settle(self, state: EngineState) -> None:
+        self._outstanding = None
+        self._usable_read = self._reads
+        self.state = state
+
+    def _read(self, now: float) -> ReadState:
+        self._reads += 1
+        self._last_read_at = now
+        return ReadState(self._reads)
+
+    def _observe(self, now: float) -> None:
+        if self._watch.observe(now):
+            self._issued_at_by_grant.clear()
+
+
+def _is_settled(waiting: _Outstanding, state: EngineState) -> bool:
+    if state.incarnation != waiting.engine_incarnation:
+        return True
+    return is_applied(waiting.order, state)
+
+
+def is_applied(order: Order, state: EngineState) -> bool:
+    """Return whether a state shows the effect of an order."""
+    match order.kind:
+        case OrderKind.LOAD_MAP:
+            return state.next_map_version == order.map_version
+        case OrderKind.HOLD:
+            return state.hold_step == order.step
+        case OrderKind.SWITCH_MAP:
+            return state.map_version == order.map_version
+        case OrderKind.RESUME:
+            return not state.held
+        case OrderKind.DROP_MAP:
+            return state.next_map_version == 0 and state.hold_step < 0
+        case OrderKind.LOAD:
+            return order.name in state.loaded
+        case OrderKind.UNLOAD:
+            return order.name not in state.loaded
+        case OrderKind.SET_ROLE:
+            return state.role == order.name
+        case OrderKind.BARRIER:
+            return False
--- /dev/null
+++ b/lacewingcleat/rank_switch.py
@@ -0,0 +1,236 @@
+"""coordination: the part of an expert map switch that runs at each rank's agent.
+
+A rank promises to follow the highest epoch it has seen. Its phase is a function of the
+engine's state alone, so an agent that restarts reads it back; what it forgets is its
+promise, and messages to its earlier incarnation are ignored.
+"""
+
+from dataclasses import dataclass
+
+from result import Ok
+
+from lacewingcleat.actions import Send
+from lacewingcleat.messages import (
+    Grant,
+    OrderKind,
+    RankPhase,
+    SwitchAbort,
+    SwitchCommit,
+    SwitchHold,
+    SwitchPrepare,
+    SwitchQuery,
+    SwitchResume,
+    SwitchStatus,
+)
+from lacewingcleat.order_fence import (
+    NO_EPOCH,
+    EngineState,
+    FenceAction,
+    FenceNumber,
+    Order,
+    OrderFence,
+)
+
+SwitchMessage = (
+    SwitchPrepare | SwitchHold | SwitchCommit | SwitchResume | SwitchAbort | SwitchQuery
+)
+
+
+@dataclass(frozen=True, slots=True)
+class FetchMap:
+    """Ask the agent to get the weights of a map to its server.
+
+    The agent calls `RankSwitch.weights_ready` when they are there.
+
+    :param base_version: map to which the changes apply, 0 for a complete map.
+    """
+
+    map_version: int
+    map_digest: str
+    base_version: int
+    encoded_changes: bytes
+
+
+RankAction = FenceAction | FetchMap | Send
+
+
+def phase_of(state: EngineState | None) -> RankPhase:
+    """Return how far a rank has come, from its engine's state."""
+    if state is None or (state.map_version == 0 and state.next_map_version == 0):
+        return RankPhase.DOWN
+    if state.held:
+        return RankPhase.HELD if state.next_map_version else RankPhase.SWITCHED
+    return RankPhase.PREPARED if state.next_map_version else RankPhase.RUNNING
+
+
+class RankSwitch:
+    """Follow the leader of the group at one rank.
+
+    :param fence: the fence in front of the rank's engine.
+    """
+
+    def __init__(self, group: str, rank: int, fence: OrderFence) -> None:
+        self.group = group
+        self.rank = rank
+        self.promised = NO_EPOCH
+        self._fence = fence
+        self._reading = 0
+        self._closed = False
+        self._barrier_done = False
+        self._barrier_issued = False
+        self._leader = ""
+        self._status_due = False
+        self._grant = Grant()
+        self._fetching = 0
+
+    @property
+    def phase(self) -> RankPhase:
+        """Return how far this rank has come, as last read from the engine."""
+        return phase_of(self._fence.state)
+
+    def receive(
+        self,
+        sender: str,
+        message: SwitchMessage,
+        now: float,
+    ) -> list[RankAction]:
+        """Act on a message of a leader and reply with the rank's status.
+
+        :param sender: instance name of the leader.
+        """
+        if message.group != self.group:
+            return []
+        self._leader = sender
+        self._status_due = True
+        if isinstance(message, SwitchQuery):
+            self._promise(message)
+        if not self._follows(message):
+            return self._reply(now)
+        self._grant = message.grant
+        return self._act(message, now) + self._reply(now)
+
+    def engine_read(self, now: float) -> list[RankAction]:
+        """Go on after the fence has taken a reading of the engine's state."""
+        return self._place_barrier(now) + self._reply(now)
+
+    def weights_ready(self, map_version: int, now: float) -> list[RankAction]:
+        """Load a map whose weights have arrived at the server."""
+        if map_version != self._fetching:
+            return []
+        return self._order(Order(OrderKind.LOAD_MAP, map_version), now)
+
+    def status(self, now: float) -> SwitchStatus:
+        """Return the rank's state with a new grant."""
+        state = self._fence.state or EngineState("")
+        return SwitchStatus(
+            self.group,
+            self.rank,
+            self.promised,
+            phase_of(state),
+            state.map_version,
+            state.next_map_version,
+            state.step,
+            self._reading,
+            self._fence.grant(now),
+        )
+
+    def _promise(self, query: SwitchQuery) -> None:
+        own = self._fence.is_own(query.grant)
+        if not own or query.epoch < self.promised:
+            return
+        if query.epoch > self.promised:
+            self.promised = query.epoch
+            self._fence.observe_epoch(query.epoch)
+            self._reading = 0
+            self._closed = False
+            self._fetching = 0
+            self._barrier_done = not self._fence.engine_checks
+            self._barrier_issued = False
+        self._reading = max(self._reading, query.reading)
+        self._grant = query.grant
+
+    def _follows(self, message: SwitchMessage) -> bool:
+        return (
+            message.epoch == self.promised
+            and self._fence.is_own(message.grant)
+            and not self._closed
+        )
+
+    def _act(self, message: SwitchMessage, now: float) -> list[RankAction]:
+        if not self._fence.ready or not self._barrier_done:
+            return self._place_barrier(now)
+        state = self._fence.state
+        if state is None:
+            return []
+        phase = phase_of(state)
+        match message:
+            case SwitchPrepare():
+                return self._prepare(message, state)
+            case SwitchHold(map_version=version, step=step):
+                if phase is not RankPhase.PREPARED or state.next_map_version != version:
+                    return []
+                if state.hold_step == step:
+                    return []
+                return self._order(Order(OrderKind.HOLD, version, step), now)
+            case SwitchCommit(map_version=version):
+                if phase is not RankPhase.HELD or state.next_map_version != version:
+                    return []
+                return self._order(Order(OrderKind.SWITCH_MAP, version), now)
+            case SwitchResume(map_version=version):
+                if phase is not RankPhase.SWITCHED or state.map_version != version:
+                    return []
+                return self._close(Order(OrderKind.RESUME, version), now)
+            case SwitchAbort():
+                if phase not in (RankPhase.PREPARED, RankPhase.HELD):
+                    return []
+                return self._close(Order(OrderKind.DROP_MAP), now)
+            case SwitchQuery():
+                return []
+
+    def _prepare(self, message: SwitchPrepare, state: EngineState) -> list[RankAction]:
+        version = message.map_version
+        if version in (self._fetching, state.map_version, state.next_map_version):
+            return []
+        if phase_of(state) not in (RankPhase.RUNNING, RankPhase.DOWN):
+            return []
+        self._fetching = version
+        return [
+            FetchMap(
+                version,
+                message.map_digest,
+                message.base_version,
+                message.encoded_changes,
+            ),
+        ]
+
+    def _close(self, order: Order, now: float) -> list[RankAction]:
+        actions = self._order(order, now)
+        self._closed = bool(actions)
+        return actions
+
+    def _order(self, order: Order, now: float) -> list[RankAction]:
+        fence = FenceNumber(self.promised, self._fence.next_sequence(self.promised))
+        match self._fence.submit(fence, self._grant, order, now):
+            case Ok(actions):
+                return list(actions)
+            case _:
+                return []
+
+    def _place_barrier(self, now: float) -> list[RankAction]:
+        if not self._fence.ready or self._barrier_done or self.promised == NO_EPOCH:
+            return []
+        if self._barrier_issued:
+            self._barrier_done = True
+            return []
+        actions = self._order(Order(OrderKind.BARRIER), now)
+        self._barrier_issued = bool(actions)
+        return actions
+
+    def _reply(self, now: float) -> list[RankAction]:
+        if not self._status_due or not self._leader:
+            return []
+        promised_but_unread = not self._fence.ready or not self._barrier_done
+        if self.promised != NO_EPOCH and promised_but_unread:
+            return []
+        self._status_due = False
+        return [Send(self._leader, self.status(now))]
