--- /dev/null
+++ b/lacewingcleat/crash_suspects.py
@@ -0,0 +1,294 @@
+"""coordination: find the requests that crash servers, and stop them.
+
+A request that was in flight at a crash is a suspect and runs only alone on a server. If
+that server crashes as well, the request is convicted and refused. If it completes, it
+is cleared. Entries and agents hold copies of the table and flood what they learn.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from hashlib import blake2b
+
+from lacewingcleat.actions import Action, Send
+from lacewingcleat.messages import CrashReport, SuspectCleared
+from lacewingcleat.rendezvous import rank_by_rendezvous
+
+FORGET_SECONDS = 900.0
+MAX_SUSPECTS = 4_096
+# The target has 190 failures a day, that is about 4 in the time they are remembered.
+MAX_CRASHES = 256
+MAX_CLEARED = 4_096
+MAX_FINGERPRINTS = 256
+MAX_CRASHES_PER_SUSPECT = 8
+MAX_REPORTS_FOR_NEWCOMER = 64
+# Reports are sent again, because a lost one would cost another server.
+REPEATS = 2
+REPEAT_SECONDS = 1.0
+CRASHES_SERVER = "crashes-server"
+RUN_ALONE = "run-alone"
+
+
+@dataclass(frozen=True, slots=True)
+class Unsuspected:
+    """Let the request run beside others."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunAlone:
+    """Let the request run only on a server that runs nothing else."""
+
+
+@dataclass(frozen=True, slots=True)
+class Convicted:
+    """Refuse the request as not run (422, code `crashes-server`)."""
+
+    retry_after: float
+
+
+Verdict = Unsuspected | RunAlone | Convicted
+
+
+@dataclass(slots=True)
+class _Suspect:
+    at: float
+    crash_ids: set[str] = field(default_factory=set)
+    convicted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Crash:
+    at: float
+    report: CrashReport
+
+    def as_of(self, now: float) -> CrashReport:
+        return replace(self.report, age=now - self.at)
+
+
+@dataclass(slots=True)
+class _Repeat:
+    body: _Crash | SuspectCleared
+    at: float
+    left: int = REPEATS
+
+
+def fingerprint_request(account: str, target: str, body: bytes) -> str:
+    """Return the hash that identifies a request when it is sent again.
+
+    Headers do not count, because they differ on each attempt.
+
+    :param target: method and path, or model.
+    """
+    digest = blake2b(digest_size=16)
+    for part in (account.encode(), target.encode()):
+        digest.update(len(part).to_bytes(4, "big"))
+        digest.update(part)
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def choose_isolation_server(
+    fingerprint: str,
+    servers_by_zone: Mapping[str, Collection[str]],
+) -> str | None:
+    """Return the one server on which a suspect may run alone now.
+
+    All entries that can communicate choose the same zone and server, so two copies of
+    a suspect cannot crash two servers at once. The choice changes only with liveness:
+    a server whose engine is down stays the choice, and its agent, which has seen the
+    crash, refuses the request.
+
+    :param servers_by_zone: servers that could take the request, by zone that this
+        entry can reach.
+    """
+    zones = [zone for zone, servers in servers_by_zone.items() if servers]
+    if not zones:
+        return None
+    zone = rank_by_rendezvous(fingerprint, zones)[0]
+    return rank_by_rendezvous("isolation", servers_by_zone[zone])[0]
+
+
+class CrashSuspects:
+    """Keep one process's table of suspects."""
+
+    __slots__ = ("_cleared_at", "_crash_by_id", "_repeats", "_suspect_by_fingerprint")
+
+    def __init__(self) -> None:
+        self._suspect_by_fingerprint: OrderedDict[str, _Suspect] = OrderedDict()
+        self._crash_by_id: OrderedDict[str, _Crash] = OrderedDict()
+        self._cleared_at: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._repeats: list[_Repeat] = []
+
+    def __len__(self) -> int:
+        """Return the number of suspects and convicted requests."""
+        return len(self._suspect_by_fingerprint)
+
+    def verdict(self, fingerprint: str, now: float) -> Verdict:
+        """Return how a request may run; entries and agents ask before each start."""
+        self._forget(now)
+        suspect = self._suspect_by_fingerprint.get(fingerprint)
+        if suspect is None or suspect.at + FORGET_SECONDS <= now:
+            return Unsuspected()
+        if suspect.convicted:
+            return Convicted(suspect.at + FORGET_SECONDS - now)
+        return RunAlone()
+
+    def hear_report(
+        self,
+        report: CrashReport,
+        neighbours: Iterable[str],
+        now: float,
+        sender: str = "",
+    ) -> list[Action]:
+        """Count a crash once and pass it on once.
+
+        An agent calls it with its own report. An entry whose connection to an agent
+        broke while a suspect ran alone calls it with a report in the agent's place,
+        with crash ID `INCARNATION:lost`, since agent and engine may have died together.
+
+        :param neighbours: processes to which this one passes reports on.
+        :param sender: process from which the report came, empty for this one.
+        """
+        self._forget(now)
+        if report.crash_id in self._crash_by_id or report.age >= FORGET_SECONDS:
+            return []
+        fingerprints = report.fingerprints[:MAX_FINGERPRINTS]
+        crash = _Crash(now - report.age, replace(report, fingerprints=fingerprints))
+        self._crash_by_id[report.crash_id] = crash
+        if len(self._crash_by_id) > MAX_CRASHES:
+            self._crash_by_id.popitem(last=False)
+        for fingerprint in fingerprints:
+            self._strike(fingerprint, crash)
+        return self._flood(crash, neighbours, now, sender)
+
+    def clear(
+        self,
+        fingerprint: str,
+        neighbours: Iterable[str],
+        now: float,
+    ) -> list[Action]:
+        """Clear a suspect that has completed alone, at the agent that ran it."""
+        suspect = self._suspect_by_fingerprint.get(fingerprint)
+        if suspect is None or suspect.convicted:
+            return []
+        cleared = SuspectCleared(fingerprint, tuple(sorted(suspect.crash_ids)))
+        return self.hear_cleared(cleared, neighbours, now)
+
+    def hear_cleared(
+        self,
+        cleared: SuspectCleared,
+        neighbours: Iterable[str],
+        now: float,
+        sender: str = "",
+    ) -> list[Action]:
+        """Take back the suspicion that came from the named crashes.
+
+        They are remembered, because a report may arrive after its clearing.
+        """
+        self._forget(now)
+        pairs = [(cleared.fingerprint, crash_id) for crash_id in cleared.crash_ids]
+        new = [pair for pair in pairs if pair not in self._cleared_at]
+        if not new:
+            return []
+        for pair in new:
+            self._cleared_at[pair] = now
+            if len(self._cleared_at) > MAX_CLEARED:
+                self._cleared_at.popitem(last=False)
+        suspect = self._suspect_by_fingerprint.get(cleared.fingerprint)
+        if suspect is not None and not suspect.convicted:
+            suspect.crash_ids -= set(cleared.crash_ids)
+            if not suspect.crash_ids:
+                del self._suspect_by_fingerprint[cleared.fingerprint]
+        return self._flood(cleared, neighbours, now, sender)
+
+    def greet(self, instance: str, now: float) -> list[Action]:
+        """Send the recent crashes to a process that is new or is heard again.
+
+        It has heard no flood while it was not running, paused or cut off.
+        """
+        self._forget(now)
+        recent = [
+            crash.as_of(now)
+            for crash in self._crash_by_id.values()
+            if now - crash.at < FORGET_SECONDS
+        ]
+        pairs = list(self._cleared_at)[-MAX_REPORTS_FOR_NEWCOMER:]
+        cleared = [
+            SuspectCleared(fingerprint, (crash_id,)) for fingerprint, crash_id in pairs
+        ]
+        # Clearings first, so that nothing that was cleared is suspected in between.
+        bodies: list[CrashReport | SuspectCleared] = [
+            *cleared,
+            *recent[-MAX_REPORTS_FOR_NEWCOMER:],
+        ]
+        return [Send(instance, body) for body in bodies]
+
+    def tick(self, neighbours: Iterable[str], now: float) -> list[Action]:
+        """Return the repeats of recent reports that are due."""
+        actions: list[Action] = []
+        targets = list(neighbours)
+        for repeat in self._repeats:
+            if now < repeat.at + REPEAT_SECONDS:
+                continue
+            repeat.left -= 1
+            repeat.at = now
+            actions += [Send(target, _body(repeat.body, now)) for target in targets]
+        self._repeats = [repeat for repeat in self._repeats if repeat.left]
+        return actions
+
+    def _strike(self, fingerprint: str, crash: _Crash) -> None:
+        report = crash.report
+        if (fingerprint, report.crash_id) in self._cleared_at:
+            return
+        suspect = self._suspect_by_fingerprint.get(fingerprint)
+        # A request runs alone only after an earlier crash, so this one is the second.
+        # Beside others it may be a bystander, however often that happens.
+        is_second = suspect is not None and len(report.fingerprints) == 1
+        if suspect is None:
+            suspect = _Suspect(crash.at)
+            self._suspect_by_fingerprint[fingerprint] = suspect
+        if report.alone or is_second:
+            suspect.convicted = True
+        suspect.at = max(suspect.at, crash.at)
+        if len(suspect.crash_ids) < MAX_CRASHES_PER_SUSPECT:
+            suspect.crash_ids.add(report.crash_id)
+        self._suspect_by_fingerprint.move_to_end(fingerprint)
+        if len(self._suspect_by_fingerprint) > MAX_SUSPECTS:
+            self._drop_one()
+
+    def _drop_one(self) -> None:
+        """Drop the oldest suspect, or the oldest convicted request if there is none."""
+        for fingerprint, suspect in self._suspect_by_fingerprint.items():
+            if not suspect.convicted:
+                del self._suspect_by_fingerprint[fingerprint]
+                return
+        self._suspect_by_fingerprint.popitem(last=False)
+
+    def _flood(
+        self,
+        body: _Crash | SuspectCleared,
+        neighbours: Iterable[str],
+        now: float,
+        sender: str,
+    ) -> list[Action]:
+        self._repeats.append(_Repeat(body, now))
+        message = _body(body, now)
+        return [Send(target, message) for target in neighbours if target != sender]
+
+    def _forget(self, now: float) -> None:
+        limit = now - FORGET_SECONDS
+        # Crashes are remembered for longer than suspects, so that a late copy of a
+        # report does not count as a new crash.
+        crashes = self._crash_by_id
+        while crashes and next(iter(crashes.values())).at <= limit - FORGET_SECONDS:
+            crashes.popitem(last=False)
+        cleared = self._cleared_at
+        while cleared and next(iter(cleared.values())) <= limit - FORGET_SECONDS:
+            cleared.popitem(last=False)
+        suspects = self._suspect_by_fingerprint
+        while suspects and next(iter(suspects.values())).at <= limit:
+            suspects.popitem(last=False)
+
+
+def _body(body: _Crash | SuspectCleared, now: float) -> CrashReport | SuspectCleared:
+    return body.as_of(now) if isinstance(body, _Crash) else body
--- a/lacewingcleat/messages.py
+++ b/lacewingcleat/messages.py
@@ -187,9 +187,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SuspectCleared:
-    """Tell that a suspect completed alone without a crash."""
+    """Tell that a suspect completed alone without a crash.
+
+    :param crash_ids: crashes of which it is cleared. A later crash, or one that the
+        sender had not heard of, still counts.
+    """
 
     fingerprint: str
+    crash_ids: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lacewingcleat/peer_table.py
@@ -0,0 +1,298 @@
+"""coordination: judge from all sources which processes are alive and usable.
+
+Three sources are joined. The sheet says which servers exist and which are leaving. The
+platform's list says the same, but lags. Heartbeats are first-hand. What makes a server
+unusable is believed from any source; only a heartbeat proves that a process is alive.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from hashlib import blake2b
+
+from lacewingcleat.identity import Peer, Role
+from lacewingcleat.peer_view import NEVER, PeerView
+from lacewingcleat.rendezvous import rank_by_rendezvous
+from lacewingcleat.sheet import BackendServer, ServerState, Sheet
+
+# Three heartbeats; also the bound on new work for a leaving server (P5).
+PEER_TIMEOUT_SECONDS = 3.0
+# An agent needs its entries only to report to them, and learns of a dead one from the
+# other. Answering each of its heartbeats would cost an entry much of its 29 KB/s.
+ENTRY_ANSWER_SECONDS = 5.0
+AGENT_TIMEOUT_SECONDS = 3 * ENTRY_ANSWER_SECONDS
+ENTRIES_PER_AGENT = 2
+READERS_PER_ZONE = 2
+READER_KEY = "config-readers"
+# Time for an agent to move its reports after the zone's entries changed.
+AGENT_MOVE_SECONDS = 2.0
+SETTLE_SECONDS = 2.0
+# A list that the platform has not renewed for this long proves no absence.
+PLATFORM_LIST_SECONDS = 60.0
+# Longer than the 10 min in which a leaving server finishes its work. Bounds the harm if
+# the notice that a new process runs under the name was lost.
+LEAVING_SECONDS = 900.0
+
+
+class PeerStatus(Enum):
+    """Say what is known about a process.
+
+    `UNHEARD` means that it does not report to this process and nothing speaks against
+    it.
+    """
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    UNREACHABLE = "unreachable"
+    UNHEARD = "unheard"
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformList:
+    """Hold the platform's list of instances, which lags behind reality."""
+
+    live: frozenset[str]
+    leaving: frozenset[str]
+
+
+class PeerTable:
+    """Keep what one process knows about the others.
+
+    :param me: this process.
+    """
+
+    def __init__(self, me: Peer, now: float) -> None:
+        self.me = me
+        self.leaving = False
+        self.views_from = now
+        self._view_by_instance: dict[str, PeerView] = {}
+        self._entry_view_by_instance: dict[str, PeerView] = {}
+        self._sheet: Sheet | None = None
+        self._platform = PlatformList(frozenset(), frozenset())
+        self._platform_at = NEVER
+        self._suspect_until: dict[str, float] = {}
+        self._unreachable_until: dict[str, float] = {}
+        self._views_from_by_zone: dict[str, float] = {}
+        self._reporting_since: dict[str, float] = {}
+        # Cleared when the zone's entries change; the sheet changes far more often.
+        self._reports_here: dict[str, bool] = {}
+        self._heard_at = NEVER
+        self._timeout = (
+            AGENT_TIMEOUT_SECONDS if me.role is Role.AGENT else PEER_TIMEOUT_SECONDS
+        )
+
+    def status(self, instance: str, now: float) -> PeerStatus:
+        """Return what is known about a process."""
+        view = self._view_by_instance.get(instance)
+        if self._is_leaving(instance, view, now):
+            return PeerStatus.LEAVING
+        if self._unreachable_until.get(instance, NEVER) > now:
+            return PeerStatus.UNREACHABLE
+        if view is not None and view.is_alive(now, self._timeout):
+            return PeerStatus.LIVE
+        if self._is_report_missing(instance, now):
+            return PeerStatus.UNREACHABLE
+        if self._suspect_until.get(instance, NEVER) > now:
+            return PeerStatus.UNREACHABLE
+        if self._is_denied_by_platform(instance, now):
+            return PeerStatus.UNREACHABLE
+        return PeerStatus.UNHEARD
+
+    def may_receive_work(self, server: str, now: float) -> bool:
+        """Return whether an entry may send new work to a backend server."""
+        record = self._server(server)
+        if record is None or record.state is not ServerState.SERVING:
+            return False
+        if not self.is_settled(now):
+            return False
+        return self.status(server, now) in (PeerStatus.LIVE, PeerStatus.UNHEARD)
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether views exist that are younger than the last pause.
+
+        A process without peers must not wait for ever; it goes on after 2 s.
+        """
+        if self._heard_at >= self.views_from:
+            return True
+        return now - self.views_from >= SETTLE_SECONDS
+
+    def live_entries(self, zone: str, now: float) -> list[Peer]:
+        """Return the live entries of a zone in order of name, this one included."""
+        peers = [
+            view.peer
+            for view in self._entry_view_by_instance.values()
+            if view.peer.zone == zone and self._is_live_entry(view, now)
+        ]
+        if self.me.role is Role.ENTRY and self.me.zone == zone and not self.leaving:
+            peers.append(self.me)
+        return sorted(peers, key=lambda peer: peer.instance)
+
+    def view_digest(self, now: float) -> str:
+        """Return the digest of the live entries of this process's own zone."""
+        digest = blake2b(digest_size=8)
+        for peer in self.live_entries(self.me.zone, now):
+            digest.update(f"{peer.instance}\x00{peer.incarnation}\n".encode())
+        return digest.hexdigest()
+
+    def agreeing_entries(self, now: float) -> int:
+        """Return how many entries of the own zone, this one included, report its view.
+
+        A home entry of account limits needs a majority of the expected entries.
+        """
+        mine = self.view_digest(now)
+        return sum(
+            peer == self.me or self._view_by_instance[peer.instance].view_digest == mine
+            for peer in self.live_entries(self.me.zone, now)
+        )
+
+    def reporting_entries(self, now: float) -> list[str]:
+        """Return the two entries to which this agent reports."""
+        return self._entries_of_agent(self.me.instance, now)
+
+    def zone_readers(self, zone: str, now: float) -> list[str]:
+        """Return the entries of a zone that read the configuration service."""
+        names = [peer.instance for peer in self.live_entries(zone, now)]
+        return rank_by_rendezvous(READER_KEY, names)[:READERS_PER_ZONE]
+
+    def zone_views_from(self, zone: str) -> float:
+        """Return the time before which views about a zone are void.
+
+        That is the last pause of this process, or the last time that the zone was heard
+        again after silence.
+        """
+        return max(self.views_from, self._views_from_by_zone.get(zone, NEVER))
+
+    def update_sheet(self, sheet: Sheet) -> None:
+        """Take over the servers and their states from the sheet in force."""
+        self._sheet = sheet
+
+    def update_platform(self, platform: PlatformList, now: float) -> None:
+        """Take over the platform's list."""
+        self._platform = platform
+        self._platform_at = now
+
+    def note_unreachable(self, instance: str, now: float) -> None:
+        """Record that a connection to an instance failed."""
+        self._unreachable_until[instance] = now + PEER_TIMEOUT_SECONDS
+
+    def drop_views(self, now: float) -> None:
+        """Drop everything believed before a pause.
+
+        That a process is leaving is kept, because it never becomes untrue for the same
+        incarnation; forgetting it would send work to a leaving server.
+        """
+        self.views_from = now
+        self._platform_at = NEVER
+        self._suspect_until.clear()
+        self._unreachable_until.clear()
+        self._reporting_since = dict.fromkeys(self._reporting_since, now)
+        for view in self._view_by_instance.values():
+            view.drop()
+
+    def _known_entries(self) -> set[str]:
+        return {
+            instance
+            for instance, view in self._entry_view_by_instance.items()
+            if view.peer.zone == self.me.zone
+        }
+
+    def _counterparts(self, now: float) -> set[str]:
+        readers = self.zone_readers(self.me.zone, now)
+        if self.me.instance not in readers:
+            return set()
+        turn = readers.index(self.me.instance)
+        zones = {view.peer.zone for view in self._entry_view_by_instance.values()}
+        found: set[str] = set()
+        for zone in zones - {self.me.zone}:
+            found |= set(self.zone_readers(zone, now)[turn : turn + 1])
+        return found
+
+    def _is_alive(self, instance: str, now: float) -> bool:
+        view = self._view_by_instance.get(instance)
+        return view is not None and view.is_alive(now, self._timeout)
+
+    def _add(
+        self,
+        peer: Peer,
+        control_address: str,
+        request_address: str,
+        now: float,
+    ) -> PeerView:
+        view = PeerView(peer, control_address, request_address, now)
+        self._view_by_instance[peer.instance] = view
+        if peer.role is Role.ENTRY:
+            self._entry_view_by_instance[peer.instance] = view
+        return view
+
+    def _remove(self, instance: str) -> None:
+        self._view_by_instance.pop(instance, None)
+        self._entry_view_by_instance.pop(instance, None)
+
+    def _update_reporting(self, now: float) -> None:
+        """Note which agents of the own zone should report to this entry."""
+        if self._sheet is None or self.me.role is not Role.ENTRY:
+            return
+        since = self._reporting_since
+        self._reporting_since = {
+            server.name: since.get(server.name, now)
+            for server in self._sheet.server_by_name.values()
+            if server.zone == self.me.zone and self._is_reporting(server.name, now)
+        }
+
+    def _is_reporting(self, agent: str, now: float) -> bool:
+        if agent not in self._reports_here:
+            chosen = self._entries_of_agent(agent, now)
+            self._reports_here[agent] = self.me.instance in chosen
+        return self._reports_here[agent]
+
+    def _is_report_missing(self, instance: str, now: float) -> bool:
+        """Return whether an agent that should report to this entry is silent."""
+        since = self._reporting_since.get(instance)
+        if since is None:
+            return False
+        view = self._view_by_instance.get(instance)
+        alive_at = NEVER if view is None else view.alive_at
+        expected_from = since + AGENT_MOVE_SECONDS
+        return now - max(alive_at, expected_from) > PEER_TIMEOUT_SECONDS
+
+    def _entries_of_agent(self, agent: str, now: float) -> list[str]:
+        names = [peer.instance for peer in self.live_entries(self.me.zone, now)]
+        return rank_by_rendezvous(agent, names)[:ENTRIES_PER_AGENT]
+
+    def _is_live_entry(self, view: PeerView, now: float) -> bool:
+        return not view.leaving and view.is_alive(now, self._timeout)
+
+    def _is_leaving(self, instance: str, view: PeerView | None, now: float) -> bool:
+        if view is not None and view.leaving:
+            age = now - max(view.alive_at, view.leaving_at)
+            if age <= LEAVING_SECONDS:
+                return True
+        if instance in self._platform.leaving:
+            return True
+        record = self._server(instance)
+        return record is not None and record.state is ServerState.LEAVING
+
+    def _server(self, instance: str) -> BackendServer | None:
+        if self._sheet is None:
+            return None
+        return self._sheet.server_by_name.get(instance)
+
+    def _is_denied_by_platform(self, instance: str, now: float) -> bool:
+        if now - self._platform_at > PLATFORM_LIST_SECONDS:
+            return False
+        return instance not in self._platform.live
+
+    def _is_zone_silent(self, zone: str, now: float) -> bool:
+        if zone == self.me.zone:
+            return False
+        return not any(
+            view.peer.zone == zone and view.is_alive(now, self._timeout)
+            for view in self._entry_view_by_instance.values()
+        )
+
+    def _drop_zone(self, zone: str, now: float) -> None:
+        """Drop second-hand views about a zone that is heard again after silence."""
+        self._views_from_by_zone[zone] = now
+        for instance in list(self._suspect_until):
+            record = self._server(instance)
+            if record is not None and record.zone == zone:
+                del self._suspect_until[instance]
--- a/lacewingcleat/peer_view.py
+++ b/lacewingcleat/peer_view.py
@@ -59,6 +59,7 @@
         "control_address",
         "known_at",
         "leaving",
+        "leaving_at",
         "peer",
         "request_address",
         "view_digest",
@@ -76,6 +77,7 @@
         self.control_address = control_address
         self.request_address = request_address
         self.leaving = False
+        self.leaving_at = NEVER
         self.view_digest = ""
         self.alive_at = NEVER
         self.answered_at = NEVER
@@ -108,7 +110,7 @@
         if peer.incarnation != self.peer.incarnation:
             if self.is_alive(now, timeout) and not self._is_successor(peer, sent_at):
                 return False
-            self._adopt(peer)
+            self.replace(peer)
         if sent_at <= self._last_sent_at:
             return False
         if self._offset is None:
@@ -136,14 +138,8 @@
         self.view_digest = ""
         self._candidate = None
 
-    def _is_successor(self, peer: Peer, sent_at: float) -> bool:
-        candidate = self._candidate
-        if candidate is None or candidate.peer != peer:
-            self._candidate = _Candidate(peer, sent_at)
-            return False
-        return sent_at > candidate.sent_at
-
-    def _adopt(self, peer: Peer) -> None:
+    def replace(self, peer: Peer) -> None:
+        """Follow another incarnation, of which nothing is known yet."""
         self.peer = peer
         self.leaving = False
         self.view_digest = ""
@@ -151,3 +147,10 @@
         self._last_sent_at = NEVER
         self._offset = None
         self._candidate = None
+
+    def _is_successor(self, peer: Peer, sent_at: float) -> bool:
+        candidate = self._candidate
+        if candidate is None or candidate.peer != peer:
+            self._candidate = _Candidate(peer, sent_at)
+            return False
+        return sent_at > candidate.sent_at
--- a/lacewingcleat/retries.py
+++ b/lacewingcleat/retries.py
@@ -15,6 +15,9 @@
 SETTLE_SECONDS = 1.0
 # A retry with less time left cannot give a useful response.
 MIN_RETRY_SECONDS = 0.05
+# A request that has lost this many servers is not tried on a third one, in case it is
+# what kills them and their agents die with them, so that none can report the crash.
+MAX_LOST_TARGETS = 2
 # Refusals that every server would repeat.
 FINAL_CODES = frozenset(
     {
@@ -88,6 +91,7 @@
     :param deadline: time by which the response must be there.
     :param failed_targets: targets that have failed this request.
     :param may_have_run: whether an earlier attempt ended without a known result.
+    :param lost_targets: targets that were lost after the request was sent to them.
     :param has_other_target: whether a target is left that has not failed.
     :param delivered: tokens that the caller has received.
     :param body_begun: whether the caller has received a part of the response.
@@ -99,6 +103,7 @@
     ticket: TicketOrigin = TicketOrigin.NONE
     failed_targets: frozenset[str] = frozenset()
     may_have_run: bool = False
+    lost_targets: int = 0
     has_other_target: bool = True
     delivered: int = 0
     body_begun: bool = False
@@ -278,6 +283,9 @@
 def _may_retry(attempt: Attempt, facts: RequestFacts, now: float) -> bool:
     if attempt.said is Said.NOT_RUN and attempt.code in FINAL_CODES:
         return False
+    lost = facts.lost_targets + (not _certainly_not_run(attempt))
+    if lost >= MAX_LOST_TARGETS:
+        return False
     if (facts.body_begun or facts.delivered) and not facts.resumable:
         return False
     return facts.has_other_target and now + MIN_RETRY_SECONDS < facts.deadline
--- a/lacewingcleat/tickets.py
+++ b/lacewingcleat/tickets.py
@@ -8,15 +8,50 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
-from enum import Enum, StrEnum
+from enum import Enum
 from heapq import heappop, heappush
 
 from result import Err, Ok, Result
 
 from lacewingcleat.identity import Peer
 from lacewingcleat.sheet import DEFAULT_TICKET_SECONDS, Service
+from lacewingcleat.ticket_outcomes import (
+    Attach,
+    Minted,
+    NotRun,
+    Presented,
+    Ran,
+    Response,
+    Revoked,
+    RunNow,
+    Started,
+    StartOutcome,
+    Stored,
+    TicketCode,
+    TicketUse,
+    Unknown,
+)
 from lacewingcleat.ticket_token import Ticket, read_ticket, seal_ticket, verify_ticket
 
+__all__ = [
+    "Attach",
+    "Minted",
+    "NotRun",
+    "Presented",
+    "Ran",
+    "Response",
+    "Revoked",
+    "RunNow",
+    "StartOutcome",
+    "Started",
+    "Stored",
+    "TicketBook",
+    "TicketCode",
+    "TicketUse",
+    "Unknown",
+    "choose_ticket_use",
+]
+
 MAX_TICKETS = 100_000
 MAX_RESPONSE_BYTES = 1 << 20
 MAX_STORED_BYTES = 64 << 20
@@ -25,109 +60,6 @@
 EXPIRED_KEPT_SECONDS = 60.0
 
 
-class TicketCode(StrEnum):
-    """Name the reasons in outcomes, as in the `code` member of a problem."""
-
-    REQUIRED = "ticket-required"
-    EXPIRED = "ticket-expired"
-    REVOKED = "ticket-revoked"
-    TOO_MANY = "too-many-tickets"
-    ANSWER_NOT_KEPT = "answer-not-kept"
-    SERVER_LOST = "server-lost"
-    OTHER_INCARNATION = "ticket-of-another-process"
-    NOT_RECOGNISED = "ticket-not-recognised"
-    OTHER_REQUEST = "ticket-of-another-request"
-    KEY_RUN = "key-already-run"
-    KEY_IN_USE = "key-in-use"
-
-
-@dataclass(frozen=True, slots=True)
-class Response:
-    """Hold a complete response of a service."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-    @property
-    def size(self) -> int:
-        """Return the bytes that storing it takes."""
-        fields = sum(len(name) + len(value) for name, value in self.headers)
-        return len(self.body) + fields
-
-
-@dataclass(frozen=True, slots=True)
-class RunNow:
-    """Admit the request; the caller of the book queues it and then calls `start`."""
-
-    ticket_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class Attach:
-    """Wait for the response of the copy that is queued or running."""
-
-    ticket_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class Stored:
-    """Return the response of the earlier run."""
-
-    ticket_id: str
-    response: Response
-
-
-@dataclass(frozen=True, slots=True)
-class NotRun:
-    """Say that the request did not run under this ticket and never will."""
-
-    code: str
-
-
-@dataclass(frozen=True, slots=True)
-class Ran:
-    """Say that the request ran, but that its response is not at hand."""
-
-    code: str
-
-
-@dataclass(frozen=True, slots=True)
-class Unknown:
-    """Say that nobody can tell whether the request ran; it will not run again."""
-
-    code: str
-
-
-@dataclass(frozen=True, slots=True)
-class Started:
-    """Confirm that the request may be handed to the service now."""
-
-    ticket_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class Minted:
-    """Hold a new ticket and its token."""
-
-    ticket: Ticket
-    token: str
-
-
-Presented = RunNow | Attach | Stored | NotRun | Ran | Unknown
-Revoked = Attach | Stored | NotRun | Ran | Unknown
-StartOutcome = Started | NotRun | Unknown
-
-
-class TicketUse(Enum):
-    """Say how an entry deals with a request to a plain service."""
-
-    NONE = "send without a ticket; the call is idempotent"
-    PRESENT = "present the caller's ticket"
-    OBTAIN = "obtain a ticket and run once"
-    DEMAND = "answer 428 with a ticket and do not run"
-
-
 class _State(Enum):
     MINTED = 0
     QUEUED = 1
--- /dev/null
+++ b/tests/builders_safety.py
@@ -0,0 +1,55 @@
+"""Builders for tests of request safety and membership."""
+
+from lacewingcleat.identity import Peer
+from lacewingcleat.messages import CrashReport, Envelope, Heartbeat, Message
+from lacewingcleat.retries import (
+    Attempt,
+    RequestFacts,
+    Said,
+    Sent,
+    TicketOrigin,
+)
+
+
+def make_attempt(
+    said: Said = Said.NOTHING,
+    code: str = "",
+    sent: Sent = Sent.SOME,
+    revocation: bool = False,
+) -> Attempt:
+    """Build an attempt at server-1 that ended without a response."""
+    return Attempt("server-1", sent, said, code, 0.0, revocation)
+
+
+def make_facts(
+    idempotent: bool = False,
+    ticket: TicketOrigin = TicketOrigin.ENTRY,
+    deadline: float = 10.0,
+    **more: object,
+) -> RequestFacts:
+    """Build the facts of a request with an entry's ticket."""
+    return RequestFacts(idempotent, deadline, ticket, **more)  # type: ignore[arg-type]
+
+
+def make_heartbeat(
+    sent_at: float,
+    leaving: bool = False,
+    view_digest: str = "",
+) -> Heartbeat:
+    """Build a heartbeat of an agent."""
+    return Heartbeat("", "", view_digest, leaving, 0, 8, sent_at)
+
+
+def make_envelope(sender: Peer, body: Message) -> Envelope:
+    """Wrap a message of a sender that holds revision 1."""
+    return Envelope(sender, 1, "digest-1", body)
+
+
+def make_crash(
+    crash_id: str,
+    *fingerprints: str,
+    alone: bool = False,
+    age: float = 0.0,
+) -> CrashReport:
+    """Build the report of a crash of server-1."""
+    return CrashReport(crash_id, "server-1", fingerprints, alone, age)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,6 +12,7 @@
         self.me = make_peer("entry-1")
         self.entry = Membership(self.me, "127.0.0.1:1", "127.0.0.1:2", {}, 0.0)
         self.entry.update_sheet(make_sheet(servers=[make_server("server-1")]))
+        self.entry.tick(0.0)
         self.agent = make_peer("server-1", "a1", role=Role.AGENT)
 
     def hear(self, now: float, leaving: bool = False, sent_at: float = -1.0) -> None:
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,139 @@
+from testtools import TestCase
+
+from lacewingcleat.retries import (
+    RETRY_BURST,
+    Attempt,
+    ReportNotRun,
+    ReportUnknown,
+    RequestFacts,
+    ResumeAt,
+    RetryBudget,
+    RetryCode,
+    RetryDecision,
+    RetryElsewhere,
+    ReturnResult,
+    RevokeFirst,
+    Said,
+    Sent,
+    TicketOrigin,
+    decide_retry,
+    report_unsent,
+)
+from tests.builders_safety import make_attempt, make_facts
+
+
+class DecideRetryTest(TestCase):
+    def decide(self, attempt: Attempt, facts: RequestFacts) -> RetryDecision:
+        return decide_retry(attempt, facts, RetryBudget(0.0), 0.0)
+
+    def test_complete_and_ran_are_returned(self) -> None:
+        """Guards against a second run after a result."""
+        for said in (Said.COMPLETE, Said.RAN):
+            decision = self.decide(make_attempt(said), make_facts(idempotent=True))
+            self.assertEqual(ReturnResult(), decision)
+
+    def test_silent_agent_is_asked_to_revoke_first(self) -> None:
+        """Guards against a retry while the first attempt may still start."""
+        decision = self.decide(make_attempt(), make_facts())
+        self.assertEqual(RevokeFirst("server-1"), decision)
+
+    def test_confirmed_revocation_allows_a_retry(self) -> None:
+        """Guards against a lost request that provably did not run."""
+        revoked = make_attempt(Said.NOT_RUN, "ticket-revoked", revocation=True)
+        decision = self.decide(revoked, make_facts())
+        self.assertEqual(RetryElsewhere(frozenset({"server-1"}), False), decision)
+
+    def test_unanswered_revocation_is_unknown(self) -> None:
+        """Guards against "not run" when the revocation itself was not sent or heard."""
+        for sent in Sent:
+            lost = make_attempt(sent=sent, revocation=True)
+            self.assertIsInstance(self.decide(lost, make_facts()), ReportUnknown)
+
+    def test_non_idempotent_request_that_may_have_run_is_not_retried(self) -> None:
+        """Guards against a duplicated material order."""
+        for said in (Said.UNKNOWN, Said.BROKEN):
+            decision = self.decide(make_attempt(said, "x"), make_facts())
+            self.assertEqual(ReportUnknown("x"), decision)
+
+    def test_not_run_is_not_said_after_an_unknown_attempt(self) -> None:
+        """Guards against "not run" from the last of several attempts."""
+        facts = make_facts(True, may_have_run=True, has_other_target=False)
+        decision = self.decide(make_attempt(Said.NOT_RUN, "overloaded"), facts)
+        self.assertEqual(ReportUnknown(RetryCode.NOT_RUN_AFTER_UNKNOWN), decision)
+
+    def test_callers_ticket_is_never_replaced(self) -> None:
+        """Guards against a run under a ticket that the caller does not know."""
+        facts = make_facts(ticket=TicketOrigin.CALLER)
+        refused = self.decide(make_attempt(Said.NOT_RUN, "overloaded"), facts)
+        self.assertEqual(ReportNotRun("overloaded"), refused)
+        unsent = self.decide(make_attempt(sent=Sent.NOTHING), facts)
+        self.assertEqual(ReportUnknown(RetryCode.UNREACHABLE), unsent)
+
+    def test_entry_does_not_vouch_for_a_callers_ticket(self) -> None:
+        """Guards against "not run" while another entry holds a copy."""
+        caller = make_facts(ticket=TicketOrigin.CALLER)
+        self.assertEqual(ReportUnknown("limit"), report_unsent(caller, "limit"))
+        self.assertEqual(
+            ReportNotRun("limit", 2.0), report_unsent(make_facts(), "limit", 2.0)
+        )
+
+    def test_no_retry_past_deadline_budget_or_targets(self) -> None:
+        """Guards against retries that help nobody."""
+        refused = make_attempt(Said.NOT_RUN, "overloaded")
+        for facts in (make_facts(deadline=0.05), make_facts(has_other_target=False)):
+            self.assertEqual(
+                ReportNotRun("overloaded"), self.decide(refused, facts), facts
+            )
+        budget = RetryBudget(0.0)
+        while budget.spend(0.0):
+            pass
+        self.assertEqual(
+            ReportNotRun("overloaded"), decide_retry(refused, make_facts(), budget, 0.0)
+        )
+
+    def test_final_refusal_is_not_repeated(self) -> None:
+        """Guards against a convicted request that visits every server."""
+        refused = make_attempt(Said.NOT_RUN, "crashes-server")
+        self.assertEqual(
+            ReportNotRun("crashes-server"), self.decide(refused, make_facts())
+        )
+
+    def test_third_server_is_not_risked(self) -> None:
+        """Guards against a request that kills servers together with their agents."""
+        facts = make_facts(True, lost_targets=1)
+        self.assertIsInstance(self.decide(make_attempt(), facts), ReportUnknown)
+
+    def test_stream_resumes_where_the_caller_is(self) -> None:
+        """Guards against doubled tokens and against a silent restart."""
+        broken = make_attempt(Said.BROKEN)
+        stream = make_facts(True, delivered=7, body_begun=True, resumable=True)
+        self.assertEqual(
+            ResumeAt(7, frozenset({"server-1"})), self.decide(broken, stream)
+        )
+        opaque = make_facts(True, body_begun=True)
+        self.assertEqual(
+            ReportUnknown(RetryCode.STREAM_BROKEN), self.decide(broken, opaque)
+        )
+
+
+class RetryBudgetTest(TestCase):
+    def test_retries_are_a_tenth_of_requests(self) -> None:
+        """Guards against retries that multiply an overload."""
+        budget = RetryBudget(0.0)
+        spent = 0
+        for second in range(100):
+            for step in range(200):
+                now = second + step / 200
+                budget.count_request(now)
+                spent += budget.spend(now)
+        self.assertLessEqual(spent, 0.1 * 20_000 + RETRY_BURST)
+        self.assertGreater(spent, 0.09 * 20_000)
+
+    def test_quiet_entry_has_one_retry_a_second(self) -> None:
+        """Guards against an entry with few requests that can never retry."""
+        budget = RetryBudget(0.0)
+        while budget.spend(0.0):
+            pass
+        self.assertFalse(budget.spend(0.9))
+        self.assertTrue(budget.spend(1.0))
+        self.assertFalse(budget.spend(1.0))
