Add account limits: reserves, leases, loans and home authority

Cause: the entry program needs to admit or refuse by account. Change: AccountLimits at each entry; it contains the LimitHome of the accounts that the entry is home for. New messages LimitDemands and LimitLeases carry a batch, the vote for a view and a challenge; LimitDemand has a new field `held`.

Public signatures of lacewingcleat.account_limits:

AccountLimits(me: Peer, now: float) .apply_sheet(sheet: Sheet, now: float) -> None .observe_entries(entries: Iterable[Peer], now: float) -> None (live, all zones) .admit(account_name: str, estimated_tokens: int, now: float, waited: bool = False) -> LimitPermit | LimitWait | LimitRefusal .finish(permit: LimitPermit, used_tokens: int, now: float) -> None .tick(now: float) -> list[Action] (every 0.25 s) .receive(sender: Peer, message: LimitDemands | LimitLeases, now) -> list[Action] .running_of(account_name) -> int .share_of(account_name, now) -> Amounts .home LimitPermit(account, estimated_tokens, admitted_at) LimitWait(until, actions): send the actions; call admit(..., waited=True) after the next LimitLeases message, and at the latest at `until` LimitRefusal(reason: LimitReason, retry_after_seconds)

finish settles the estimate (0 tokens for a request that was not run).

--- /dev/null
+++ b/lacewingcleat/account_limits.py
@@ -0,0 +1,500 @@
+"""coordination: limits of client accounts at an entry.
+
+An entry may use a fixed reserve of each account's limits at any time, and a lease from
+the account's home entry until the lease ends. Tokens are charged by estimate when a
+request is admitted and settled after its response. The entry also runs the `LimitHome`
+for the accounts that it is the home entry of; messages to itself are delivered here.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from hashlib import blake2b
+from math import ceil, inf
+
+from lacewingcleat.actions import Action, Send
+from lacewingcleat.home_authority import LEASE_SECONDS, VOTE_CHANGE_SECONDS
+from lacewingcleat.identity import Peer, Role
+from lacewingcleat.lease_bucket import LeaseBucket
+from lacewingcleat.limit_home import LimitHome
+from lacewingcleat.limit_shares import NOTHING, Amounts, limit_of, zone_share
+from lacewingcleat.messages import LimitDemand, LimitDemands, LimitLease, LimitLeases
+from lacewingcleat.rendezvous import rank_by_rendezvous
+from lacewingcleat.sheet import Sheet
+
+DEMAND_SECONDS = 1.0
+# A request that no lease covers waits this long for the answer to an urgent demand. The
+# answer takes one round trip inside the zone.
+LEASE_WAIT_SECONDS = 0.25
+# Interval between urgent demands of an account.
+URGENT_SECONDS = 0.5
+# Interval while the home entry does not answer.
+UNANSWERED_SECONDS = 2.0
+# Demand is asked for with this headroom, so that a lease covers a rise until the next.
+DEMAND_HEADROOM = 1.25
+# Decay of the demand estimate per period when requests become fewer.
+DEMAND_DECAY = 0.7
+# An account without requests for this long asks for no leases.
+ACTIVE_SECONDS = 5.0
+# An idle account is forgotten after this time, if its buckets hold no debt.
+FORGET_SECONDS = 60.0
+INITIAL_SERVICE_SECONDS = 1.0
+SERVICE_WEIGHT = 0.1
+MIN_RETRY_AFTER_SECONDS = 0.05
+MAX_RETRY_AFTER_SECONDS = 60.0
+
+
+class LimitReason(Enum):
+    """Say which limit refused a request."""
+
+    UNKNOWN_ACCOUNT = "unknown-account"
+    REQUEST_RATE = "request-rate"
+    CONCURRENCY = "concurrency"
+    TOKEN_RATE = "token-rate"
+
+
+@dataclass(frozen=True, slots=True)
+class LimitPermit:
+    """Admit a request; hand it back to `finish` when the request has ended.
+
+    :param estimated_tokens: tokens charged so far.
+    """
+
+    account: str
+    estimated_tokens: int
+    admitted_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitWait:
+    """Ask to hold a request for a moment, because a lease is on its way.
+
+    Call `admit` again with `waited` set after the next `LimitLeases` message, and at
+    the latest at `until`.
+
+    :param actions: demands to be sent now.
+    """
+
+    until: float
+    actions: tuple[Action, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LimitRefusal:
+    """Refuse a request as not run.
+
+    :param retry_after_seconds: when a repeated request can expect to be admitted.
+    """
+
+    reason: LimitReason
+    retry_after_seconds: float
+
+
+LimitDecision = LimitPermit | LimitWait | LimitRefusal
+
+
+@dataclass(slots=True)
+class _Account:
+    requests: LeaseBucket
+    tokens: LeaseBucket
+    limit: Amounts
+    reserve: Amounts
+    seen_at: float
+    running: int = 0
+    leased_slots: int = 0
+    lease_end: float = -inf
+    lease_request_id: int = 0
+    urgent_at: float = -inf
+    urgent_request_id: int = 0
+    offered: int = 0
+    offered_tokens: float = 0.0
+    refused_slots: int = 0
+    peak: int = 0
+    request_rate: float = 0.0
+    token_rate: float = 0.0
+    wanted_slots: int = 0
+    service_seconds: float = INITIAL_SERVICE_SECONDS
+    promised_slots: float = 0.0
+    promised_at: float = 0.0
+    sent_at_by_request_id: dict[int, float] = field(default_factory=dict)
+
+    def slots(self, now: float) -> int:
+        """Return the requests that may run at once."""
+        leased = self.leased_slots if now < self.lease_end else 0
+        return self.reserve.concurrency + leased
+
+    @property
+    def answered(self) -> bool:
+        """Return whether a lease has come since the last urgent demand."""
+        return self.lease_request_id >= self.urgent_request_id
+
+    def unanswered(self, now: float) -> bool:
+        """Return whether there is no lease and the home entry did not answer."""
+        waited = now >= self.urgent_at + LEASE_WAIT_SECONDS
+        return now >= self.lease_end and not self.answered and waited
+
+
+class AccountLimits:
+    """Admit or refuse requests by the limits of their accounts.
+
+    :param me: the entry.
+    """
+
+    __slots__ = (
+        "_account_by_name",
+        "_challenge_by_instance",
+        "_demanded_at",
+        "_digest",
+        "_home",
+        "_live",
+        "_me",
+        "_next_request_id",
+        "_sheet",
+        "_voted_at",
+        "_voted_digest",
+    )
+
+    def __init__(self, me: Peer, now: float) -> None:
+        self._me = me
+        self._home = LimitHome(me)
+        self._sheet: Sheet | None = None
+        self._live: tuple[str, ...] = (me.instance,)
+        self._digest = ""
+        self._account_by_name: dict[str, _Account] = {}
+        self._challenge_by_instance: dict[str, int] = {}
+        # Request ids of an earlier incarnation must not match those of this one: its
+        # lease would be counted from the wrong moment.
+        self._next_request_id = int(me.incarnation[:10] or "0", 16) << 23
+        self._demanded_at = -inf
+        self._voted_digest = ""
+        # An earlier incarnation may have voted just before this one started.
+        self._voted_at = now
+        self.observe_entries([me], now)
+
+    @property
+    def home(self) -> LimitHome:
+        """Return the home entry's part, for metrics and status pages."""
+        return self._home
+
+    def apply_sheet(self, sheet: Sheet, now: float) -> None:
+        """Put a revision in force."""
+        self._sheet = sheet
+        self._home.apply_sheet(sheet)
+        for name, account in list(self._account_by_name.items()):
+            if name not in sheet.account_by_name:
+                if account.running == 0:
+                    del self._account_by_name[name]
+                continue
+            record = sheet.account_by_name[name]
+            account.limit = limit_of(record)
+            account.reserve = zone_share(sheet, record, self._me.zone).reserve
+            account.requests.set_reserve(account.reserve.requests_per_second, now)
+            account.tokens.set_reserve(account.reserve.tokens_per_second, now)
+
+    def observe_entries(self, entries: Iterable[Peer], now: float) -> None:
+        """Take over the live entries that membership knows, of all zones.
+
+        Entries that are leaving are left out. The own entry is always part.
+        """
+        live = {peer for peer in entries if peer.role is Role.ENTRY} | {self._me}
+        own = sorted(
+            (peer.instance, peer.incarnation)
+            for peer in live
+            if peer.zone == self._me.zone
+        )
+        self._live = tuple(instance for instance, _ in own)
+        text = "\n".join(f"{name} {incarnation}" for name, incarnation in own)
+        self._digest = blake2b(text.encode(), digest_size=8).hexdigest()
+        names_by_zone: dict[str, list[str]] = {}
+        for peer in live:
+            names_by_zone.setdefault(peer.zone, []).append(peer.instance)
+        self._home.observe_view(
+            {zone: tuple(sorted(names)) for zone, names in names_by_zone.items()},
+            self._digest,
+            now,
+        )
+
+    def admit(
+        self,
+        account_name: str,
+        estimated_tokens: int,
+        now: float,
+        waited: bool = False,
+    ) -> LimitDecision:
+        """Decide about a request.
+
+        :param estimated_tokens: prompt tokens plus the longest allowed answer, or the
+            best estimate of it.
+        :param waited: whether the request was held after a `LimitWait`.
+        """
+        account = self._account(account_name, now)
+        if account is None:
+            return LimitRefusal(LimitReason.UNKNOWN_ACCOUNT, MAX_RETRY_AFTER_SECONDS)
+        account.seen_at = now
+        if not waited:
+            account.offered += 1
+            account.offered_tokens += estimated_tokens
+        reason = self._refusal(account, now)
+        actions: list[Action] = []
+        if reason is not None and not waited:
+            if reason is LimitReason.CONCURRENCY:
+                account.refused_slots += 1
+            actions = self._demand_urgently(account_name, account, now)
+            # The answer is already here if this entry is the home entry.
+            reason = self._refusal(account, now)
+        if reason is None:
+            account.requests.charge(1.0, now)
+            account.tokens.charge(estimated_tokens, now)
+            account.running += 1
+            account.peak = max(account.peak, account.running)
+            return LimitPermit(account_name, estimated_tokens, now)
+        until = account.urgent_at + LEASE_WAIT_SECONDS
+        if not waited and not account.answered and now < until:
+            return LimitWait(until, tuple(actions))
+        seconds = self._retry_after(account, reason, estimated_tokens, now)
+        bounded = min(max(seconds, MIN_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
+        return LimitRefusal(reason, bounded)
+
+    def settle(self, permit: LimitPermit, used_tokens: int, now: float) -> None:
+        """Replace the estimate of a finished request by the tokens it used.
+
+        :param used_tokens: prompt and answer tokens, 0 if the request was not run.
+        """
+        account = self._account_by_name.get(permit.account)
+        if account is not None:
+            account.tokens.charge(used_tokens - permit.estimated_tokens, now)
+
+    def finish(self, permit: LimitPermit, used_tokens: int, now: float) -> None:
+        """End a request: free its slot and settle its tokens."""
+        account = self._account_by_name.get(permit.account)
+        if account is None:
+            return
+        account.running -= 1
+        seconds = max(now - permit.admitted_at, 1e-3)
+        account.service_seconds += SERVICE_WEIGHT * (seconds - account.service_seconds)
+        self.settle(permit, used_tokens, now)
+
+    def running_of(self, account_name: str) -> int:
+        """Return the requests of an account that run through this entry."""
+        account = self._account_by_name.get(account_name)
+        return account.running if account else 0
+
+    def share_of(self, account_name: str, now: float) -> Amounts:
+        """Return what an account may use through this entry, reserve and lease."""
+        account = self._account_by_name.get(account_name)
+        if account is None:
+            return NOTHING
+        return Amounts(
+            account.requests.rate(now),
+            account.slots(now),
+            account.tokens.rate(now),
+        )
+
+    def tick(self, now: float) -> list[Action]:
+        """Send demands and votes when they are due; call it every 0.25 s."""
+        actions: list[Action] = list(self._home.tick(now))
+        if now - self._demanded_at < DEMAND_SECONDS:
+            return actions
+        period = min(now - self._demanded_at, 2.0 * DEMAND_SECONDS)
+        self._demanded_at = now
+        for name, account in list(self._account_by_name.items()):
+            self._estimate(account, period)
+            idle = now - account.seen_at > FORGET_SECONDS and account.running == 0
+            if idle and not self._in_debt(account, now):
+                del self._account_by_name[name]
+        return actions + self._demand(now, self._vote(now))
+
+    def receive(
+        self,
+        sender: Peer,
+        message: LimitDemands | LimitLeases,
+        now: float,
+    ) -> list[Action]:
+        """Take a message from another entry and return the answers."""
+        match message:
+            case LimitDemands():
+                reply = self._home.receive_demands(sender, message, now)
+                return [] if reply is None else [Send(sender.instance, reply)]
+            case LimitLeases():
+                if message.challenge:
+                    self._challenge_by_instance[sender.instance] = message.challenge
+                for lease in message.leases:
+                    if lease.loan:
+                        self._home.receive_loan(sender, lease, now)
+                    else:
+                        self._take_lease(lease, now)
+                return []
+
+    def _account(self, name: str, now: float) -> _Account | None:
+        record = self._sheet.account_by_name.get(name) if self._sheet else None
+        if record is None or self._sheet is None:
+            return None
+        known = self._account_by_name.get(name)
+        if known is not None:
+            return known
+        reserve = zone_share(self._sheet, record, self._me.zone).reserve
+        account = _Account(
+            LeaseBucket(reserve.requests_per_second, now),
+            LeaseBucket(reserve.tokens_per_second, now),
+            limit_of(record),
+            reserve,
+            now,
+        )
+        self._account_by_name[name] = account
+        return account
+
+    def _refusal(self, account: _Account, now: float) -> LimitReason | None:
+        slots = account.slots(now)
+        if slots == 0 and account.unanswered(now):
+            # The limit is too small for a slot in each reserve. One request may run
+            # without a slot, so that the loss of the home entry does not stop the
+            # account; the reserved rate still applies.
+            slots = 1
+        if account.running >= slots:
+            return LimitReason.CONCURRENCY
+        if not account.requests.may_charge(now):
+            return LimitReason.REQUEST_RATE
+        if not account.tokens.may_charge(now):
+            return LimitReason.TOKEN_RATE
+        return None
+
+    def _retry_after(
+        self,
+        account: _Account,
+        reason: LimitReason,
+        estimated_tokens: int,
+        now: float,
+    ) -> float:
+        match reason:
+            case LimitReason.REQUEST_RATE:
+                return account.requests.retry_after(1.0, now)
+            case LimitReason.TOKEN_RATE:
+                return account.tokens.retry_after(estimated_tokens, now)
+            case _:
+                slots = max(account.slots(now), 1)
+                freed = (now - account.promised_at) * slots / account.service_seconds
+                account.promised_slots = max(0.0, account.promised_slots - freed) + 1.0
+                account.promised_at = now
+                return account.promised_slots * account.service_seconds / slots
+
+    def _in_debt(self, account: _Account, now: float) -> bool:
+        return account.requests.level(now) < 0.0 or account.tokens.level(now) < 0.0
+
+    def _estimate(self, account: _Account, period: float) -> None:
+        account.request_rate = max(
+            account.offered / period,
+            account.request_rate * DEMAND_DECAY,
+        )
+        account.token_rate = max(
+            account.offered_tokens / period,
+            account.token_rate * DEMAND_DECAY,
+        )
+        account.wanted_slots = max(
+            account.peak + account.refused_slots,
+            int(account.wanted_slots * DEMAND_DECAY),
+        )
+        account.offered = 0
+        account.offered_tokens = 0.0
+        account.refused_slots = 0
+        account.peak = account.running
+
+    def _demand_urgently(
+        self,
+        name: str,
+        account: _Account,
+        now: float,
+    ) -> list[Action]:
+        interval = URGENT_SECONDS if account.answered else UNANSWERED_SECONDS
+        if now - account.urgent_at < interval:
+            return []
+        account.urgent_at = now
+        demand = self._demand_of(name, account, now)
+        account.urgent_request_id = demand.request_id
+        home = rank_by_rendezvous(name, self._live)[0]
+        return self._send_demands(home, [demand], "", now)
+
+    def _vote(self, now: float) -> str:
+        """Return the digest to vote for, empty while a vote must not be changed."""
+        if self._voted_digest != self._digest:
+            if now - self._voted_at < VOTE_CHANGE_SECONDS:
+                return ""
+            self._voted_digest = self._digest
+        self._voted_at = now
+        return self._digest
+
+    def _demand(self, now: float, vote: str) -> list[Action]:
+        demands_by_instance: dict[str, list[LimitDemand]] = {
+            instance: [] for instance in self._live
+        }
+        for name, account in self._account_by_name.items():
+            if account.running or now - account.seen_at <= ACTIVE_SECONDS:
+                home = rank_by_rendezvous(name, self._live)[0]
+                demand = self._demand_of(name, account, now)
+                demands_by_instance[home].append(demand)
+        return [
+            action
+            for instance, demands in demands_by_instance.items()
+            for action in self._send_demands(instance, demands, vote, now)
+        ]
+
+    def _send_demands(
+        self,
+        instance: str,
+        demands: list[LimitDemand],
+        vote: str,
+        now: float,
+    ) -> list[Action]:
+        challenge = self._challenge_by_instance.get(instance, 0)
+        message = LimitDemands(tuple(demands), vote, challenge)
+        if instance != self._me.instance:
+            return [Send(instance, message)]
+        reply = self._home.receive_demands(self._me, message, now)
+        if reply is not None:
+            self.receive(self._me, reply, now)
+        return []
+
+    def _demand_of(self, name: str, account: _Account, now: float) -> LimitDemand:
+        self._next_request_id += 1
+        sent = account.sent_at_by_request_id
+        sent[self._next_request_id] = now
+        while next(iter(sent.values())) <= now - LEASE_SECONDS:
+            del sent[next(iter(sent))]
+        waiting = Amounts(
+            account.offered, account.refused_slots, account.offered_tokens
+        )
+        expected = Amounts(
+            account.request_rate,
+            max(account.wanted_slots, account.running),
+            account.token_rate,
+        )
+        wanted = expected.higher(waiting).lower(account.limit)
+        with_headroom = Amounts(
+            wanted.requests_per_second * DEMAND_HEADROOM,
+            ceil(wanted.concurrency * DEMAND_HEADROOM) + 1,
+            wanted.tokens_per_second * DEMAND_HEADROOM,
+        )
+        beyond = with_headroom - account.reserve
+        return LimitDemand(
+            name,
+            self._next_request_id,
+            beyond.requests_per_second,
+            beyond.concurrency,
+            beyond.tokens_per_second,
+            held=max(0, account.running - account.reserve.concurrency),
+        )
+
+    def _take_lease(self, lease: LimitLease, now: float) -> None:
+        account = self._account_by_name.get(lease.account)
+        if account is None or lease.request_id <= account.lease_request_id:
+            return
+        sent_at = account.sent_at_by_request_id.get(lease.request_id)
+        if sent_at is None:
+            return
+        end = sent_at + lease.term_seconds
+        if end <= now:
+            return
+        account.lease_request_id = lease.request_id
+        account.lease_end = end
+        account.leased_slots = lease.concurrency
+        account.requests.set_lease(lease.requests_per_second, end, now)
+        account.tokens.set_lease(lease.tokens_per_second, end, now)
--- /dev/null
+++ b/lacewingcleat/limit_home.py
@@ -0,0 +1,474 @@
+"""coordination: leases of account limits at a home entry, and loans between zones.
+
+A home entry hands out its zone's pool of an account to the entries of the zone, by
+max-min fairness over their demands. What the zone does not need it lends to home
+entries of other zones, and it borrows from them when its own pool is too small. Every
+promise is counted until it has certainly ended on the holder's clock.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from lacewingcleat.actions import Send
+from lacewingcleat.home_authority import (
+    DRIFT_MARGIN,
+    LEASE_SECONDS,
+    LOAN_SECONDS,
+    HomeAuthority,
+)
+from lacewingcleat.identity import Peer
+from lacewingcleat.limit_shares import NOTHING, Amounts, zone_share
+from lacewingcleat.messages import LimitDemand, LimitDemands, LimitLease, LimitLeases
+from lacewingcleat.rendezvous import rank_by_rendezvous
+from lacewingcleat.sheet import Sheet
+
+LEASE_HOLD_SECONDS = LEASE_SECONDS * (1.0 + DRIFT_MARGIN)
+LOAN_HOLD_SECONDS = LOAN_SECONDS * (1.0 + DRIFT_MARGIN)
+# A loan that ends sooner than this backs no new lease, because the lease would lapse
+# before the entry's next demand.
+MIN_BACKING_SECONDS = 1.5
+LOAN_RENEW_SECONDS = 2.0
+# Pause before a zone that lent nothing is asked again.
+LOAN_BACKOFF_SECONDS = 8.0
+# Bound on the demands for loans per second of one process, over all accounts.
+LOAN_DEMANDS_PER_SECOND = 40
+# A demand counts as present for this long.
+DEMAND_SECONDS = 3.0
+# Part of the pool that is never lent beyond, so that the first requests in an idle zone
+# find a lease at once.
+KEPT_SHARE = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class _Promise:
+    amounts: Amounts
+    end: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Demand:
+    amounts: Amounts
+    held: int
+    request_id: int
+    end: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Loan:
+    amounts: Amounts
+    request_id: int
+    end: float
+
+
+@dataclass(slots=True)
+class _Account:
+    lease_by_holder: dict[Peer, list[_Promise]] = field(default_factory=dict)
+    lent_by_holder: dict[Peer, list[_Promise]] = field(default_factory=dict)
+    demand_by_holder: dict[Peer, _Demand] = field(default_factory=dict)
+    loan_by_zone: dict[str, _Loan] = field(default_factory=dict)
+    asked_at_by_zone: dict[str, float] = field(default_factory=dict)
+
+
+def _outstanding(promises: Mapping[Peer, list[_Promise]], but: Peer) -> Amounts:
+    """Add up what others than one holder may still use."""
+    total = NOTHING
+    for holder, held in promises.items():
+        if holder != but:
+            total += _highest(held)
+    return total
+
+
+def _highest(promises: Iterable[_Promise]) -> Amounts:
+    """Return what a holder of several promises may use, which is the largest one."""
+    highest = NOTHING
+    for promise in promises:
+        highest = highest.higher(promise.amounts)
+    return highest
+
+
+def _prune(promises: dict[Peer, list[_Promise]], now: float) -> None:
+    for holder in list(promises):
+        promises[holder] = [item for item in promises[holder] if item.end > now]
+        if not promises[holder]:
+            del promises[holder]
+
+
+def fair_share(capacity: float, wanted: float, others: Iterable[float]) -> float:
+    """Return the max-min fair part of one claimant.
+
+    :param others: what the other claimants want.
+    """
+    smaller_first = sorted([wanted, *others])
+    left = capacity
+    for index, amount in enumerate(smaller_first):
+        level = left / (len(smaller_first) - index)
+        if amount >= level:
+            return min(wanted, level)
+        left -= amount
+        if amount == wanted:
+            return wanted
+    return wanted
+
+
+class LimitHome:
+    """Grant leases and loans of the accounts that an entry is the home entry of.
+
+    :param me: the entry.
+    """
+
+    __slots__ = (
+        "_account_by_name",
+        "_ask_budget",
+        "_ask_budget_at",
+        "_authority",
+        "_me",
+        "_names_by_zone",
+        "_next_request_id",
+        "_sent_at_by_request_id",
+        "_sheet",
+        "_zones",
+    )
+
+    def __init__(self, me: Peer) -> None:
+        self._me = me
+        self._authority = HomeAuthority(me)
+        self._sheet: Sheet | None = None
+        self._zones: list[str] = []
+        self._names_by_zone: Mapping[str, tuple[str, ...]] = {}
+        self._account_by_name: dict[str, _Account] = {}
+        self._next_request_id = (int(me.incarnation[:10] or "0", 16) << 23) + (1 << 22)
+        self._sent_at_by_request_id: dict[int, float] = {}
+        self._ask_budget = 0.0
+        self._ask_budget_at = 0.0
+
+    @property
+    def authority(self) -> HomeAuthority:
+        """Return the votes, for metrics and status pages."""
+        return self._authority
+
+    def apply_sheet(self, sheet: Sheet) -> None:
+        """Put a revision in force."""
+        self._sheet = sheet
+        own = sheet.zone_by_name.get(self._me.zone)
+        region = own.region if own else ""
+        others = [z for z in sheet.zone_by_name.values() if z.name != self._me.zone]
+        # Loans of the own region come back sooner and survive more partitions.
+        others.sort(key=lambda zone: (zone.region != region, zone.name))
+        self._zones = [zone.name for zone in others]
+        for name in list(self._account_by_name):
+            if name not in sheet.account_by_name:
+                del self._account_by_name[name]
+
+    def observe_view(
+        self,
+        names_by_zone: Mapping[str, tuple[str, ...]],
+        digest: str,
+        now: float,
+    ) -> None:
+        """Take over the live entries.
+
+        :param names_by_zone: instance names of the live entries of each zone.
+        :param digest: digest of the own zone's view.
+        """
+        self._names_by_zone = names_by_zone
+        expected = 0
+        if self._sheet is not None and self._me.zone in self._sheet.zone_by_name:
+            expected = self._sheet.zone_by_name[self._me.zone].entries
+        names = names_by_zone.get(self._me.zone, ())
+        self._authority.observe_view(names, digest, expected, now)
+
+    def receive_demands(
+        self,
+        sender: Peer,
+        message: LimitDemands,
+        now: float,
+    ) -> LimitLeases | None:
+        """Answer the demands of an entry of the zone or of another home entry."""
+        challenge = 0
+        if sender.zone == self._me.zone:
+            if message.view_digest:
+                self._authority.receive_vote(
+                    sender.instance,
+                    message.view_digest,
+                    message.challenge,
+                    now,
+                )
+            challenge = self._authority.issue_challenge(now)
+        leases = [
+            lease
+            for demand in message.demands
+            if (lease := self._answer(sender, demand, now)) is not None
+        ]
+        if not leases and not challenge:
+            return None
+        return LimitLeases(tuple(leases), challenge)
+
+    def receive_loan(self, sender: Peer, lease: LimitLease, now: float) -> None:
+        """Count a loan of another zone from the moment it was asked for."""
+        sent_at = self._sent_at_by_request_id.get(lease.request_id)
+        account = self._account_by_name.get(lease.account)
+        if sent_at is None or account is None:
+            return
+        old = account.loan_by_zone.get(sender.zone)
+        if old is not None and old.request_id >= lease.request_id:
+            return
+        amounts = Amounts(
+            lease.requests_per_second,
+            lease.concurrency,
+            lease.tokens_per_second,
+        )
+        if amounts.empty:
+            account.loan_by_zone.pop(sender.zone, None)
+            return
+        end = sent_at + lease.term_seconds
+        account.loan_by_zone[sender.zone] = _Loan(amounts, lease.request_id, end)
+
+    def tick(self, now: float) -> list[Send]:
+        """Ask other zones for loans; call it every 0.25 s."""
+        self._forget(now)
+        gained = (now - self._ask_budget_at) * LOAN_DEMANDS_PER_SECOND
+        self._ask_budget_at = now
+        self._ask_budget = min(self._ask_budget + gained, LOAN_DEMANDS_PER_SECOND)
+        demands_by_instance: dict[str, list[LimitDemand]] = {}
+        for name, account in self._account_by_name.items():
+            if not self._authority.may_grant(name, now):
+                continue
+            self._ask_for_loans(name, account, demands_by_instance, now)
+        return [
+            Send(instance, LimitDemands(tuple(demands)))
+            for instance, demands in demands_by_instance.items()
+        ]
+
+    def _answer(
+        self,
+        sender: Peer,
+        demand: LimitDemand,
+        now: float,
+    ) -> LimitLease | None:
+        if self._sheet is None or demand.account not in self._sheet.account_by_name:
+            return None
+        if demand.loan == (sender.zone == self._me.zone):
+            return None
+        account = self._account_by_name.setdefault(demand.account, _Account())
+        _prune(account.lease_by_holder, now)
+        _prune(account.lent_by_holder, now)
+        wanted = Amounts(
+            demand.requests_per_second,
+            demand.concurrency,
+            demand.tokens_per_second,
+        )
+        if not demand.loan:
+            self._note_demand(account, sender, demand, wanted, now)
+        if not self._authority.may_grant(demand.account, now):
+            return None
+        if demand.loan:
+            amounts, term = self._lend(
+                account,
+                demand.account,
+                sender,
+                wanted,
+                demand.held,
+                now,
+            )
+        else:
+            amounts, term = self._grant(account, demand, sender, wanted, now)
+        return LimitLease(
+            demand.account,
+            demand.request_id,
+            amounts.requests_per_second,
+            amounts.concurrency,
+            amounts.tokens_per_second,
+            term,
+            demand.loan,
+        )
+
+    def _note_demand(
+        self,
+        account: _Account,
+        sender: Peer,
+        demand: LimitDemand,
+        wanted: Amounts,
+        now: float,
+    ) -> None:
+        old = account.demand_by_holder.get(sender)
+        if old is not None and old.request_id > demand.request_id:
+            return
+        account.demand_by_holder[sender] = _Demand(
+            wanted,
+            demand.held,
+            demand.request_id,
+            now + DEMAND_SECONDS,
+        )
+
+    def _pool(self, name: str) -> Amounts:
+        assert self._sheet is not None
+        account = self._sheet.account_by_name[name]
+        return zone_share(self._sheet, account, self._me.zone).pool
+
+    def _grant(
+        self,
+        account: _Account,
+        demand: LimitDemand,
+        sender: Peer,
+        wanted: Amounts,
+        now: float,
+    ) -> tuple[Amounts, float]:
+        backing = [
+            loan
+            for loan in account.loan_by_zone.values()
+            if loan.end - now >= MIN_BACKING_SECONDS * (1.0 + DRIFT_MARGIN)
+        ]
+        capacity = self._pool(demand.account)
+        for loan in backing:
+            capacity += loan.amounts
+        capacity -= _outstanding(account.lent_by_holder, sender)
+        free = capacity - _outstanding(account.lease_by_holder, sender)
+        others = self._others(account, sender, now)
+        free -= Amounts(0.0, self._held_beyond_leases(account, sender, now), 0.0)
+        fair = Amounts(
+            fair_share(
+                capacity.requests_per_second,
+                wanted.requests_per_second,
+                [item.amounts.requests_per_second for item in others],
+            ),
+            max(
+                demand.held,
+                int(
+                    fair_share(
+                        capacity.concurrency,
+                        wanted.concurrency,
+                        [max(item.amounts.concurrency, item.held) for item in others],
+                    ),
+                ),
+            ),
+            fair_share(
+                capacity.tokens_per_second,
+                wanted.tokens_per_second,
+                [item.amounts.tokens_per_second for item in others],
+            ),
+        )
+        amounts = wanted.lower(fair).lower(free)
+        longest = min((loan.end - now for loan in backing), default=LEASE_HOLD_SECONDS)
+        hold = min(longest, LEASE_HOLD_SECONDS)
+        held = account.lease_by_holder.setdefault(sender, [])
+        held.append(_Promise(amounts, now + hold))
+        return amounts, hold / (1.0 + DRIFT_MARGIN)
+
+    def _others(self, account: _Account, sender: Peer, now: float) -> list[_Demand]:
+        return [
+            item
+            for holder, item in account.demand_by_holder.items()
+            if holder != sender and item.end > now
+        ]
+
+    def _held_beyond_leases(
+        self,
+        account: _Account,
+        sender: Peer,
+        now: float,
+    ) -> int:
+        """Count slots that others still use although no lease covers them any more."""
+        beyond = 0
+        for holder, item in account.demand_by_holder.items():
+            if holder != sender and item.end > now:
+                leased = _highest(account.lease_by_holder.get(holder, ()))
+                beyond += max(0, item.held - leased.concurrency)
+        return beyond
+
+    def _lend(
+        self,
+        account: _Account,
+        name: str,
+        sender: Peer,
+        wanted: Amounts,
+        held_slots: int,
+        now: float,
+    ) -> tuple[Amounts, float]:
+        pool = self._pool(name)
+        needed = NOTHING
+        for item in self._others(account, sender, now):
+            needed += item.amounts.higher(Amounts(0.0, item.held, 0.0))
+        leased = _outstanding(account.lease_by_holder, sender)
+        lent = _outstanding(account.lent_by_holder, sender)
+        unpromised = pool - lent - leased
+        free = pool - lent - leased.higher(needed).higher(pool.scaled(KEPT_SHARE))
+        # Slots that run borrowed work stay lent, so that the sum of running work does
+        # not exceed the limit when the lender's own demand returns.
+        kept = Amounts(0.0, min(held_slots, unpromised.concurrency), 0.0)
+        amounts = wanted.lower(free).higher(kept)
+        if not amounts.empty:
+            held = account.lent_by_holder.setdefault(sender, [])
+            held.append(_Promise(amounts, now + LOAN_HOLD_SECONDS))
+        return amounts, LOAN_SECONDS
+
+    def _ask_for_loans(
+        self,
+        name: str,
+        account: _Account,
+        demands_by_instance: dict[str, list[LimitDemand]],
+        now: float,
+    ) -> None:
+        needed = NOTHING
+        for item in account.demand_by_holder.values():
+            if item.end > now:
+                needed += item.amounts
+        pool = self._pool(name)
+        missing = needed - pool
+        held = self._held_slots(account, now) - pool.concurrency
+        # Zones that lend come first, so that loans are renewed before new ones.
+        zones = sorted(self._zones, key=lambda zone: zone not in account.loan_by_zone)
+        for zone in zones:
+            if (missing.empty and held <= 0) or self._ask_budget < 1.0:
+                return
+            loan = account.loan_by_zone.get(zone)
+            wait = LOAN_RENEW_SECONDS if loan else LOAN_BACKOFF_SECONDS
+            names = self._names_by_zone.get(zone, ())
+            due = now - account.asked_at_by_zone.get(zone, -wait) >= wait
+            if due and names:
+                home = rank_by_rendezvous(name, names)[0]
+                self._next_request_id += 1
+                self._sent_at_by_request_id[self._next_request_id] = now
+                account.asked_at_by_zone[zone] = now
+                self._ask_budget -= 1.0
+                demand = LimitDemand(
+                    name,
+                    self._next_request_id,
+                    missing.requests_per_second,
+                    missing.concurrency,
+                    missing.tokens_per_second,
+                    loan=True,
+                    held=max(0, min(held, loan.amounts.concurrency if loan else 0)),
+                )
+                demands_by_instance.setdefault(home, []).append(demand)
+            if loan is not None:
+                missing -= loan.amounts
+                held -= loan.amounts.concurrency
+
+    def _held_slots(self, account: _Account, now: float) -> int:
+        return sum(
+            item.held for item in account.demand_by_holder.values() if item.end > now
+        )
+
+    def _forget(self, now: float) -> None:
+        """Drop what has ended, so that idle accounts take no memory."""
+        sent = self._sent_at_by_request_id
+        while sent and next(iter(sent.values())) <= now - LOAN_SECONDS:
+            del sent[next(iter(sent))]
+        for name, account in list(self._account_by_name.items()):
+            _prune(account.lease_by_holder, now)
+            _prune(account.lent_by_holder, now)
+            for holder, item in list(account.demand_by_holder.items()):
+                if item.end <= now:
+                    del account.demand_by_holder[holder]
+            for zone, loan in list(account.loan_by_zone.items()):
+                if loan.end <= now:
+                    del account.loan_by_zone[zone]
+            asked = account.asked_at_by_zone.values()
+            idle = not (
+                account.lease_by_holder
+                or account.lent_by_holder
+                or account.demand_by_holder
+                or account.loan_by_zone
+            )
+            if idle and all(now - at >= LOAN_BACKOFF_SECONDS for at in asked):
+                del self._account_by_name[name]
--- /dev/null
+++ b/lacewingcleat/limit_shares.py
@@ -0,0 +1,134 @@
+"""coordination: how an account's limits divide over zones, home entries and reserves.
+
+The division follows from the sheet alone, so that zones which cannot communicate still
+add up to the limit.
+"""
+
+from dataclasses import dataclass
+
+from lacewingcleat.rendezvous import rank_by_rendezvous
+from lacewingcleat.sheet import ClientAccount, Sheet
+
+# Part of a zone's share that its entries may use without a lease.
+RESERVE_SHARE = 0.2
+# Tolerance for sums of rates.
+EPSILON = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class Amounts:
+    """Hold one amount of each limited resource of an account."""
+
+    requests_per_second: float = 0.0
+    concurrency: int = 0
+    tokens_per_second: float = 0.0
+
+    def __add__(self, other: "Amounts") -> "Amounts":
+        """Add amounts resource by resource."""
+        return Amounts(
+            self.requests_per_second + other.requests_per_second,
+            self.concurrency + other.concurrency,
+            self.tokens_per_second + other.tokens_per_second,
+        )
+
+    def __sub__(self, other: "Amounts") -> "Amounts":
+        """Subtract amounts resource by resource, but not below zero."""
+        return Amounts(
+            max(0.0, self.requests_per_second - other.requests_per_second),
+            max(0, self.concurrency - other.concurrency),
+            max(0.0, self.tokens_per_second - other.tokens_per_second),
+        )
+
+    def lower(self, other: "Amounts") -> "Amounts":
+        """Return the smaller amount of each resource."""
+        return Amounts(
+            min(self.requests_per_second, other.requests_per_second),
+            min(self.concurrency, other.concurrency),
+            min(self.tokens_per_second, other.tokens_per_second),
+        )
+
+    def higher(self, other: "Amounts") -> "Amounts":
+        """Return the larger amount of each resource."""
+        return Amounts(
+            max(self.requests_per_second, other.requests_per_second),
+            max(self.concurrency, other.concurrency),
+            max(self.tokens_per_second, other.tokens_per_second),
+        )
+
+    def scaled(self, factor: float) -> "Amounts":
+        """Multiply each resource, rounding slots down."""
+        return Amounts(
+            self.requests_per_second * factor,
+            int(self.concurrency * factor + EPSILON),
+            self.tokens_per_second * factor,
+        )
+
+    @property
+    def empty(self) -> bool:
+        """Return whether no resource is left."""
+        return (
+            self.requests_per_second <= EPSILON
+            and self.concurrency <= 0
+            and self.tokens_per_second <= EPSILON
+        )
+
+
+NOTHING = Amounts()
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneShare:
+    """Hold a zone's part of an account's limits.
+
+    :param pool: what the zone's home entry leases out.
+    :param reserve: what each entry of the zone may use without a lease.
+    """
+
+    pool: Amounts
+    reserve: Amounts
+
+
+def limit_of(account: ClientAccount) -> Amounts:
+    """Return the limits of an account, tokens by the second."""
+    return Amounts(
+        account.requests_per_second,
+        account.concurrency,
+        account.tokens_per_minute / 60.0,
+    )
+
+
+def zone_share(sheet: Sheet, account: ClientAccount, zone: str) -> ZoneShare:
+    """Return a zone's share, in proportion to its expected entries.
+
+    Slots are whole: the remainder goes to zones in rendezvous order of the account, and
+    what cannot be split evenly over the reserves stays in the pool.
+    """
+    entries_by_zone = {
+        record.name: record.entries
+        for record in sheet.zone_by_name.values()
+        if record.entries > 0
+    }
+    own = entries_by_zone.get(zone, 0)
+    if own == 0:
+        return ZoneShare(NOTHING, NOTHING)
+    total = sum(entries_by_zone.values())
+    limit = limit_of(account)
+    share = limit.scaled(own / total)
+    slots_by_zone = {
+        name: limit.concurrency * entries // total
+        for name, entries in entries_by_zone.items()
+    }
+    spare = limit.concurrency - sum(slots_by_zone.values())
+    favoured = rank_by_rendezvous(account.name, entries_by_zone)[:spare]
+    slots = slots_by_zone[zone] + (zone in favoured)
+    reserve = Amounts(
+        share.requests_per_second * RESERVE_SHARE / own,
+        int(slots * RESERVE_SHARE / own + EPSILON),
+        share.tokens_per_second * RESERVE_SHARE / own,
+    )
+    pool = Amounts(
+        share.requests_per_second * (1.0 - RESERVE_SHARE),
+        slots - reserve.concurrency * own,
+        share.tokens_per_second * (1.0 - RESERVE_SHARE),
+    )
+    return ZoneShare(pool, reserve)
--- a/lacewingcleat/messages.py
+++ b/lacewingcleat/messages.py
@@ -195,6 +195,8 @@
     :param request_id: echoed in the lease; the borrower counts the term from the moment
         it sent this request.
     :param loan: whether a home entry of another zone asks.
+    :param held: slots in use at the sender beyond its own reserve or pool; the home
+        entry does not give these to others.
     """
 
     account: str
@@ -203,6 +205,7 @@
     concurrency: int
     tokens_per_second: float
     loan: bool = False
+    held: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,6 +221,32 @@
     loan: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class LimitDemands:
+    """Carry the demands of one process to one home entry, and its vote.
+
+    :param view_digest: digest of the live entries of the sender's zone, empty for no
+        vote.
+    :param challenge: newest challenge from the receiver, 0 for none; a vote that echoes
+        a challenge is known to be younger than it.
+    """
+
+    demands: tuple[LimitDemand, ...]
+    view_digest: str = ""
+    challenge: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LimitLeases:
+    """Answer demands.
+
+    :param challenge: to be echoed with the next vote.
+    """
+
+    leases: tuple[LimitLease, ...]
+    challenge: int = 0
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class Epoch:
     """Order the leaders of a group; a higher epoch replaces a lower one."""
@@ -326,6 +355,8 @@
     | SuspectCleared
     | LimitDemand
     | LimitLease
+    | LimitDemands
+    | LimitLeases
     | SwitchPrepare
     | SwitchHold
     | SwitchCommit
--- /dev/null
+++ b/tests/test_account_limits.py
@@ -0,0 +1,83 @@
+from testtools import TestCase
+
+from lacewingcleat.account_limits import (
+    LimitPermit,
+    LimitReason,
+    LimitRefusal,
+    LimitWait,
+)
+from lacewingcleat.sheet import Zone
+from tests.builders import make_account, make_sheet
+from tests.builders_limits import LimitsNetwork, make_limits_zone
+
+SETTLED_SECONDS = 14.0
+
+
+def admit_all(network: LimitsNetwork, seconds: float, entries: list[str]) -> int:
+    """Offer far more than the limit and count what is admitted."""
+    admitted = 0
+    for _ in range(int(seconds / 0.05)):
+        for instance in entries:
+            limits = network.limits_by_instance[instance]
+            decision = limits.admit("acme", 10, network.now)
+            if isinstance(decision, LimitWait):
+                network.deliver(instance, list(decision.actions))
+                decision = limits.admit("acme", 10, network.now, waited=True)
+            if isinstance(decision, LimitPermit):
+                admitted += 1
+                limits.finish(decision, 10, network.now)
+        network.run(0.05, 0.05)
+    return admitted
+
+
+class AccountLimitsTest(TestCase):
+    def test_one_entry_gets_the_whole_pool_when_the_others_are_idle(self) -> None:
+        """Guards against a limit that is only a static split."""
+        network = make_limits_zone(make_sheet())
+        network.run(SETTLED_SECONDS)
+        admit_all(network, 5.0, ["regina-0"])
+        admitted = admit_all(network, 10.0, ["regina-0"])
+        self.assertGreaterEqual(admitted, 100 * 0.85)
+        self.assertLessEqual(admitted, 100 + 10 + 1)
+
+    def test_idle_zones_lend_their_share(self) -> None:
+        """Guards against a busy zone that is held to its share of the limit."""
+        sheet = make_sheet(
+            zones=[Zone(name, "prairie", 3) for name in ("regina", "brandon")],
+        )
+        network = make_limits_zone(sheet)
+        other = make_limits_zone(sheet, "brandon")
+        network.peer_by_instance |= other.peer_by_instance
+        network.limits_by_instance |= other.limits_by_instance
+        network.observe_all()
+        network.run(SETTLED_SECONDS)
+        admit_all(network, 6.0, ["regina-0", "regina-1"])
+        admitted = admit_all(network, 10.0, ["regina-0", "regina-1"])
+        self.assertGreaterEqual(admitted, 100 * 0.75)
+        self.assertLessEqual(admitted, 100 + 10 + 2)
+
+    def test_without_home_entry_the_reserve_is_used(self) -> None:
+        """Guards against an entry that serves nothing while it is cut off."""
+        network = make_limits_zone(make_sheet(), entries=1)
+        admitted = admit_all(network, 60.0, ["regina-0"])
+        reserved = 60.0 * 10.0 * 0.2 / 3
+        self.assertGreaterEqual(admitted, reserved - 1)
+        self.assertLessEqual(admitted, reserved + 1)
+
+    def test_refusal_names_the_limit(self) -> None:
+        """Guards against a caller that cannot tell which limit to raise."""
+        network = make_limits_zone(make_sheet(accounts=[make_account(concurrency=3)]))
+        network.run(SETTLED_SECONDS)
+        limits = network.limits_by_instance["regina-0"]
+        decisions = []
+        for _ in range(6):
+            decision = limits.admit("acme", 10, network.now)
+            if isinstance(decision, LimitWait):
+                network.deliver("regina-0", list(decision.actions))
+                decision = limits.admit("acme", 10, network.now, waited=True)
+            decisions.append(decision)
+            network.run(0.5)
+        self.assertEqual(3, limits.running_of("acme"))
+        refused = decisions[-1]
+        self.assertIsInstance(refused, LimitRefusal)
+        self.assertEqual(LimitReason.CONCURRENCY, refused.reason)
