--- /dev/null
+++ b/lacewingcleat/agent_node.py
@@ -0,0 +1,362 @@
+"""transport: the control plane of an agent.
+
+It holds the state of one backend server: the gate, the tickets, crash suspects, load
+reports and the rank's part in a group.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from result import Err
+from twisted.internet import defer
+from twisted.web.http_headers import Headers
+
+from lacewingcleat.agent_gate import AgentGate, GateEvent
+from lacewingcleat.clock import read_now, read_wall
+from lacewingcleat.crash_suspects import Convicted, RunAlone
+from lacewingcleat.group_leader import FrontState, GroupLeader
+from lacewingcleat.hours import claim_share
+from lacewingcleat.identity import Role
+from lacewingcleat.messages import CrashReport, Envelope, GroupReport, RankReport
+from lacewingcleat.metrics import AgentMetrics
+from lacewingcleat.node import Node
+from lacewingcleat.problems import Problem, not_run
+from lacewingcleat.settings import AgentSettings
+from lacewingcleat.sheet import ModelGroup, Service, Sheet
+from lacewingcleat.tickets import TicketBook
+
+SECRET_BYTES = 32
+CRASH_ID_BYTES = 8
+REPORT_SECONDS = 0.5
+CHECK_TIMEOUT_SECONDS = 1.0
+MAX_STATE_BYTES = 1 << 16
+DEFAULT_SERVICE_SECONDS = 0.05
+
+
+@dataclass(slots=True)
+class _Run:
+    """Hold a request that is at the backend server."""
+
+    fingerprint: str
+    cost_seconds: float
+
+
+class AgentNode(Node):
+    """Run the control plane of one agent."""
+
+    def __init__(self, reactor: Any, settings: AgentSettings) -> None:
+        self.metrics = AgentMetrics()
+        # Other processes know an agent under its server's name in the sheet.
+        super().__init__(
+            reactor,
+            settings,
+            settings.server,
+            Role.AGENT,
+            "lacewing-agent",
+            self.metrics,
+        )
+        self.settings = settings
+        self.gate = AgentGate(settings.server, settings.queue_limit)
+        self.book = TicketBook(
+            self.peer,
+            settings.request_address,
+            self.random_bytes(SECRET_BYTES),
+        )
+        self.on_gate_events: Callable[[list[GateEvent]], None] = lambda events: None
+        self.group: ModelGroup | None = None
+        self.service: Service | None = None
+        self.leader: GroupLeader | None = None
+        self._run_by_id: dict[str, _Run] = {}
+        self._backend_incarnation = ""
+        self._backend_up = True
+        self._load: dict[str, Any] = {}
+        self._sequence = 0
+        self._next_report = 0.0
+        self._checking = False
+        self._alone_id = ""
+
+    # Sheet, time and messages
+
+    def on_sheet(self, sheet: Sheet, now: float) -> None:
+        """Put a sheet in force at the gate."""
+        name = self.settings.server
+        self.group = next(
+            (group for group in sheet.group_by_name.values() if name in group.ranks),
+            None,
+        )
+        self.service = next(
+            (
+                service
+                for service in sheet.service_by_name.values()
+                if name in service.backend_servers
+            ),
+            None,
+        )
+        self._apply_group(now)
+        self.on_gate_events(self.gate.apply_sheet(sheet, now))
+        self._apply_shares(now)
+        server = sheet.server_by_name.get(name)
+        self.membership.capacity = server.slots if server else 0
+        if self.gate.leaving:
+            self.membership.set_leaving(now)
+
+    def _apply_group(self, now: float) -> None:
+        group = self.group
+        if group is None:
+            self.leader = None
+            return
+        if self.leader is not None and self.leader.group == group.name:
+            return
+        rank = group.ranks.index(self.settings.server)
+        self.leader = GroupLeader(group.name, rank, group.ranks)
+
+    def _apply_shares(self, now: float) -> None:
+        if self.sheet is None or self.group is None:
+            return
+        shares = claim_share(self.sheet, self.group.name, read_wall())
+        self.on_gate_events(self.gate.set_shares(shares, now))
+
+    def on_pause(self, now: float) -> None:
+        """Start nothing until a peer confirmed the sheet."""
+        self.on_gate_events(self.gate.pause(now))
+
+    def on_message(self, envelope: Envelope, now: float) -> None:
+        """Handle messages of the group."""
+        match envelope.body:
+            case RankReport() as report if self.leader is not None:
+                self.leader.receive(envelope.sender.instance, report, now)
+
+    def on_tick(self, now: float) -> None:
+        """Advance the gate and send reports when they are due."""
+        if self.relay.ready(now):
+            self.on_gate_events(self.gate.resume(now))
+        self._apply_shares(now)
+        self.on_gate_events(self.gate.tick(now))
+        self.book.forget_expired(now)
+        self.membership.in_flight = self.gate.running
+        if now >= self._next_report:
+            self._next_report = now + REPORT_SECONDS
+            defer.ensureDeferred(self._report(now))
+
+    def schedule_gate_tick(self) -> None:
+        """Do nothing; the tick loop starts queued work within its period.
+
+        Finished requests start queued ones at once, so only time-dependent starts wait
+        for the tick.
+        """
+
+    # Work at the backend server
+
+    def begin_run(self, request_id: str, fingerprint: str, cost: float) -> None:
+        """Note a request that is now at the backend server."""
+        self._run_by_id[request_id] = _Run(fingerprint, cost)
+
+    def end_run(self, request_id: str) -> None:
+        """Forget a request that has ended."""
+        self._run_by_id.pop(request_id, None)
+
+    def refuse_suspect(self, fingerprint: str, alone: bool) -> Problem | None:
+        """Return a refusal for a request that may not run this way."""
+        if not fingerprint:
+            return None
+        match self.suspects.verdict(fingerprint, read_now()):
+            case Convicted(retry_after):
+                detail = "the request has crashed two backend servers"
+                return not_run(422, "crashes-server", detail, retry_after)
+            case RunAlone() if not alone:
+                detail = "the request is suspected of a crash and must run alone"
+                return not_run(503, "must-run-alone", detail, 0.1)
+        return None
+
+    def clear_suspect(self, fingerprint: str) -> None:
+        """Clear a suspect that completed alone."""
+        now = read_now()
+        self.perform(
+            self.suspects.clear(fingerprint, self.crash_neighbours(now), now),
+        )
+
+    def check_backend(self, fingerprint: str, alone: bool = False) -> None:
+        """Find out whether a broken answer was a crash of the backend server.
+
+        :param fingerprint: the request whose answer broke.
+        """
+        fingerprints = {run.fingerprint for run in self._run_by_id.values()}
+        fingerprints.add(fingerprint)
+        fingerprints.discard("")
+        defer.ensureDeferred(self._check_backend(fingerprints, alone))
+
+    async def _check_backend(self, fingerprints: set[str], alone: bool) -> None:
+        if self._checking:
+            return
+        self._checking = True
+        try:
+            incarnation = await self._read_incarnation()
+        finally:
+            self._checking = False
+        crashed = incarnation is None or (
+            self._backend_incarnation not in ("", incarnation)
+        )
+        if incarnation is not None:
+            self._backend_incarnation = incarnation
+        was_up, self._backend_up = self._backend_up, incarnation is not None
+        if crashed and was_up:
+            self._report_crash(fingerprints, alone)
+
+    async def _read_incarnation(self) -> str | None:
+        """Return the backend's incarnation, empty for a service, None if it is down."""
+        path = "/state" if self.settings.backend_kind == "engine" else "/"
+        fetched = await self.client.fetch(
+            "GET" if self.settings.backend_kind == "engine" else "HEAD",
+            self.settings.backend_address,
+            path,
+            Headers(),
+            b"",
+            CHECK_TIMEOUT_SECONDS,
+            MAX_STATE_BYTES,
+        )
+        if isinstance(fetched, Err):
+            return None
+        if self.settings.backend_kind != "engine":
+            return ""
+        try:
+            state = msgspec.json.decode(fetched.ok_value[1], type=dict[str, Any])
+        except msgspec.MsgspecError:
+            return None
+        return str(state.get("incarnation", ""))
+
+    def _report_crash(self, fingerprints: set[str], alone: bool) -> None:
+        now = read_now()
+        self.metrics.backend_crashes.inc()
+        self.log.error(
+            f"the backend server crashed with {len(fingerprints)} requests in flight.",
+        )
+        for ticket_id in self.book.lose_running():
+            self.log.warning(f"the outcome of ticket {ticket_id} is unknown.")
+        if not fingerprints:
+            return
+        report = CrashReport(
+            self.random_bytes(CRASH_ID_BYTES).hex(),
+            self.settings.server,
+            tuple(sorted(fingerprints)),
+            alone,
+        )
+        neighbours = self.crash_neighbours(now)
+        self.perform(self.suspects.hear_report(report, neighbours, now))
+
+    # Reports
+
+    async def _report(self, now: float) -> None:
+        if self.settings.backend_kind == "engine":
+            await self._poll_load()
+        report = self._make_report(now)
+        if report is None or self.stopping:
+            return
+        for instance in self.report_receivers(now):
+            self.send(instance, report)
+
+    def report_receivers(self, now: float) -> list[str]:
+        """Return the entries of the own zone, which route to this server."""
+        entries = self.membership.live_entries(self.peer.zone, now)
+        return [peer.instance for peer in entries]
+
+    async def _poll_load(self) -> None:
+        fetched = await self.client.fetch(
+            "GET",
+            self.settings.backend_address,
+            "/load",
+            Headers(),
+            b"",
+            CHECK_TIMEOUT_SECONDS,
+            MAX_STATE_BYTES,
+        )
+        if isinstance(fetched, Err):
+            if self._backend_up:
+                self.check_backend("")
+            return
+        self._backend_up = True
+        try:
+            self._load = msgspec.json.decode(fetched.ok_value[1], type=dict[str, Any])
+        except msgspec.MsgspecError:
+            self._load = {}
+
+    def _make_report(self, now: float) -> GroupReport | None:
+        if self.service is not None:
+            return self._service_report(self.service)
+        if self.leader is None or self.group is None or not self._backend_up:
+            return None
+        load = self._load
+        self.leader.observe_own(float(load.get("step_seconds", 0.0)), {}, 1)
+        self.leader.set_live(self._live_ranks(self.group, now))
+        self.perform(self.leader.tick(now))
+        if self.settings.server != self.group.front_server:
+            return None
+        front = FrontState(
+            self._queued_seconds(),
+            self.gate.running,
+            self.gate.slots,
+            float(load.get("prefill_tokens_per_second", 0.0)),
+            tuple(load.get("adapters", ())),
+            self.group.versions,
+            float(load.get("kv_free_share", 0.0)),
+        )
+        return self.leader.group_report(front, now)
+
+    def _live_ranks(self, group: ModelGroup, now: float) -> set[str]:
+        return {
+            name
+            for name in group.ranks
+            if name == self.settings.server
+            or self.membership.may_receive_work(name, now)
+        }
+
+    def _queued_seconds(self) -> float:
+        waiting = self.gate.waiting * self.gate.queue.service_seconds
+        return waiting / max(1, self.gate.slots)
+
+    def _service_report(self, service: Service) -> GroupReport:
+        self._sequence += 1
+        return GroupReport(
+            service.name,
+            self.settings.server,
+            self._queued_seconds(),
+            self.gate.running,
+            self.gate.slots,
+            self.gate.queue.service_seconds or DEFAULT_SERVICE_SECONDS,
+            0,
+            0.0,
+            (),
+            (),
+            1.0,
+            self._sequence,
+        )
+
+    def status(self) -> dict[str, Any]:
+        """Return the status document of the admin port."""
+        status = self.base_status()
+        status |= {
+            "server": self.settings.server,
+            "group": self.group.name if self.group else "",
+            "service": self.service.name if self.service else "",
+            "running": self.gate.running,
+            "waiting": self.gate.waiting,
+            "slots": self.gate.slots,
+            "leaving": self.gate.leaving,
+            "drained": self.gate.drained,
+            "tickets": len(self.book),
+            "stored_bytes": self.book.stored_bytes,
+            "backend_up": self._backend_up,
+            "suspects": len(self.suspects),
+        }
+        return status
+
+    def ready_reason(self) -> str:
+        """Return why the agent takes no work, empty if it does."""
+        if self.gate.leaving:
+            return "leaving"
+        if not self.relay.ready(read_now()):
+            return "no sheet is in force yet"
+        if not self._backend_up:
+            return "the backend server does not answer"
+        return ""
--- /dev/null
+++ b/lacewingcleat/config_stand_in.py
@@ -0,0 +1,98 @@
+"""transport: a small configuration service for demos and tests.
+
+Like the real one it can only be read and watched through its HTTP interface; `publish`
+is the planners' side. Each read and each waiting watch counts as a call.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.interfaces import IDelayedCall
+
+from lacewingcleat.http_server import BoundedFactory, BoundedRequest
+from lacewingcleat.sheet_parts import encode_manifest, split_sheet
+
+WATCH_SECONDS = 25.0
+VALUE_PATH = "/v1/values/"
+WATCH_PATH = "/v1/watch/"
+MANIFEST_KEY = "manifest"
+PART_KEY_PREFIX = "part/"
+MAX_VALUE_BYTES = 1 << 20
+
+
+@dataclass(slots=True)
+class _Value:
+    content: bytes
+    version: int
+
+
+@dataclass(slots=True)
+class _Watch:
+    request: BoundedRequest
+    key: str
+    timer: IDelayedCall
+
+
+class ConfigStandIn:
+    """Hold values and answer reads and watches."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._value_by_key: dict[str, _Value] = {}
+        self._watches: list[_Watch] = []
+        self.calls = 0
+        self.factory = BoundedFactory(self.handle)
+
+    def publish(self, sheet: Any) -> None:
+        """Publish a sheet document as manifest and parts."""
+        split = split_sheet(sheet)
+        for digest, part in split.part_by_digest.items():
+            self.put(PART_KEY_PREFIX + digest, part)
+        self.put(MANIFEST_KEY, encode_manifest(split.manifest))
+
+    def put(self, key: str, content: bytes) -> None:
+        """Set a value and answer its watches."""
+        if len(content) > MAX_VALUE_BYTES:
+            raise ValueError(f"value of {key} exceeds {MAX_VALUE_BYTES} bytes")
+        old = self._value_by_key.get(key)
+        if old is not None and old.content == content:
+            return
+        version = old.version + 1 if old is not None else 1
+        self._value_by_key[key] = _Value(content, version)
+        ready = [watch for watch in self._watches if watch.key == key]
+        self._watches = [watch for watch in self._watches if watch.key != key]
+        for watch in ready:
+            if watch.timer.active():  # type: ignore[misc]
+                watch.timer.cancel()  # type: ignore[misc]
+            self._respond(watch.request, key)
+
+    def handle(self, request: BoundedRequest) -> None:
+        """Answer a read or hold a watch."""
+        self.calls += 1
+        path = request.path_text()
+        if path.startswith(VALUE_PATH):
+            self._respond(request, path.removeprefix(VALUE_PATH))
+            return
+        if not path.startswith(WATCH_PATH):
+            request.respond(404, "text/plain", b"no such path\n")
+            return
+        key = path.removeprefix(WATCH_PATH)
+        after = int(request.args.get(b"after", [b"0"])[0])
+        value = self._value_by_key.get(key)
+        if value is not None and value.version > after:
+            self._respond(request, key)
+            return
+        timer = self._reactor.callLater(WATCH_SECONDS, self._end_watch, request, key)
+        self._watches.append(_Watch(request, key, timer))
+
+    def _end_watch(self, request: BoundedRequest, key: str) -> None:
+        self._watches = [item for item in self._watches if item.request is not request]
+        self._respond(request, key)
+
+    def _respond(self, request: BoundedRequest, key: str) -> None:
+        value = self._value_by_key.get(key)
+        if value is None:
+            request.respond(404, "text/plain", b"no such key\n")
+            return
+        request.setHeader(b"X-Version", str(value.version).encode())
+        request.respond(200, "application/octet-stream", value.content)
--- /dev/null
+++ b/lacewingcleat/entry_dispatch.py
@@ -0,0 +1,584 @@
+"""transport: attempts of an entry at the backend servers.
+
+The loop here only carries out what routing and `retries` decide.
+"""
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+from opentelemetry.trace import SpanKind
+from result import Err, Ok
+from twisted.internet import task
+from twisted.web.http_headers import Headers
+
+from lacewingcleat import http_headers as names
+from lacewingcleat.chat_api import SERVICES_PREFIX, ModelRequest
+from lacewingcleat.clock import read_now
+from lacewingcleat.entry_answer import AnswerWriter
+from lacewingcleat.entry_call import EntryCall
+from lacewingcleat.entry_node import EntryNode
+from lacewingcleat.http_headers import Outcome
+from lacewingcleat.http_relay import (
+    SendState,
+    copy_headers,
+    first_header,
+    set_headers,
+)
+from lacewingcleat.load_view import Target
+from lacewingcleat.prefix_blocks import prefix_blocks
+from lacewingcleat.problems import Problem, not_run, ran, unknown
+from lacewingcleat.rendezvous import rank_by_rendezvous
+from lacewingcleat.retries import (
+    Attempt,
+    ReportNotRun,
+    ReportUnknown,
+    RequestFacts,
+    ResumeAt,
+    RetryDecision,
+    RetryElsewhere,
+    ReturnResult,
+    RevokeFirst,
+    Said,
+    Sent,
+    TicketOrigin,
+    decide_retry,
+    report_unsent,
+)
+from lacewingcleat.routing_choice import (
+    Choice,
+    NoRoute,
+    NoRouteReason,
+    RouteRequest,
+    ServiceRequest,
+)
+from lacewingcleat.routing_choice import ModelRequest as RouteModel
+from lacewingcleat.sheet import Service
+from lacewingcleat.ticket_token import read_ticket
+from lacewingcleat.tickets import TicketUse
+from lacewingcleat.tracing import end_span, traceparent_of
+
+# An answer's head can take as long as the queue at the agent; after this time the work
+# is better placed elsewhere.
+HEAD_TIMEOUT_SECONDS = 30.0
+TICKET_TIMEOUT_SECONDS = 2.0
+MAX_TICKET_ANSWER_BYTES = 1 << 14
+# Time in which a changed sheet reaches this entry after an agent has it.
+SHEET_WAIT_SECONDS = 0.05
+MAX_ATTEMPTS = 8
+
+CALLER_HEADERS = frozenset(
+    name.lower().encode()
+    for name in (
+        names.AUTHORIZATION,
+        names.DEADLINE_MS,
+        names.PRIORITY,
+        names.TRACEPARENT,
+        names.TICKET,
+        names.REQUEST_ID,
+        names.ACCOUNT,
+        names.FIRM,
+        names.REVISION,
+        names.DIGEST,
+        names.ROUTING_DIGEST,
+        names.GROUP,
+        names.SERVICE,
+        names.RUN_ALONE,
+        names.FINGERPRINT,
+        names.COST_SECONDS,
+        names.RESUME_OFFSET,
+    )
+)
+
+
+@dataclass(slots=True)
+class _Work:
+    """Hold what all attempts at one request share."""
+
+    call: EntryCall
+    writer: AnswerWriter
+    route: RouteRequest
+    path: str
+    idempotent: bool
+    origin: TicketOrigin = TicketOrigin.NONE
+    service: str = ""
+    ticket: str = ""
+    key: str = ""
+    stream: bool = False
+    failed: frozenset[Target] = frozenset()
+    may_have_run: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Minted:
+    """Hold a ticket from an agent, or the problem instead of it."""
+
+    token: str
+    problem: Problem | None = None
+    attempt: Attempt | None = None
+
+
+class Dispatcher:
+    """Bring requests to backend servers and their answers back.
+
+    :param node: the entry's state and control plane.
+    """
+
+    def __init__(self, node: EntryNode) -> None:
+        self._node = node
+
+    # Model requests
+
+    async def run_model(self, call: EntryCall, model: ModelRequest) -> None:
+        """Answer a request to a model group; such requests are idempotent."""
+        route = RouteModel(
+            model=model.model,
+            account=call.account.name,
+            firm=call.account.firm,
+            prompt_tokens=model.prompt_tokens,
+            max_tokens=model.max_tokens,
+            version=model.version,
+            adapter=model.adapter,
+            prefix_blocks=prefix_blocks(model.prompt_text),
+            alone=call.alone,
+        )
+        writer = AnswerWriter(self._node.reactor, call)
+        path = call.request.path_text()
+        work = _Work(call, writer, route, path, idempotent=True, stream=model.stream)
+        await self._attempts(work)
+
+    # Calls of plain services
+
+    async def run_service(
+        self,
+        call: EntryCall,
+        service: Service,
+        use: TicketUse,
+        ticket: str,
+        key: str,
+    ) -> None:
+        """Answer a call of a plain service by the rule for its ticket."""
+        writer = AnswerWriter(self._node.reactor, call)
+        route = ServiceRequest(service.name, call.account.name, alone=call.alone)
+        path = call.request.path_text()
+        work = _Work(call, writer, route, path, use is TicketUse.NONE)
+        work.service = service.name
+        work.key = key
+        match use:
+            case TicketUse.NONE:
+                await self._attempts(work)
+            case TicketUse.OBTAIN:
+                work.origin = TicketOrigin.ENTRY
+                await self._attempts(work)
+            case TicketUse.PRESENT:
+                work.origin = TicketOrigin.CALLER
+                work.ticket = ticket
+                await self._present(work)
+            case TicketUse.DEMAND:
+                await self._demand(work, service)
+
+    async def _present(self, work: _Work) -> None:
+        """Send a request to the one agent that its ticket names."""
+        parsed = read_ticket(work.ticket)
+        sheet = self._node.sheet
+        if isinstance(parsed, Err) or sheet is None:
+            detail = "the ticket is not one of this system"
+            work.writer.refuse(unknown("ticket-not-recognised", detail, work.ticket))
+            return
+        server = sheet.server_by_name.get(parsed.ok_value.agent)
+        if server is None:
+            detail = "the sheet in force here does not name the ticket's server"
+            work.writer.refuse(unknown("ticket-server-unknown", detail, work.ticket))
+            return
+        target = Target(work.service, server.name)
+        attempt = await self._send(work, target, server.address, 0.0)
+        if attempt is not None:
+            self._report(work, self._decide(work, attempt))
+
+    async def _demand(self, work: _Work, service: Service) -> None:
+        """Answer 428 with a ticket; nothing is run."""
+        token = await self.mint(work.call, service, work.key)
+        if token.problem is not None:
+            work.writer.refuse(token.problem)
+            return
+        detail = "send the request again with this ticket; nothing was run"
+        problem = not_run(428, "ticket-required", detail, None, token.token)
+        work.writer.refuse(problem)
+
+    async def mint(self, call: EntryCall, service: Service, key: str) -> _Minted:
+        """Get a ticket from an agent of a service.
+
+        The agent follows from the key, so that a repeated key usually meets the agent
+        that remembers it.
+        """
+        now = read_now()
+        membership = self._node.membership
+        names_alive = [
+            name
+            for name in service.backend_servers
+            if membership.may_receive_work(name, now)
+        ]
+        detail = "no backend server of the service takes new work"
+        problem = not_run(503, "no-server", detail, 1.0)
+        ranked = rank_by_rendezvous(
+            f"{call.account.name}\x00{key or call.request_id}",
+            names_alive,
+        )
+        for server in ranked[:2]:
+            minted = await self._mint_at(call, service.name, server, key)
+            if minted.problem is None:
+                return minted
+            problem = minted.problem
+            if minted.attempt is None:
+                break
+        return _Minted("", problem)
+
+    async def _mint_at(
+        self,
+        call: EntryCall,
+        service: str,
+        server: str,
+        key: str,
+    ) -> _Minted:
+        sheet = self._node.sheet
+        if sheet is None or server not in sheet.server_by_name:
+            return _Minted("", not_run(503, "no-server", "the server has left", 1.0))
+        document = {"service": service, "account": call.account.name, "key": key}
+        fetched = await self._node.client.fetch(
+            "POST",
+            sheet.server_by_name[server].address,
+            "/lacewing/tickets",
+            Headers({"Content-Type": ["application/json"]}),
+            msgspec.json.encode(document),
+            min(TICKET_TIMEOUT_SECONDS, call.deadline - read_now()),
+            MAX_TICKET_ANSWER_BYTES,
+        )
+        match fetched:
+            case Err(failure):
+                self._node.membership.note_unreachable(server, read_now())
+                problem = not_run(503, "agent-unreachable", failure.text, 1.0)
+                return _Minted("", problem, Attempt(server, Sent.NOTHING, Said.NOTHING))
+            case Ok((response, content)) if response.code == 201:
+                return _Minted(str(msgspec.json.decode(content)["ticket"]))
+            case Ok((response, content)):
+                code = first_header(response.headers, names.OUTCOME_CODE)
+                problem = _problem_of(response, code or "refused", "")
+                if problem.outcome is Outcome.NOT_RUN:
+                    attempt = Attempt(server, Sent.NOTHING, Said.NOT_RUN, code)
+                    return _Minted("", problem, attempt)
+                return _Minted("", problem)
+
+    # The loop
+
+    async def _attempts(self, work: _Work) -> None:
+        node = self._node
+        node.budget.count_request(read_now())
+        for _ in range(MAX_ATTEMPTS):
+            if work.call.caller_gone:
+                return
+            choice = node.choose(_excluding(work.route, work.failed, work.call.alone))
+            if isinstance(choice, NoRoute):
+                self._report_no_route(work, choice)
+                return
+            attempt = await self._attempt(work, choice)
+            if attempt is None or work.call.caller_gone:
+                return
+            decision = self._decide(work, attempt)
+            if not isinstance(decision, RetryElsewhere | ResumeAt):
+                self._report(work, decision)
+                return
+            await self._prepare_retry(work, choice.target, attempt, decision)
+        work.writer.refuse(_unsent(work, "attempts-exhausted", 1.0))
+
+    async def _prepare_retry(
+        self,
+        work: _Work,
+        target: Target,
+        attempt: Attempt,
+        decision: RetryElsewhere | ResumeAt,
+    ) -> None:
+        node = self._node
+        node.metrics.retries.labels(attempt.code or attempt.said.name.lower()).inc()
+        if isinstance(decision, ResumeAt):
+            node.metrics.stream_resumes.inc()
+        else:
+            work.may_have_run = decision.may_have_run
+        if attempt.code == "must-run-alone":
+            work.call.alone = True
+            return
+        if attempt.code == "old-revision":
+            # The target has not failed; this entry is about to get the newer sheet.
+            await task.deferLater(node.reactor, SHEET_WAIT_SECONDS, lambda: None)
+            return
+        work.failed |= {target}
+
+    async def _attempt(self, work: _Work, choice: Choice) -> Attempt | None:
+        """Make one attempt; return None if the caller has its answer."""
+        node = self._node
+        sheet = node.sheet
+        if sheet is None or choice.server not in sheet.server_by_name:
+            return Attempt(choice.server, Sent.NOTHING, Said.NOTHING, "server-left")
+        if work.origin is TicketOrigin.ENTRY:
+            minted = await self._mint_at(
+                work.call, work.service, choice.server, work.key
+            )
+            if minted.attempt is not None:
+                return minted.attempt
+            if minted.problem is not None:
+                work.writer.refuse(minted.problem)
+                return None
+            work.ticket = minted.token
+        sent = node.router.loads.record_send(choice.target, choice.cost, read_now())
+        try:
+            address = sheet.server_by_name[choice.server].address
+            cost = choice.cost.prefill_seconds + choice.cost.decode_seconds
+            return await self._send(work, choice.target, address, cost)
+        finally:
+            node.router.loads.record_finish(sent, read_now())
+
+    async def _send(
+        self,
+        work: _Work,
+        target: Target,
+        address: str,
+        cost_seconds: float,
+    ) -> Attempt | None:
+        """Send a request to an agent and pass its answer on."""
+        node = self._node
+        call = work.call
+        span = node.tracing.start_span("attempt", SpanKind.CLIENT, parent=call.span)
+        headers = self._headers(work, target, cost_seconds)
+        set_headers(headers, {names.TRACEPARENT: traceparent_of(span)})
+        uri = call.request.uri.decode("ascii", "replace")
+        remaining = call.deadline - read_now()
+        timeout = min(HEAD_TIMEOUT_SECONDS, remaining) if work.idempotent else remaining
+
+        def hold(pending: Any) -> None:
+            call.pending = pending
+
+        sent = await node.client.send(
+            call.request.method.decode("ascii", "replace"),
+            address,
+            uri,
+            headers,
+            call.request.body.getvalue(),
+            timeout,
+            hold,
+        )
+        call.pending = None
+        match sent:
+            case Err(failure):
+                end_span(span, {"lacewing.error": failure.text}, True)
+                nothing = failure.state is SendState.NOT_SENT
+                if nothing:
+                    node.membership.note_unreachable(target.server, read_now())
+                state = Sent.NOTHING if nothing else Sent.SOME
+                return Attempt(target.server, state, Said.NOTHING)
+            case Ok(response):
+                attempt = await self._take_answer(work, target, response)
+                end_span(
+                    span,
+                    {"http.status_code": response.code, "lacewing.group": target.group},
+                    attempt is not None,
+                )
+                return attempt
+
+    async def _take_answer(
+        self,
+        work: _Work,
+        target: Target,
+        response: Any,
+    ) -> Attempt | None:
+        node = self._node
+        outcome = first_header(response.headers, names.OUTCOME)
+        code = first_header(response.headers, names.OUTCOME_CODE)
+        self._observe_revision(target.server, response)
+        if outcome == Outcome.RAN.value and not code:
+            said = await work.writer.pass_on(response, work.ticket)
+            if said is Said.COMPLETE:
+                return None
+            return Attempt(target.server, Sent.SOME, said)
+        retry_after = first_header(response.headers, names.RETRY_AFTER)
+        await node.client.read_body(response, MAX_TICKET_ANSWER_BYTES, 1.0)
+        if outcome == Outcome.RAN.value:
+            work.writer.refuse(
+                ran(409, code, "the request ran; its answer is lost", work.ticket),
+            )
+            return None
+        said = Said.NOT_RUN if outcome == Outcome.NOT_RUN.value else Said.UNKNOWN
+        seconds = float(retry_after) if retry_after.isdigit() else 0.0
+        return Attempt(target.server, Sent.SOME, said, code, seconds)
+
+    def _observe_revision(self, server: str, response: Any) -> None:
+        revision = first_header(response.headers, names.REVISION)
+        digest = first_header(response.headers, names.DIGEST)
+        if revision.isdigit() and digest:
+            node = self._node
+            node.perform(
+                node.relay.observe(server, int(revision), digest, read_now()),
+            )
+
+    def _headers(self, work: _Work, target: Target, cost_seconds: float) -> Headers:
+        node = self._node
+        call = work.call
+        headers = copy_headers(call.request.requestHeaders, CALLER_HEADERS)
+        remaining_ms = max(1, int((call.deadline - read_now()) * 1000))
+        values = {
+            names.REQUEST_ID: f"{call.request_id}-{len(work.failed)}",
+            names.ACCOUNT: call.account.name,
+            names.FIRM: call.account.firm,
+            names.REVISION: str(node.relay.revision),
+            names.DIGEST: node.relay.digest,
+            names.ROUTING_DIGEST: node.relay.routing_digest,
+            names.GROUP: target.group,
+            names.SERVICE: work.service,
+            names.PRIORITY: str(call.priority),
+            names.DEADLINE_MS: str(remaining_ms),
+            names.FINGERPRINT: call.fingerprint,
+            names.COST_SECONDS: f"{cost_seconds:.3f}",
+            names.RUN_ALONE: "1" if call.alone else "",
+            names.TICKET: work.ticket,
+            names.RESUME_OFFSET: str(call.progress.delivered or ""),
+        }
+        set_headers(headers, values)
+        return headers
+
+    # Decisions and reports
+
+    def _decide(self, work: _Work, attempt: Attempt) -> RetryDecision:
+        facts = RequestFacts(
+            work.idempotent,
+            work.call.deadline,
+            work.origin,
+            frozenset(target.server for target in work.failed),
+            work.may_have_run,
+            self._has_other_target(work, attempt),
+            work.call.progress.delivered,
+            work.call.head_written,
+            work.stream,
+        )
+        return decide_retry(attempt, facts, self._node.budget, read_now())
+
+    def _has_other_target(self, work: _Work, attempt: Attempt) -> bool:
+        if attempt.code in ("old-revision", "must-run-alone"):
+            return True
+        failed = {target.server for target in work.failed} | {attempt.target}
+        targets = work.failed | {
+            target
+            for target in self._node.pool_targets(work.route)
+            if target.server in failed
+        }
+        route = _excluding(work.route, targets, work.call.alone)
+        return not isinstance(self._node.peek(route), NoRoute)
+
+    def _report(self, work: _Work, decision: RetryDecision) -> None:
+        match decision:
+            case RevokeFirst(server):
+                task.deferLater(self._node.reactor, 0, self._revoke, work, server)
+            case ReportNotRun(code, retry_after):
+                status = _status_of(code)
+                detail = f"the request was not run: {code}"
+                problem = not_run(status, code, detail, retry_after or None, work.ticket)
+                work.writer.refuse(problem)
+            case ReportUnknown(code):
+                detail = f"it is unknown whether the request ran: {code}"
+                work.writer.refuse(unknown(code, detail, work.ticket))
+            case ReturnResult() | RetryElsewhere() | ResumeAt():
+                detail = "the request ran, but its answer was lost"
+                work.writer.refuse(ran(502, "answer-lost", detail, work.ticket))
+
+    async def revoke(self, work: _Work, server: str) -> None:
+        """Ask the agent to revoke a ticket, and report what it says."""
+        await self._revoke(work, server)
+
+    async def _revoke(self, work: _Work, server: str) -> None:
+        sheet = self._node.sheet
+        record = sheet.server_by_name.get(server) if sheet else None
+        said = Said.NOTHING
+        code = ""
+        if record is not None:
+            document = {"ticket": work.ticket, "account": work.call.account.name}
+            remaining = max(0.1, work.call.deadline - read_now())
+            sent = await self._node.client.send(
+                "POST",
+                record.address,
+                "/lacewing/tickets/revoke",
+                Headers({"Content-Type": ["application/json"]}),
+                msgspec.json.encode(document),
+                remaining,
+            )
+            if isinstance(sent, Ok):
+                response = sent.ok_value
+                attempt = await self._take_answer(
+                    work, Target(work.service, server), response
+                )
+                if attempt is None:
+                    return
+                said, code = attempt.said, attempt.code
+        revocation = Attempt(server, Sent.SOME, said, code, revocation=True)
+        self._report(work, self._decide(work, revocation))
+
+    def _report_no_route(self, work: _Work, no_route: NoRoute) -> None:
+        match no_route.reason:
+            case NoRouteReason.UNKNOWN_POOL:
+                problem = not_run(404, "model_not_found", no_route.reason.value)
+            case NoRouteReason.NOT_ALLOWED:
+                problem = not_run(404, "model_not_found", no_route.reason.value)
+            case _:
+                problem = _unsent(work, "no-server", no_route.retry_after or 1.0)
+        work.writer.refuse(problem)
+
+
+def _excluding(
+    route: RouteRequest,
+    failed: frozenset[Target],
+    alone: bool,
+) -> RouteRequest:
+    if not failed and route.alone == alone:
+        return route
+    return replace(route, excluded=failed, alone=alone)
+
+
+def _unsent(work: _Work, code: str, retry_after: float) -> Problem:
+    """Build the problem for a request that this entry sends nowhere any more."""
+    facts = RequestFacts(
+        work.idempotent,
+        work.call.deadline,
+        work.origin,
+        may_have_run=work.may_have_run,
+        delivered=work.call.progress.delivered,
+    )
+    match report_unsent(facts, code, retry_after):
+        case ReportNotRun(_, seconds):
+            detail = f"no backend server can take the request now: {code}"
+            return not_run(503, code, detail, seconds)
+        case ReportUnknown():
+            detail = f"an earlier attempt may have run, and no server is left: {code}"
+            return unknown(code, detail, work.ticket)
+
+
+def _problem_of(response: Any, code: str, ticket: str) -> Problem:
+    outcome = first_header(response.headers, names.OUTCOME)
+    detail = f"the agent refused the ticket: {code}"
+    if outcome == Outcome.NOT_RUN.value:
+        return not_run(response.code, code, detail, 1.0, ticket)
+    if outcome == Outcome.RAN.value:
+        return ran(409, code, detail, ticket)
+    return unknown(code, detail, ticket)
+
+
+def _status_of(code: str) -> int:
+    match code:
+        case "crashes-server":
+            return 422
+        case "ticket-expired" | "ticket-revoked" | "key-already-run":
+            return 409
+        case "ticket-required":
+            return 428
+        case "deadline" | "deadline-passed":
+            return 504
+        case _:
+            return 503
+
+
+__all__ = ["SERVICES_PREFIX", "Dispatcher"]
--- /dev/null
+++ b/lacewingcleat/entry_node.py
@@ -0,0 +1,282 @@
+"""transport: the control plane of an entry.
+
+It holds the views by which an entry decides: live servers, load, account limits and
+crash suspects.
+"""
+
+import random
+from typing import Any
+
+import msgspec
+from result import Err, Ok
+
+from lacewingcleat.account_limits import AccountLimits
+from lacewingcleat.clock import read_now
+from lacewingcleat.group_routing import GroupRouter
+from lacewingcleat.identity import Peer, Role
+from lacewingcleat.load_view import Target
+from lacewingcleat.messages import (
+    Envelope,
+    GroupReport,
+    LimitDemands,
+    LimitLeases,
+    ZoneDigest,
+)
+from lacewingcleat.metrics import EntryMetrics
+from lacewingcleat.node import Node
+from lacewingcleat.relay_actions import RelayView
+from lacewingcleat.retries import RetryBudget
+from lacewingcleat.routing_choice import Choice, ModelRequest, NoRoute, RouteRequest
+from lacewingcleat.settings import EntrySettings
+from lacewingcleat.sheet import Sheet
+
+DIGEST_SECONDS = 1.0
+MAX_LEASE_WAITERS = 10_000
+
+
+class EntryNode(Node):
+    """Run the control plane of one entry."""
+
+    def __init__(self, reactor: Any, settings: EntrySettings) -> None:
+        self.metrics = EntryMetrics()
+        super().__init__(
+            reactor,
+            settings,
+            settings.instance,
+            Role.ENTRY,
+            "lacewing-entry",
+            self.metrics,
+            settings.config_address,
+        )
+        self.settings = settings
+        now = read_now()
+        # Seeded by the incarnation, so that entries draw different candidates.
+        self.rng = random.Random(self.peer.incarnation)
+        self.router = GroupRouter(settings.zone)
+        self.limits = AccountLimits(self.peer, now)
+        self.budget = RetryBudget(now)
+        self.on_leases: list[Any] = []
+        self._next_digest = 0.0
+
+    def on_sheet(self, sheet: Sheet, now: float) -> None:
+        """Put a sheet in force for routing and limits."""
+        self.router.set_sheet(sheet, now)
+        self.limits.apply_sheet(sheet, now)
+        self._refresh_servers(now)
+
+    def on_pause(self, now: float) -> None:
+        """Drop load views from before the pause."""
+        self.router.loads.drop_older_views()
+
+    def on_message(self, envelope: Envelope, now: float) -> None:
+        """Handle load reports and limit messages."""
+        sender = envelope.sender
+        match envelope.body:
+            case GroupReport() as report:
+                maker = report.incarnation or sender.incarnation
+                self.router.loads.apply_report(report, maker, now)
+            case ZoneDigest() as digest:
+                self._hear_digest(digest, sender, now)
+            case LimitDemands() | LimitLeases() as message:
+                self.perform(self.limits.receive(sender, message, now))
+                if isinstance(message, LimitLeases):
+                    self._wake_lease_waiters()
+
+    def _hear_digest(self, digest: ZoneDigest, sender: Peer, now: float) -> None:
+        self.router.loads.apply_digest(digest, sender.incarnation, now)
+        if sender.zone == self.peer.zone:
+            return
+        # A reader that hears another zone passes the digest on in its own zone.
+        for peer in self.membership.live_entries(self.peer.zone, now):
+            if peer.instance != self.peer.instance:
+                self.send(peer.instance, digest)
+
+    def on_tick(self, now: float) -> None:
+        """Refresh the views and send what is due."""
+        self._refresh_servers(now)
+        sheet = self.sheet
+        if sheet is None:
+            return
+        entries = [
+            peer
+            for zone in sheet.zone_by_name
+            for peer in self.membership.live_entries(zone, now)
+        ]
+        self.limits.observe_entries(entries, now)
+        self.perform(self.limits.tick(now))
+        self.router.loads.entries = max(
+            1, len([peer for peer in entries if peer.zone == self.peer.zone])
+        )
+        if now >= self._next_digest:
+            self._next_digest = now + DIGEST_SECONDS
+            self._send_digest(sheet, now)
+
+    def _send_digest(self, sheet: Sheet, now: float) -> None:
+        """Tell other zones about the groups of this one, if this entry is a reader."""
+        if not self.relay.is_reader:
+            return
+        targets = self._zone_targets(sheet, self.peer.zone)
+        digest = self.router.loads.make_digest(self.peer.zone, targets, now)
+        for zone in sheet.zone_by_name:
+            if zone == self.peer.zone:
+                continue
+            for instance in self.membership.zone_readers(zone, now):
+                self.send(instance, digest)
+
+    def _zone_targets(self, sheet: Sheet, zone: str) -> list[Target]:
+        groups = [
+            Target(group.name, group.front_server)
+            for group in sheet.group_by_name.values()
+            if sheet.server_by_name[group.front_server].zone == zone
+        ]
+        services = [
+            Target(service.name, server)
+            for service in sheet.service_by_name.values()
+            for server in service.backend_servers
+            if sheet.server_by_name[server].zone == zone
+        ]
+        return groups + services
+
+    def _refresh_servers(self, now: float) -> None:
+        sheet = self.sheet
+        if sheet is None:
+            return
+        available = set()
+        unavailable = set()
+        for name in sheet.server_by_name:
+            if self.membership.may_receive_work(name, now):
+                available.add(name)
+            elif self.membership.is_known_gone(name, now):
+                unavailable.add(name)
+        self.router.set_servers(available, unavailable, now)
+
+    def relay_view(self, now: float) -> RelayView:
+        """Return the live peers for the spreading of sheets."""
+        sheet = self.sheet
+        own = self.membership.live_entries(self.peer.zone, now)
+        others = [
+            peer.instance
+            for zone in (sheet.zone_by_name if sheet else ())
+            if zone != self.peer.zone
+            for peer in self.membership.live_entries(zone, now)
+        ]
+        return RelayView(
+            frozenset(peer.instance for peer in own),
+            frozenset(self.membership.reporting_agents(now)),
+            frozenset(others),
+        )
+
+    def crash_neighbours(self, now: float) -> list[str]:
+        """Return the entries of the zone, the other zones' readers and the agents."""
+        sheet = self.sheet
+        own = [
+            peer.instance
+            for peer in self.membership.live_entries(self.peer.zone, now)
+            if peer.instance != self.peer.instance
+        ]
+        others = [
+            instance
+            for zone in (sheet.zone_by_name if sheet else ())
+            if zone != self.peer.zone
+            for instance in self.membership.zone_readers(zone, now)
+        ]
+        return own + others + list(self.membership.reporting_agents(now))
+
+    def _wake_lease_waiters(self) -> None:
+        waiters, self.on_leases = self.on_leases, []
+        for waiter in waiters:
+            if not waiter.called:
+                waiter.callback(None)
+
+    # Decisions for requests
+
+    def choose(self, request: RouteRequest) -> Choice | NoRoute:
+        """Choose a target by the present views."""
+        match self.router.choose(request, read_now(), self.rng):
+            case Ok(choice):
+                self.metrics.route_rule.labels(choice.rule.name.lower()).inc()
+                return choice
+            case Err(no_route):
+                return no_route
+
+    def status(self) -> dict[str, Any]:
+        """Return the status document of the admin port."""
+        now = read_now()
+        sheet = self.sheet
+        status = self.base_status()
+        status["suspects"] = len(self.suspects)
+        status["groups"] = []
+        status["servers"] = []
+        if sheet is None:
+            return status
+        zones = [*sheet.zone_by_name]
+        for zone in zones:
+            for target in self._zone_targets(sheet, zone):
+                load = self.router.loads.estimate(target, now)
+                status["groups"].append(
+                    {
+                        "group": target.group,
+                        "server": target.server,
+                        "zone": zone,
+                        "queued_seconds": load.queued_seconds,
+                        "step_seconds": load.step_seconds,
+                        "report_age_seconds": load.age,
+                    },
+                )
+        for name, server in sheet.server_by_name.items():
+            status["servers"].append(
+                {
+                    "server": name,
+                    "zone": server.zone,
+                    "sheet_state": server.state.value,
+                    "seen": self.membership.status(name, now).value,
+                    "takes_work": self.membership.may_receive_work(name, now),
+                },
+            )
+        return status
+
+    def explain(self, body: bytes) -> dict[str, Any]:
+        """Say where a request would go and why, without sending it."""
+        try:
+            question = msgspec.json.decode(body, type=dict[str, Any])
+            request = ModelRequest(
+                model=str(question.get("model", "")),
+                account=str(question.get("account", "")),
+                firm=str(question.get("firm", "")),
+                prompt_tokens=int(question.get("prompt_tokens", 100)),
+                max_tokens=int(question.get("max_tokens", 0)),
+                version=str(question.get("version", "")),
+                adapter=str(question.get("adapter", "")),
+            )
+        except (msgspec.MsgspecError, TypeError, ValueError) as error:
+            return {"error": str(error)}
+        match self.router.choose(request, read_now(), random.Random(0)):
+            case Ok(choice):
+                return {
+                    "group": choice.target.group,
+                    "server": choice.server,
+                    "zone": choice.zone,
+                    "rule": choice.rule.value,
+                    "spilled": choice.spilled,
+                    "pool_size": choice.pool_size,
+                    "excluded": _named(choice.count_by_exclusion),
+                    "scores": [msgspec.to_builtins(score) for score in choice.scores],
+                }
+            case Err(no_route):
+                return {
+                    "error": no_route.reason.value,
+                    "pool_size": no_route.pool_size,
+                    "excluded": _named(no_route.count_by_exclusion),
+                }
+
+    def ready_reason(self) -> str:
+        """Return why the entry should get no requests, empty if it should."""
+        if self.stopping or self.membership.leaving:
+            return "stopping"
+        if not self.relay.ready(read_now()):
+            return "no sheet is in force yet"
+        return ""
+
+
+def _named(count_by_exclusion: Any) -> dict[str, int]:
+    return {exclusion.value: count for exclusion, count in count_by_exclusion.items()}
--- /dev/null
+++ b/lacewingcleat/entry_server.py
@@ -0,0 +1,317 @@
+"""transport: the HTTP side of an entry, where callers come in.
+
+Here a request is authenticated, checked against its account's limits and against known
+crashes of backend servers, and then handed to the dispatcher.
+"""
+
+from hashlib import sha256
+from typing import Any
+
+import msgspec
+from opentelemetry.trace import SpanKind
+from result import Err
+from twisted.internet import defer
+
+from lacewingcleat import chat_api
+from lacewingcleat import http_headers as names
+from lacewingcleat.account_limits import LimitPermit, LimitReason, LimitRefusal
+from lacewingcleat.clock import read_now
+from lacewingcleat.crash_suspects import Convicted, RunAlone, fingerprint_request
+from lacewingcleat.entry_answer import AnswerWriter
+from lacewingcleat.entry_call import EntryCall
+from lacewingcleat.entry_dispatch import Dispatcher
+from lacewingcleat.entry_node import EntryNode
+from lacewingcleat.http_headers import Outcome
+from lacewingcleat.http_server import BoundedFactory, BoundedRequest
+from lacewingcleat.problems import Problem, not_run
+from lacewingcleat.sheet import DEFAULT_PRIORITY, ClientAccount, Service
+from lacewingcleat.tickets import TicketUse, choose_ticket_use
+from lacewingcleat.tracing import end_span
+
+REQUEST_ID_BYTES = 12
+STATUS_BY_LIMIT = {LimitReason.UNKNOWN_ACCOUNT: 401}
+LIMIT_STATUS = 429
+
+
+class _TicketBody(msgspec.Struct):
+    service: str
+
+
+class EntryServer:
+    """Serve callers.
+
+    :param node: the entry's state and control plane.
+    """
+
+    def __init__(self, node: EntryNode) -> None:
+        self._node = node
+        self._dispatcher = Dispatcher(node)
+        self._open = 0
+        self.factory = BoundedFactory(self.handle, node.settings.body_limit_bytes)
+
+    @property
+    def open_calls(self) -> int:
+        """Return the number of requests that have not ended."""
+        return self._open
+
+    def handle(self, request: BoundedRequest) -> None:
+        """Answer one request."""
+        self._node.observe_clock()
+        handling = defer.ensureDeferred(self._handle(request))
+        handling.addErrback(self._fail, request)
+
+    def _fail(self, failure: Any, request: BoundedRequest) -> None:
+        """Answer after an error of this program; the request may have been sent."""
+        self._node.log.error(f"a request failed: {failure.getTraceback()}")
+        if request.is_open:
+            detail = "the entry failed while it handled the request"
+            problem = Problem(500, Outcome.UNKNOWN, "internal-error", detail)
+            request.respond_problem(problem, "")
+
+    async def _handle(self, request: BoundedRequest) -> None:
+        problem = self._refuse_early(request)
+        if problem is not None:
+            self._respond(request, problem)
+            return
+        made = self._make_call(request)
+        if isinstance(made, Problem):
+            self._respond(request, made)
+            return
+        self._open += 1
+        gone: defer.Deferred[None] = request.notifyFinish()
+        gone.addErrback(lambda _: made.cancel())
+        try:
+            await self._dispatch(made)
+        finally:
+            self._open -= 1
+            self._finish(made)
+
+    def _refuse_early(self, request: BoundedRequest) -> Problem | None:
+        node = self._node
+        if request.too_large:
+            detail = f"the body exceeds {node.settings.body_limit_bytes} bytes"
+            return not_run(413, "body-too-large", detail)
+        if self._open >= node.settings.open_request_limit:
+            detail = "the entry has too many open requests"
+            return not_run(503, "overload", detail, 1.0)
+        if not node.relay.ready(read_now()):
+            return not_run(503, "no-sheet", "no sheet is in force yet", 1.0)
+        return None
+
+    def _make_call(self, request: BoundedRequest) -> EntryCall | Problem:
+        node = self._node
+        account = self._authenticate(request)
+        if isinstance(account, Problem):
+            return account
+        now = read_now()
+        deadline = names.parse_deadline(request.header(names.DEADLINE_MS))
+        default = max(DEFAULT_PRIORITY, account.max_priority)
+        priority = names.parse_priority(request.header(names.PRIORITY), default)
+        for parsed in (deadline, priority):
+            if isinstance(parsed, Err):
+                return not_run(400, "malformed-header", parsed.err_value)
+        request_id = node.random_bytes(REQUEST_ID_BYTES).hex()
+        span = node.tracing.start_span(
+            "entry",
+            SpanKind.SERVER,
+            names.parse_traceparent(request.header(names.TRACEPARENT)),
+            attributes={"lacewing.request_id": request_id},
+        )
+        return EntryCall(
+            request,
+            request_id,
+            account,
+            now,
+            now + deadline.unwrap(),
+            max(priority.unwrap(), account.max_priority),
+            span,
+        )
+
+    def _authenticate(self, request: BoundedRequest) -> ClientAccount | Problem:
+        sheet = self._node.sheet
+        key = names.parse_bearer(request.header(names.AUTHORIZATION))
+        if isinstance(key, Err):
+            return not_run(401, "invalid_api_key", key.err_value)
+        digest = sha256(key.ok_value.encode()).hexdigest()
+        account = sheet.account_by_key_hash.get(digest) if sheet else None
+        if account is None:
+            return not_run(401, "invalid_api_key", "the key belongs to no client account")
+        return account
+
+    async def _dispatch(self, call: EntryCall) -> None:
+        request = call.request
+        path = request.path_text()
+        match (request.method, path):
+            case (b"GET", chat_api.MODELS_PATH):
+                self._list_models(call)
+            case (b"POST", chat_api.CHAT_PATH | chat_api.COMPLETIONS_PATH):
+                await self._model(call, path)
+            case (b"POST", chat_api.TICKETS_PATH):
+                await self._ticket(call)
+            case _ if path.startswith(chat_api.SERVICES_PREFIX):
+                await self._service(call, path)
+            case _:
+                self._refuse(call, not_run(404, "no-such-path", f"no path {path[:80]}"))
+
+    def _list_models(self, call: EntryCall) -> None:
+        sheet = self._node.sheet
+        models = sheet.groups_by_model if sheet else {}
+        visible = sorted(
+            model
+            for model, groups in models.items()
+            if any(group.firm in ("", call.account.firm) for group in groups)
+        )
+        call.outcome = Outcome.RAN
+        body = chat_api.encode_model_list(visible)
+        call.request.respond(200, "application/json", body)
+
+    async def _model(self, call: EntryCall, path: str) -> None:
+        body = call.request.body.getvalue()
+        parsed = chat_api.parse_model_request(path, body)
+        if isinstance(parsed, Err):
+            self._refuse(call, not_run(400, "malformed-body", parsed.err_value))
+            return
+        model = parsed.ok_value
+        sheet = self._node.sheet
+        if sheet is None or model.model not in sheet.groups_by_model:
+            detail = f"the sheet has no model {model.model[:80]!r}"
+            self._refuse(call, not_run(404, "model_not_found", detail))
+            return
+        if not self._check_suspect(call, model.model, body):
+            return
+        if await self._admit(call, model.prompt_tokens + model.max_tokens):
+            call.used_tokens = 0
+            await self._dispatcher.run_model(call, model)
+
+    async def _service(self, call: EntryCall, path: str) -> None:
+        service, below = self._find_service(path)
+        if service is None:
+            self._refuse(call, not_run(404, "no-such-service", "no such service"))
+            return
+        request = call.request
+        key = names.parse_idempotency_key(request.header(names.IDEMPOTENCY_KEY))
+        if isinstance(key, Err):
+            self._refuse(call, not_run(400, "malformed-header", key.err_value))
+            return
+        ticket = request.header(names.TICKET) or ""
+        method = request.method.decode("ascii", "replace")
+        use = choose_ticket_use(
+            service,
+            method,
+            below,
+            bool(ticket),
+            bool(key.ok_value),
+        )
+        target = f"{method} {path}"
+        if not self._check_suspect(call, target, request.body.getvalue()):
+            return
+        if use is TicketUse.PRESENT or await self._admit(call, 0):
+            await self._dispatcher.run_service(call, service, use, ticket, key.ok_value)
+
+    def _find_service(self, path: str) -> tuple[Service | None, str]:
+        sheet = self._node.sheet
+        name, _, below = path.removeprefix(chat_api.SERVICES_PREFIX).partition("/")
+        service = sheet.service_by_name.get(name) if sheet else None
+        return service, f"/{below}"
+
+    async def _ticket(self, call: EntryCall) -> None:
+        try:
+            body = msgspec.json.decode(call.request.body.getvalue(), type=_TicketBody)
+        except msgspec.MsgspecError as error:
+            self._refuse(call, not_run(400, "malformed-body", str(error)))
+            return
+        sheet = self._node.sheet
+        service = sheet.service_by_name.get(body.service) if sheet else None
+        if service is None:
+            self._refuse(call, not_run(404, "no-such-service", "no such service"))
+            return
+        key = names.parse_idempotency_key(call.request.header(names.IDEMPOTENCY_KEY))
+        minted = await self._dispatcher.mint(call, service, key.unwrap_or(""))
+        if minted.problem is not None:
+            self._refuse(call, minted.problem)
+            return
+        call.outcome = Outcome.RAN
+        document = {"ticket": minted.token, "expires_seconds": service.ticket_seconds}
+        call.request.respond(201, "application/json", msgspec.json.encode(document))
+
+    def _check_suspect(self, call: EntryCall, target: str, body: bytes) -> bool:
+        """Return whether the request may be sent, and mark it to run alone."""
+        call.fingerprint = fingerprint_request(call.account.name, target, body)
+        match self._node.suspects.verdict(call.fingerprint, read_now()):
+            case Convicted(retry_after):
+                detail = "the request has crashed two backend servers"
+                self._refuse(call, not_run(422, "crashes-server", detail, retry_after))
+                return False
+            case RunAlone():
+                call.alone = True
+        return True
+
+    async def _admit(self, call: EntryCall, tokens: int) -> bool:
+        """Return whether the account's limits admit the request."""
+        limits = self._node.limits
+        decision = limits.admit(call.account.name, tokens, read_now())
+        while not isinstance(decision, LimitPermit | LimitRefusal):
+            self._node.perform(decision.actions)
+            await self._wait_for_lease(decision.until)
+            if call.caller_gone:
+                return False
+            decision = limits.admit(call.account.name, tokens, read_now(), waited=True)
+        if isinstance(decision, LimitPermit):
+            call.permit = decision
+            return True
+        self._node.metrics.limit_refusals.labels(decision.reason.value).inc()
+        status = STATUS_BY_LIMIT.get(decision.reason, LIMIT_STATUS)
+        detail = f"the client account has reached its limit: {decision.reason.value}"
+        problem = not_run(status, decision.reason.value, detail)
+        self._refuse(
+            call,
+            Problem(
+                problem.status,
+                problem.outcome,
+                problem.code,
+                problem.detail,
+                decision.retry_after_seconds,
+            ),
+        )
+        return False
+
+    async def _wait_for_lease(self, until: float) -> None:
+        waiter: defer.Deferred[None] = defer.Deferred()
+        waiter.addTimeout(
+            max(0.001, until - read_now()),
+            self._node.reactor,
+            onTimeoutCancel=lambda _result, _timeout: None,
+        )
+        self._node.on_leases.append(waiter)
+        await waiter
+
+    def _finish(self, call: EntryCall) -> None:
+        node = self._node
+        now = read_now()
+        if call.permit is not None:
+            ran = call.outcome is not Outcome.NOT_RUN
+            used = call.permit.estimated_tokens if ran else 0
+            if ran and call.used_tokens:
+                used = call.used_tokens
+            node.limits.finish(call.permit, used, now)
+        if call.caller_gone and call.outcome is Outcome.NOT_RUN:
+            call.outcome = Outcome.UNKNOWN
+            call.code = "caller-gone"
+        node.metrics.requests.labels(call.outcome.value, call.code).inc()
+        node.metrics.tokens.inc(call.used_tokens)
+        if call.first_byte_at:
+            seconds = call.first_byte_at - call.arrived
+            node.metrics.first_byte_seconds.observe(seconds)
+        end_span(
+            call.span,
+            {"lacewing.outcome": call.outcome.value, "lacewing.code": call.code},
+            call.outcome is not Outcome.RAN,
+        )
+
+    def _refuse(self, call: EntryCall, problem: Problem) -> None:
+        AnswerWriter(self._node.reactor, call).refuse(problem)
+
+    def _respond(self, request: BoundedRequest, problem: Problem) -> None:
+        self._node.metrics.requests.labels(problem.outcome.value, problem.code).inc()
+        request.setHeader(names.OUTCOME.encode(), problem.outcome.value.encode())
+        request.respond_problem(problem, "")
