Add cost model, prefix affinity and outlier ejection to routing

Cause: requests differ by a factor of a hundred in cost, cached prefixes save prefill, and one slow or failing target must not take work.

Change: CostModel learns output lengths per account and model as bounded histograms; PrefixIndex follows cache events with gaps and own sends within 100,000 entries; OutlierEjection compares each target with its pool's median, ejects at most a third and returns targets by probes and a 30 s slow start. GroupRouter uses them and explains its choices. New public functions:

GroupRouter(zone, loads=None, costs=None, prefixes=None, ejection=None) GroupRouter.record_send(choice, request, now) -> Routed GroupRouter.record_first_token(routed, now) GroupRouter.record_finish(routed, outcome, now, output_tokens=0, cached_tokens=None) GroupRouter.tick(now) -> list[Ejected | Returned] # once a second GroupRouter.explain(request, now) -> list[Verdict] GroupRouter.drop_older_views(now) # after a pause or partition PrefixIndex.apply_events(events, incarnation, now) -> bool digest_prompt_blocks(salt, prompt) -> tuple[str, ...] routing_choice.Outcome, Routed, Verdict

Callers use GroupRouter.record_send and record_finish instead of those of LoadView.

The routing policy is not measured yet.

--- a/lacewingcleat/group_routing.py
+++ b/lacewingcleat/group_routing.py
@@ -1,17 +1,25 @@
 """coordination: choose the group or plain-service server for a request.
 
 The router draws two candidates and takes the one with the lower expected time, so that
-many entries with the same outdated report do not all choose the same target.
+many entries with the same outdated report do not all choose the same target. Groups
+that hold the prompt's prefix or the session's KV cache are further candidates.
 """
 
 from collections.abc import Set
-from dataclasses import dataclass
 from random import Random
 
 from result import Err, Ok, Result
 
-from lacewingcleat.load_view import LoadView, RequestCost, Target
+from lacewingcleat.load_view import LoadEstimate, LoadView, RequestCost, Target
+from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent, TargetState
+from lacewingcleat.prefix_affinity import BLOCK_TOKENS, PrefixIndex
 from lacewingcleat.rendezvous import rank_by_rendezvous
+from lacewingcleat.request_cost import CostModel
+from lacewingcleat.routing_candidates import (
+    CandidateFinder,
+    accepts,
+    find_mismatch,
+)
 from lacewingcleat.routing_choice import (
     Choice,
     ChoiceRule,
@@ -19,25 +27,30 @@
     ModelRequest,
     NoRoute,
     NoRouteReason,
+    Outcome,
+    Routed,
     RouteRequest,
     Score,
     ServiceRequest,
+    Verdict,
+)
+from lacewingcleat.routing_pools import (
+    Member,
+    Pool,
+    is_usable,
+    make_pools,
+    model_key,
+    service_key,
 )
-from lacewingcleat.sheet import ModelGroup, Sheet
+from lacewingcleat.routing_score import Scorer
+from lacewingcleat.sheet import Sheet
 
 RETRY_SECONDS = 1.0
-SPILL_SECONDS = 0.5
-DEFAULT_STEP_SECONDS = 0.025
-DEFAULT_PREFILL_TOKENS_PER_SECOND = 20_000.0
-DEFAULT_OUTPUT_TOKENS = 256
+"""Wait before asking again for a pool without servers: one heartbeat."""
 
-
-@dataclass(frozen=True, slots=True)
-class _Member:
-    target: Target
-    zone: str
-    weight: float
-    group: ModelGroup | None
+OVERDUE_SECONDS = 2.0
+OVERDUE_RATIO = 5.0
+"""A first token that is this late, absolutely and by ratio, counts as a failure."""
 
 
 class GroupRouter:
@@ -46,41 +59,40 @@
     :param zone: this entry's availability zone.
     """
 
-    def __init__(self, zone: str, loads: LoadView | None = None) -> None:
+    def __init__(
+        self,
+        zone: str,
+        loads: LoadView | None = None,
+        costs: CostModel | None = None,
+        prefixes: PrefixIndex | None = None,
+        ejection: OutlierEjection | None = None,
+    ) -> None:
         self.zone = zone
         self.loads = LoadView() if loads is None else loads
-        self._members_by_pool: dict[str, tuple[_Member, ...]] = {}
+        self.costs = CostModel() if costs is None else costs
+        self.prefixes = PrefixIndex() if prefixes is None else prefixes
+        self.ejection = OutlierEjection() if ejection is None else ejection
+        self._scorer = Scorer(zone, self.costs)
+        self._finder = CandidateFinder(self.loads, self.prefixes, self.ejection)
+        self._sheet: Sheet | None = None
+        self._pools: dict[str, Pool] = {}
         self._available: Set[str] = frozenset()
         self._unavailable: Set[str] = frozenset()
+        self._usable_targets: set[Target] | None = None
+        self._in_flight: dict[int, Routed] = {}
 
     def set_sheet(self, sheet: Sheet, now: float) -> None:
         """Take over the groups and services of an accepted sheet."""
-        pools: dict[str, tuple[_Member, ...]] = {}
-        for model, groups in sheet.groups_by_model.items():
-            pools[f"model/{model}"] = tuple(
-                _Member(
-                    Target(group.name, group.front_server),
-                    sheet.server_by_name[group.front_server].zone,
-                    group.weight,
-                    group,
-                )
-                for group in groups
-                if group.ranks
-            )
-        for service in sheet.service_by_name.values():
-            pools[f"service/{service.name}"] = tuple(
-                _Member(
-                    Target(service.name, server),
-                    sheet.server_by_name[server].zone,
-                    1.0,
-                    None,
-                )
-                for server in service.backend_servers
-            )
-        self._members_by_pool = pools
-        self.loads.retain(
-            member.target for members in pools.values() for member in members
-        )
+        self._sheet = sheet
+        region = sheet.zone_by_name.get(self.zone)
+        self._scorer.region = self.zone if region is None else region.region
+        self._pools = make_pools(sheet)
+        targets = [
+            member.target for pool in self._pools.values() for member in pool.members
+        ]
+        self.loads.retain(targets)
+        self.ejection.retain(targets)
+        self._update_usable(now)
 
     def set_servers(
         self,
@@ -96,6 +108,17 @@
         """
         self._available = available
         self._unavailable = unavailable
+        self._update_usable(now)
+
+    def drop_older_views(self, now: float) -> None:
+        """Forget what was learned before a pause or partition that has just ended."""
+        self.loads.drop_older_views()
+        self.prefixes.drop_all()
+        self.ejection.reset_clocks(now)
+        for routed in self._in_flight.values():
+            routed.overdue = True
+        for pool in self._pools.values():
+            pool.refreshed_at = float("-inf")
 
     def choose(
         self,
@@ -104,115 +127,265 @@
         rng: Random,
     ) -> Result[Choice, NoRoute]:
         """Return the target for a request, or why there is none."""
-        members = self._members_by_pool.get(_pool_key(request))
-        if not members:
+        pool = self._pools.get(_pool_key(request))
+        if pool is None or not pool.members:
             return Err(NoRoute(NoRouteReason.UNKNOWN_POOL, None, 0))
-        counts: dict[Exclusion, int] = {}
-        candidates = []
-        for member in members:
-            exclusion = self._exclusion(member, request)
-            if exclusion is None:
-                candidates.append(member)
-            else:
-                counts[exclusion] = counts.get(exclusion, 0) + 1
+        pool.refresh(self.zone, self.loads, self.ejection, now)
+        probe = self._finder.pick_probe(pool, request, now, rng)
+        if probe is not None:
+            return Ok(self._make_choice(pool, request, [probe], ChoiceRule.PROBE, now))
+        if request.alone:
+            return self._choose_alone(pool, request, now)
+        candidates = self._finder.draw(pool, request, now, rng)
         if not candidates:
-            return Err(_no_route(len(members), counts))
-        rule, drawn = self._draw(candidates, request, rng)
-        scored = sorted(
-            ((self._score(member, request, now), member) for member in drawn),
-            key=lambda pair: pair[0].total_seconds,
-        )
-        best = scored[0][1]
-        if len(candidates) == 1:
-            rule = ChoiceRule.ONLY
+            return Err(self._explain_no_route(pool, request, now))
         return Ok(
-            Choice(
-                best.target,
-                best.target.server,
-                best.zone,
-                rule,
-                RequestCost(scored[0][0].prefill_seconds, 0.0),
-                tuple(score for score, _ in scored),
-                best.zone != self.zone,
-                len(members),
-                counts,
-            ),
+            self._make_choice(pool, request, candidates, ChoiceRule.SAMPLED, now),
         )
 
-    def _exclusion(self, member: _Member, request: RouteRequest) -> Exclusion | None:
-        if member.target.server not in self._available:
-            return Exclusion.UNAVAILABLE
-        group = member.group
-        if group is not None and not self._unavailable.isdisjoint(group.ranks):
+    def record_send(self, choice: Choice, request: RouteRequest, now: float) -> Routed:
+        """Count a request that this entry has just sent to its target."""
+        sent = self.loads.record_send(choice.target, choice.cost, now)
+        routed = Routed(choice, request, sent)
+        self._in_flight[id(routed)] = routed
+        if choice.rule is ChoiceRule.PROBE:
+            self.ejection.record_probe(choice.target, now)
+        if isinstance(request, ModelRequest):
+            group = choice.target.group
+            self.prefixes.record_send(group, request.prefix_blocks, now)
+        return routed
+
+    def record_first_token(self, routed: Routed, now: float) -> None:
+        """Count the first token of a stream or the first byte of another answer."""
+        if routed.first_token_seen or routed.overdue:
+            return
+        routed.first_token_seen = True
+        self.ejection.record_first_token(
+            routed.choice.target,
+            now - routed.sent.at,
+            routed.choice.first_token_seconds,
+            now,
+        )
+
+    def record_finish(
+        self,
+        routed: Routed,
+        outcome: Outcome,
+        now: float,
+        output_tokens: int = 0,
+        cached_tokens: int | None = None,
+    ) -> None:
+        """Count the end of a request at its target; a second call is ignored.
+
+        :param output_tokens: length of a completed output.
+        :param cached_tokens: what the engine says it had cached, None if it does not.
+        """
+        if self._in_flight.pop(id(routed), None) is None:
+            return
+        target = routed.choice.target
+        self.loads.record_finish(routed.sent, now)
+        if outcome in (Outcome.COMPLETED, Outcome.FAILED) and not routed.overdue:
+            success = outcome is Outcome.COMPLETED
+            self.ejection.record_result(target, success, routed.sent.at, now)
+        request = routed.request
+        if not isinstance(request, ModelRequest):
+            return
+        if outcome is Outcome.COMPLETED and output_tokens > 0:
+            self.costs.observe_output(request.account, request.model, output_tokens)
+        if cached_tokens is not None:
+            self._correct_prefix(routed, cached_tokens, now)
+
+    def tick(self, now: float) -> list[OutlierEvent]:
+        """Judge all pools, about once a second, and return ejections and returns."""
+        self._count_overdue(now)
+        events: list[OutlierEvent] = []
+        for pool in self._pools.values():
+            targets = [member.target for member in pool.usable]
+            for target in targets:
+                load = self.loads.estimate(target, now)
+                step_seconds = load.step_seconds if load.known else 0.0
+                self.ejection.record_step_time(target, step_seconds, now)
+            found = self.ejection.judge(targets, now)
+            if found:
+                pool.refreshed_at = float("-inf")
+            events += found
+        return events
+
+    def explain(self, request: RouteRequest, now: float) -> list[Verdict]:
+        """Return how each target of the request's pool would be considered."""
+        pool = self._pools.get(_pool_key(request))
+        if pool is None:
+            return []
+        return [
+            Verdict(
+                member.target,
+                self._exclusion(pool, member, request, now),
+                self.ejection.state(member.target, now),
+                self._score(member, request, now),
+            )
+            for member in pool.members
+        ]
+
+    def _update_usable(self, now: float) -> None:
+        sheet = self._sheet
+        if sheet is None:
+            return
+        targets: set[Target] = set()
+        for pool in self._pools.values():
+            pool.usable = [
+                member
+                for member in pool.members
+                if is_usable(member, sheet, self._available, self._unavailable)
+            ]
+            pool.refreshed_at = float("-inf")
+            targets.update(member.target for member in pool.usable)
+        before = self._usable_targets
+        if before:
+            for target in targets - before:
+                self.ejection.record_joined(target, now)
+        self._usable_targets = targets
+
+    def _exclusion(
+        self,
+        pool: Pool,
+        member: Member,
+        request: RouteRequest,
+        now: float,
+    ) -> Exclusion | None:
+        if member not in pool.usable:
             return Exclusion.UNAVAILABLE
-        if member.target in request.excluded:
-            return Exclusion.FAILED
-        if group is None or not isinstance(request, ModelRequest):
-            return None
-        if group.firm not in ("", request.firm):
-            return Exclusion.OTHER_FIRM
-        if request.version and request.version not in group.versions:
-            return Exclusion.VERSION
-        if request.adapter and request.adapter not in group.adapters:
-            return Exclusion.ADAPTER
+        mismatch = find_mismatch(member, request)
+        if mismatch is not None:
+            return mismatch
+        state = self.ejection.state(member.target, now)
+        if state in (TargetState.EJECTED, TargetState.PROBING):
+            return Exclusion.EJECTED
         return None
 
-    def _draw(
+    def _choose_alone(
         self,
-        candidates: list[_Member],
+        pool: Pool,
         request: RouteRequest,
-        rng: Random,
-    ) -> tuple[ChoiceRule, list[_Member]]:
-        own = [member for member in candidates if member.zone == self.zone]
-        near = own or candidates
-        if request.alone:
-            first = rank_by_rendezvous(
-                "alone", [f"{m.target.group} {m.target.server}" for m in near]
-            )[0]
-            return ChoiceRule.ALONE, [
-                m for m in near if f"{m.target.group} {m.target.server}" == first
-            ]
-        weights = [member.weight for member in near]
-        drawn = rng.choices(near, weights, k=2)
-        others = [member for member in candidates if member.zone != self.zone]
-        if own and others:
-            drawn += rng.choices(others, [m.weight for m in others], k=1)
-        return ChoiceRule.SAMPLED, list({m.target: m for m in drawn}.values())
-
-    def _score(self, member: _Member, request: RouteRequest, now: float) -> Score:
-        load = self.loads.estimate(member.target, now)
-        prefill = 0.0
-        decode = 0.0
-        if isinstance(request, ModelRequest):
-            rate = load.prefill_tokens_per_second or DEFAULT_PREFILL_TOKENS_PER_SECOND
-            prefill = request.prompt_tokens / rate
-            step = load.step_seconds or DEFAULT_STEP_SECONDS
-            decode = step * (request.max_tokens or DEFAULT_OUTPUT_TOKENS)
-        return Score(
-            member.target,
-            load.queued_seconds,
-            prefill,
-            decode,
-            0.0,
-            0.0 if member.zone == self.zone else SPILL_SECONDS,
-            0,
-            load.age,
+        now: float,
+    ) -> Result[Choice, NoRoute]:
+        """Choose the zone's one server for suspects, the same at every entry."""
+        accepted = [
+            member
+            for member in pool.near.members or pool.far.members
+            if accepts(member, request)
+        ]
+        if not accepted:
+            return Err(self._explain_no_route(pool, request, now))
+        member_by_server = {member.target.server: member for member in accepted}
+        first = rank_by_rendezvous(f"alone/{accepted[0].zone}", member_by_server)[0]
+        members = [member_by_server[first]]
+        return Ok(self._make_choice(pool, request, members, ChoiceRule.ALONE, now))
+
+    def _make_choice(
+        self,
+        pool: Pool,
+        request: RouteRequest,
+        members: list[Member],
+        rule: ChoiceRule,
+        now: float,
+    ) -> Choice:
+        member_by_target = {member.target: member for member in members}
+        scores = sorted(
+            (self._score(member, request, now) for member in member_by_target.values()),
+            key=lambda score: score.total_seconds,
+        )
+        best = scores[0]
+        member = member_by_target[best.target]
+        if rule is ChoiceRule.SAMPLED:
+            rule = _sampled_rule(best, len(scores), request)
+        load = self.loads.estimate(best.target, now)
+        return Choice(
+            target=best.target,
+            server=best.target.server,
+            zone=member.zone,
+            rule=rule,
+            cost=self._cost(request, best, load),
+            scores=tuple(scores),
+            spilled=member.zone != self.zone,
+            pool_size=len(pool.members),
         )
 
+    def _score(self, member: Member, request: RouteRequest, now: float) -> Score:
+        load = self.loads.estimate(member.target, now)
+        cached_blocks = 0
+        if isinstance(request, ModelRequest) and request.prefix_blocks:
+            cached_blocks = self.prefixes.count_cached(
+                member.target.group,
+                request.prefix_blocks,
+                now,
+            )
+        return self._scorer.score(member, request, load, cached_blocks * BLOCK_TOKENS)
+
+    def _cost(
+        self,
+        request: RouteRequest,
+        score: Score,
+        load: LoadEstimate,
+    ) -> RequestCost:
+        return self._scorer.cost(request, score.cached_tokens, load)
+
+    def _correct_prefix(self, routed: Routed, cached_tokens: int, now: float) -> None:
+        """Doubt the index if the group had cached much less than expected."""
+        expected = routed.choice.scores[0].cached_tokens
+        if cached_tokens < expected / 2:
+            self.prefixes.record_miss(routed.choice.target.group, now)
+
+    def _count_overdue(self, now: float) -> None:
+        for routed in self._in_flight.values():
+            if routed.first_token_seen or routed.overdue:
+                continue
+            limit = max(
+                OVERDUE_SECONDS,
+                OVERDUE_RATIO * routed.choice.first_token_seconds,
+            )
+            sent_at = routed.sent.at
+            if now - sent_at > limit:
+                routed.overdue = True
+                target = routed.choice.target
+                self.ejection.record_result(target, False, sent_at, now)
+
+    def _explain_no_route(
+        self,
+        pool: Pool,
+        request: RouteRequest,
+        now: float,
+    ) -> NoRoute:
+        counts: dict[Exclusion, int] = {}
+        for member in pool.members:
+            exclusion = self._exclusion(pool, member, request, now)
+            if exclusion is not None:
+                counts[exclusion] = counts.get(exclusion, 0) + 1
+        size = len(pool.members)
+        if Exclusion.EJECTED in counts:
+            targets = [member.target for member in pool.usable]
+            wait = max(RETRY_SECONDS, self.ejection.retry_after(targets, now))
+            return NoRoute(NoRouteReason.ALL_EJECTED, wait, size, counts)
+        if Exclusion.FAILED in counts:
+            return NoRoute(NoRouteReason.ALL_FAILED, None, size, counts)
+        if Exclusion.UNAVAILABLE in counts:
+            return NoRoute(NoRouteReason.ALL_UNAVAILABLE, RETRY_SECONDS, size, counts)
+        return NoRoute(NoRouteReason.NOT_ALLOWED, None, size, counts)
+
 
 def _pool_key(request: RouteRequest) -> str:
     match request:
         case ModelRequest():
-            return f"model/{request.model}"
+            return model_key(request.model)
         case ServiceRequest():
-            return f"service/{request.service}"
+            return service_key(request.service)
 
 
-def _no_route(pool_size: int, counts: dict[Exclusion, int]) -> NoRoute:
-    if Exclusion.FAILED in counts:
-        return NoRoute(NoRouteReason.ALL_FAILED, RETRY_SECONDS, pool_size, counts)
-    if Exclusion.EJECTED in counts:
-        return NoRoute(NoRouteReason.ALL_EJECTED, RETRY_SECONDS, pool_size, counts)
-    if Exclusion.UNAVAILABLE in counts:
-        return NoRoute(NoRouteReason.ALL_UNAVAILABLE, RETRY_SECONDS, pool_size, counts)
-    return NoRoute(NoRouteReason.NOT_ALLOWED, None, pool_size, counts)
+def _sampled_rule(best: Score, candidates: int, request: RouteRequest) -> ChoiceRule:
+    if candidates == 1:
+        return ChoiceRule.ONLY
+    if isinstance(request, ModelRequest):
+        if request.resume_group and best.target.group == request.resume_group:
+            return ChoiceRule.RESUMED
+        if best.cached_tokens > 0:
+            return ChoiceRule.PREFIX
+    return ChoiceRule.SAMPLED
--- a/lacewingcleat/load_view.py
+++ b/lacewingcleat/load_view.py
@@ -70,12 +70,16 @@
     :param known: whether a report that is not stale stands behind the figures.
     :param age: seconds since the figures of the report were taken.
     :param queued_seconds: work waiting, including sends since the report.
+    :param running: requests running, including sends since the report.
+    :param reported_running: requests running when the report was made, to which its
+        step time belongs.
     """
 
     known: bool
     age: float
     queued_seconds: float
     running: int
+    reported_running: int
     capacity: int
     step_seconds: float
     prefill_tokens_per_second: float
@@ -172,16 +176,18 @@
     def record_send(self, target: Target, cost: RequestCost, now: float) -> Sent:
         """Count a request that this entry has just sent."""
         load = self._load_by_target.setdefault(target, _TargetLoad())
-        work = cost.total_seconds
+        work = _queued_work(load, cost)
         sent = Sent(target, now, work)
         load.recent.append(sent)
         load.running += 1
         load.backlog = _drained(load, now) + work
         load.backlog_at = now
-        load.own_work += work
+        load.own_work += cost.total_seconds
         elapsed = max(0.0, now - load.own_rate_at)
         decay = max(0.0, 1.0 - elapsed / RATE_SMOOTHING_SECONDS)
-        load.own_rate = load.own_rate * decay + work / RATE_SMOOTHING_SECONDS
+        load.own_rate = (
+            load.own_rate * decay + cost.total_seconds / RATE_SMOOTHING_SECONDS
+        )
         load.own_rate_at = now
         return sent
 
@@ -204,7 +210,7 @@
             queued = 0.0 if load is None else _drained(load, now)
             running = 0 if load is None else load.running
             return LoadEstimate(
-                False, float("inf"), queued, running, 0, 0.0, 0.0, 1.0, (), ()
+                False, float("inf"), queued, running, 0, 0, 0.0, 0.0, 1.0, (), ()
             )
         report = load.report
         age = max(0.0, now - load.taken_at)
@@ -213,6 +219,7 @@
             age,
             _drained(load, now, self._others_rate(load, now)),
             load.running,
+            report.running,
             report.capacity,
             report.step_seconds,
             report.prefill_tokens_per_second,
@@ -301,6 +308,16 @@
     load.others_rate += share * (rate - load.others_rate)
 
 
+def _queued_work(load: _TargetLoad, cost: RequestCost) -> float:
+    """Return the work that a later request has to wait for.
+
+    While a slot is free, only the prefill comes first; decodes share the steps.
+    """
+    if load.report is not None and load.running < load.report.capacity:
+        return cost.prefill_seconds
+    return cost.total_seconds
+
+
 def _replay_sends(load: _TargetLoad, report: GroupReport, taken_at: float) -> None:
     """Start from the report and add the sends that it cannot contain."""
     while load.recent and load.recent[0].at <= taken_at:
--- a/lacewingcleat/routing_choice.py
+++ b/lacewingcleat/routing_choice.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from lacewingcleat.load_view import RequestCost, Target
+from lacewingcleat.load_view import RequestCost, Sent, Target
+from lacewingcleat.outlier_ejection import TargetState
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,10 +40,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceRequest:
-    """Describe a call of a plain service, as far as routing needs it."""
+    """Describe a call of a plain service, as far as routing needs it.
+
+    :param idempotent: whether it may be repeated; only such calls serve as probes.
+    """
 
     service: str
     account: str
+    idempotent: bool = False
     excluded: frozenset[Target] = frozenset()
     alone: bool = False
 
@@ -74,7 +79,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Score:
-    """Hold the parts of a target's score in seconds; the lowest total wins."""
+    """Hold the parts of a target's score in seconds; the lowest total wins.
+
+    :param load_seconds: time to load a missing adapter or version.
+    :param zone_seconds: distance, and the preference for this entry's zone.
+    :param information_age: age of the report, infinite if there is none.
+    """
 
     target: Target
     wait_seconds: float
@@ -115,7 +125,46 @@
     scores: tuple[Score, ...]
     spilled: bool
     pool_size: int
-    count_by_exclusion: dict[Exclusion, int] = field(default_factory=dict)
+
+    @property
+    def first_token_seconds(self) -> float:
+        """Return the expected time to the first token."""
+        score = self.scores[0]
+        return score.total_seconds - score.decode_seconds
+
+
+@dataclass(slots=True, eq=False)
+class Routed:
+    """Follow a request from its send to its end.
+
+    :param sent: its part in the load view.
+    :param overdue: whether its missing first token was counted as a failure.
+    """
+
+    choice: Choice
+    request: RouteRequest
+    sent: Sent
+    first_token_seen: bool = False
+    overdue: bool = False
+
+
+class Outcome(Enum):
+    """Say how a request ended at its target."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    REFUSED = "refused"
+    CANCELLED = "cancelled"
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Say for one target of a pool whether and how it would be considered."""
+
+    target: Target
+    exclusion: Exclusion | None
+    state: TargetState
+    score: Score
 
 
 class NoRouteReason(Enum):
