--- a/lacewingcleat/messages.py
+++ b/lacewingcleat/messages.py
@@ -70,6 +70,11 @@
     :param base_digest: digest of that manifest, empty for a full manifest.
     :param digest_by_part: changed parts; an empty digest removes the part.
     :param buckets: bucket count by kind of part, in sorted order.
+    :param read_seconds: time from publication until a process read the revision from
+        the configuration service, as far as that service says.
+    :param relay_seconds: time from then until this offer, by the clocks of the
+        processes in between; time on the network is not counted.
+    :param query_id: that of the query which this offer answers, empty for none.
     """
 
     base_revision: int
@@ -78,11 +83,20 @@
     digest: str
     digest_by_part: dict[str, str]
     buckets: dict[str, int]
+    read_seconds: float = 0.0
+    relay_seconds: float = 0.0
+    query_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class SheetQuery:
-    """Ask a peer for the highest revision it holds."""
+    """Ask a peer for the highest revision it holds.
+
+    :param query_id: repeated in the answer, so that an offer sent before a pause is not
+        taken for the answer to a question asked after it.
+    """
+
+    query_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lacewingcleat/sheet_check.py
+++ b/lacewingcleat/sheet_check.py
@@ -6,6 +6,7 @@
 depends on the release of the time zone data.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import TypeVar
@@ -60,18 +61,30 @@
 
 SHEET_MEMBERS = (*MEMBER_BY_SINGLE_PART.values(), *MEMBER_BY_BUCKETED_KIND.values())
 OPTIONAL_MEMBERS = {"services", "claims"}
+CACHED_SHEETS = 2
 
 
 @dataclass(slots=True)
 class PartCache:
-    """Keep the records of parts by digest, so that unchanged parts cost nothing.
+    """Keep what earlier checks found, so that unchanged parts cost nothing.
 
-    Only the parts of the last checked sheet are kept.
+    :param records_by_part: records of the last checked sheet by part name and digest.
+    :param sheets: the last sheets that passed, for relays that share the cache.
     """
 
     records_by_part: dict[tuple[str, str], tuple[PlacedRecord, ...]] = field(
         default_factory=dict
     )
+    sheets: deque[tuple[Sheet, bool]] = field(
+        default_factory=lambda: deque(maxlen=CACHED_SHEETS)
+    )
+
+    def sheet(self, digest: str, with_accounts: bool) -> Sheet | None:
+        """Return a sheet that has passed the check with the same parts."""
+        for sheet, has_accounts in self.sheets:
+            if sheet.digest == digest and has_accounts == with_accounts:
+                return sheet
+        return None
 
 
 def check_sheet(
@@ -119,6 +132,9 @@
         valid.
     :param with_accounts: whether account parts are needed; agents hold none.
     """
+    passed = cache.sheet(manifest.digest, with_accounts) if cache else None
+    if passed is not None:
+        return Ok(passed)
     findings = Findings(source)
     known = cache.records_by_part if cache else {}
     records_by_part: dict[tuple[str, str], tuple[PlacedRecord, ...]] = {}
@@ -137,9 +153,11 @@
         collected.check(findings)
     if findings.items:
         return Err(findings.items)
+    sheet = collected.build(manifest.revision, manifest)
     if cache:
         cache.records_by_part = records_by_part
-    return Ok(collected.build(manifest.revision, manifest))
+        cache.sheets.append((sheet, with_accounts))
+    return Ok(sheet)
 
 
 def _read_part(
--- /dev/null
+++ b/lacewingcleat/sheet_relay.py
@@ -0,0 +1,515 @@
+"""coordination: accept revisions of the sheet and spread them.
+
+Each entry and agent has one relay. Two entries per zone read the configuration service;
+everyone else hears from peers. The revision in force only rises: `_put_in_force` is the
+only place that changes it.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from result import Err
+
+from lacewingcleat.actions import Alarm, Send
+from lacewingcleat.change_times import ChangeTimes
+from lacewingcleat.config_reader import (
+    FAILURES_BEFORE_ALARM,
+    ConfigReader,
+    choose_readers,
+)
+from lacewingcleat.identity import Peer, Role
+from lacewingcleat.messages import (
+    Envelope,
+    PartReply,
+    PartRequest,
+    SheetOffer,
+    SheetQuery,
+)
+from lacewingcleat.offer_tree import choose_agents, choose_branch
+from lacewingcleat.part_fetch import PartFetch
+from lacewingcleat.peer_inquiry import PeerInquiry
+from lacewingcleat.relay_actions import (
+    FetchPart,
+    InForce,
+    RelayAction,
+    RelayCounts,
+    RelayView,
+    WatchManifest,
+)
+from lacewingcleat.rendezvous import rank_by_rendezvous
+from lacewingcleat.sheet import Sheet
+from lacewingcleat.sheet_check import PartCache, check_parts
+from lacewingcleat.sheet_offers import apply_offer
+from lacewingcleat.sheet_parts import Manifest, decode_manifest, digest_part
+from lacewingcleat.sheet_source import SheetSource
+from lacewingcleat.sheet_store import SheetStore
+
+# An offer along the tree usually overtakes the query after a heartbeat.
+QUERY_DELAY_SECONDS = 0.25
+# A peer that is still behind after this time has lost its offer.
+REPAIR_SECONDS = 1.0
+# Entries asked when only an agent, which holds no account parts, knows a revision.
+ENTRIES_ASKED_FOR_AGENT = 4
+KEPT_CHANGES = 32
+KEPT_REFUSALS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class _Rumour:
+    """A higher revision that a peer mentioned, before its offer is here."""
+
+    revision: int
+    instance: str
+    heard_at: float
+
+
+class SheetRelay:
+    """Decide which revision is in force and whom to tell.
+
+    :param peer: identity of this process.
+    :param cache: shared by relays that run in one process, such as in the demo.
+    """
+
+    def __init__(
+        self,
+        peer: Peer,
+        now: float,
+        cache: PartCache | None = None,
+    ) -> None:
+        self._peer = peer
+        self._is_entry = peer.role is Role.ENTRY
+        self._view = RelayView()
+        self._readers: list[str] = []
+        self._receivers: list[str] = []
+        self._preferred_peers: list[str] = []
+        self._store = SheetStore(with_accounts=self._is_entry)
+        self._source = SheetSource(self._store)
+        self._cache = cache or PartCache()
+        self._reader = ConfigReader(peer.instance)
+        self._inquiry = PeerInquiry(peer.incarnation, now)
+        self._fetch: PartFetch | None = None
+        self._rumour: _Rumour | None = None
+        self._refused: deque[str] = deque(maxlen=KEPT_REFUSALS)
+        self._alarmed: deque[str] = deque(maxlen=KEPT_REFUSALS)
+        self._repaired_at: dict[str, float] = {}
+        self._changes: deque[ChangeTimes] = deque(maxlen=KEPT_CHANGES)
+        self._in_force_at = now
+        self.counts = RelayCounts()
+        self.sheet: Sheet | None = None
+
+    @property
+    def manifest(self) -> Manifest | None:
+        """Return the manifest in force."""
+        return self._source.manifest
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force, 0 without a sheet."""
+        return self.manifest.revision if self.manifest else 0
+
+    @property
+    def digest(self) -> str:
+        """Return the digest in force, empty without a sheet."""
+        return self.manifest.digest if self.manifest else ""
+
+    @property
+    def routing_digest(self) -> str:
+        """Return the routing digest in force, empty without a sheet."""
+        return self.manifest.routing_digest if self.manifest else ""
+
+    @property
+    def is_reader(self) -> bool:
+        """Return whether this process reads the configuration service."""
+        return self._peer.instance in self._readers
+
+    @property
+    def recent_changes(self) -> tuple[ChangeTimes, ...]:
+        """Return the stage delays of the last revisions, the newest last."""
+        return tuple(self._changes)
+
+    @property
+    def held_parts(self) -> int:
+        """Return the number of parts in memory."""
+        return self._store.part_count
+
+    def ready(self, now: float) -> bool:
+        """Return whether decisions may use the sheet in force.
+
+        After a start or a pause the sheet may be outdated, so the process first asks
+        its peers. It goes on after 2 s without an answer or without progress.
+        """
+        return self.sheet is not None and self._inquiry.is_over(self.revision, now)
+
+    def set_view(self, view: RelayView, now: float) -> list[RelayAction]:
+        """Take over a change of the live peers."""
+        own = self._peer.instance
+        self._view = view
+        self._preferred_peers = [
+            *rank_by_rendezvous(own, view.zone_entries - {own}),
+            *rank_by_rendezvous(own, view.other_peers - {own}),
+        ]
+        if self._is_entry:
+            entries = view.zone_entries | {own}
+            self._view = replace(view, zone_entries=entries)
+            self._readers = choose_readers(self._peer.zone, entries)
+            self._receivers = [
+                *choose_branch(own, self._readers, entries),
+                *choose_agents(own, view.agents, entries),
+            ]
+        known = self._known_peers()
+        self._repaired_at = {
+            name: at for name, at in self._repaired_at.items() if name in known
+        }
+        return self.tick(now)
+
+    def wake(self, now: float) -> list[RelayAction]:
+        """Ask the peers again after a pause, before the next decision."""
+        self._inquiry.begin(now)
+        self._rumour = None
+        self._reader.forget_open_reads()
+        return self.tick(now)
+
+    def tick(self, now: float) -> list[RelayAction]:
+        """Send what is due; call it every 0.25 s."""
+        self._inquiry.settle(self.revision, now)
+        query = SheetQuery(self._inquiry.query_id)
+        asked = self._inquiry.peers_to_ask(self._preferred_peers, now)
+        actions: list[RelayAction] = [Send(peer, query) for peer in asked]
+        actions += self._query_rumour(now)
+        actions += self._continue_fetch(now)
+        if self.is_reader and self._reader.start_watch(now):
+            self.counts.watches += 1
+            actions.append(WatchManifest(self._reader.version))
+        return actions
+
+    def receive(self, envelope: Envelope, now: float) -> list[RelayAction]:
+        """Handle a control message; messages of other subsystems count as heard."""
+        sender = envelope.sender.instance
+        actions = self.observe(sender, envelope.revision, envelope.digest, now)
+        match envelope.body:
+            case SheetOffer() as offer:
+                actions += self._handle_offer(sender, offer, now)
+            case SheetQuery(query_id=query_id):
+                actions += self._answer_query(sender, envelope.digest, query_id, now)
+            case PartRequest(digests=digests):
+                reply = self._source.reply(digests)
+                self.counts.parts_sent += len(reply.part_by_digest)
+                actions.append(Send(sender, reply))
+            case PartReply(part_by_digest=parts):
+                actions += self._handle_parts(parts, now)
+            case _:
+                actions += self._repair(sender, envelope, now)
+        return actions
+
+    def observe(
+        self,
+        instance: str,
+        revision: int,
+        digest: str,
+        now: float,
+    ) -> list[RelayAction]:
+        """Compare a revision that a request or response header names.
+
+        :param instance: the process that sent it.
+        """
+        if revision == self.revision and digest != self.digest and self.sheet:
+            return self._alarm_conflict(instance, revision, digest)
+        if revision <= self.revision or digest in self._refused:
+            return []
+        if self._fetch and self._fetch.manifest.digest == digest:
+            self._fetch.add_holder(instance)
+        elif self._rumour is None or self._rumour.revision < revision:
+            self._rumour = _Rumour(revision, instance, now)
+        return []
+
+    def manifest_read(
+        self,
+        data: bytes,
+        version: str,
+        now: float,
+        age: float = 0.0,
+    ) -> list[RelayAction]:
+        """Handle the manifest as the configuration service returned it.
+
+        :param version: value of `X-Version`.
+        :param age: seconds since its publication, as far as the service says.
+        """
+        self._reader.watch_ended(version)
+        decoded = decode_manifest(data, "manifest")
+        if isinstance(decoded, Err):
+            return self._alarm_once("manifest-invalid", str(decoded.err_value[0]))
+        manifest = decoded.ok_value
+        actions: list[RelayAction] = []
+        if manifest.revision < self.revision:
+            text = f"it has revision {manifest.revision}, {self.revision} is in force"
+            actions += self._alarm_once("config-service-stale", text)
+        actions += self._consider(manifest, None, now, max(age, 0.0), 0.0)
+        return actions + self.tick(now)
+
+    def manifest_unchanged(self, now: float) -> list[RelayAction]:
+        """Handle a watch that ended without news."""
+        self._reader.watch_ended()
+        return self.tick(now)
+
+    def manifest_failed(self, now: float) -> list[RelayAction]:
+        """Handle a failed watch."""
+        return self._alarm_failure(self._reader.watch_failed(now))
+
+    def part_read(self, digest: str, data: bytes, now: float) -> list[RelayAction]:
+        """Handle a part as the configuration service returned it."""
+        if digest_part(data) != digest:
+            self.counts.bad_parts += 1
+            return self.part_failed(digest, now)
+        self._reader.part_ended(digest)
+        return self._handle_parts({digest: data}, now)
+
+    def part_failed(self, digest: str, now: float) -> list[RelayAction]:
+        """Handle a failed read of a part."""
+        return self._alarm_failure(self._reader.part_failed(digest, now))
+
+    def applied(self, revision: int, now: float) -> ChangeTimes | None:
+        """Record that the process uses a revision, and return its stage delays."""
+        if not self._changes or self._changes[-1].revision != revision:
+            return None
+        apply = max(now - self._in_force_at, 0.0)
+        self._changes[-1] = replace(self._changes[-1], apply=apply)
+        return self._changes[-1]
+
+    def _consider(
+        self,
+        manifest: Manifest,
+        holder: str | None,
+        now: float,
+        read_seconds: float,
+        relay_seconds: float,
+    ) -> list[RelayAction]:
+        """Fetch a revision if it is the highest one known.
+
+        :param holder: peer that offers it, None for the configuration service.
+        """
+        revision, digest = manifest.revision, manifest.digest
+        if revision == self.revision and digest != self.digest:
+            return self._alarm_conflict(holder or "config service", revision, digest)
+        if revision <= self.revision or digest in self._refused:
+            return []
+        fetch = self._fetch
+        if fetch is None or fetch.manifest.revision < revision:
+            missing = self._store.missing_digests(manifest)
+            fetch = PartFetch(manifest, missing, now, read_seconds, relay_seconds)
+            self._fetch = fetch
+            self._store.drop_unused([manifest])
+        elif fetch.manifest.revision > revision:
+            return []
+        elif fetch.manifest.digest != digest:
+            return self._alarm_conflict(holder or "config service", revision, digest)
+        fetch.add_source(holder)
+        return self._continue_fetch(now)
+
+    def _continue_fetch(self, now: float) -> list[RelayAction]:
+        fetch = self._fetch
+        if fetch is None:
+            return []
+        if not fetch.missing:
+            return self._accept(fetch, now)
+        if self._reads_parts(fetch):
+            started = self._reader.start_part_reads(fetch.missing, now)
+            self.counts.part_reads += len(started)
+            return [FetchPart(digest) for digest in started]
+        request = fetch.next_request(now)
+        if request is not None:
+            holder, digests = request
+            return [Send(holder, PartRequest(digests))]
+        if fetch.exhausted:
+            # The next heartbeat of a holder starts it again.
+            self._fetch = None
+            self._reader.forget_version()
+            self.counts.fetches_given_up += 1
+        return []
+
+    def _reads_parts(self, fetch: PartFetch) -> bool:
+        """Return whether to read parts from the configuration service."""
+        if not self.is_reader:
+            return False
+        if fetch.exhausted or not fetch.has_holders:
+            return True
+        return fetch.from_config and self._reader.failures == 0
+
+    def _accept(self, fetch: PartFetch, now: float) -> list[RelayAction]:
+        """Check a complete revision and put it in force."""
+        self._fetch = None
+        checked = self._check(fetch.manifest)
+        if isinstance(checked, Alarm):
+            self._refused.append(fetch.manifest.digest)
+            self._store.drop_unused([])
+            return [checked]
+        return self._put_in_force(fetch, checked, now)
+
+    def _check(self, manifest: Manifest) -> Sheet | Alarm:
+        sheet, digest = self.sheet, manifest.digest
+        same_routing = manifest.routing_digest == self.routing_digest
+        if sheet is not None and same_routing and not self._is_entry:
+            # Only accounts differ, which agents do not hold.
+            return replace(sheet, revision=manifest.revision, digest=digest)
+        checked = check_parts(
+            manifest,
+            self._store.parts_of(manifest),
+            f"revision {manifest.revision}",
+            self._cache,
+            with_accounts=self._is_entry,
+        )
+        if isinstance(checked, Err):
+            findings = checked.err_value
+            text = f"{len(findings)} findings, the first: {findings[0]}"
+            return Alarm("sheet-refused", text)
+        return checked.ok_value
+
+    def _put_in_force(
+        self,
+        fetch: PartFetch,
+        sheet: Sheet,
+        now: float,
+    ) -> list[RelayAction]:
+        manifest, previous = fetch.manifest, self.manifest
+        if manifest.revision <= self.revision:
+            return []
+        accept_seconds = now - fetch.heard_at
+        if previous and self._inquiry.is_over(self.revision, now):
+            # A process that catches up after a start or pause says nothing about how
+            # fast changes spread.
+            times = (fetch.read_seconds, fetch.relay_seconds, accept_seconds)
+            self._changes.append(ChangeTimes(manifest.revision, *times))
+        self.sheet = sheet
+        self._in_force_at = now
+        relay_seconds = fetch.relay_seconds + accept_seconds
+        self._source.put_in_force(manifest, now, fetch.read_seconds, relay_seconds)
+        if self._rumour and self._rumour.revision <= self.revision:
+            self._rumour = None
+        self._inquiry.settle(self.revision, now)
+        base_digest = previous.digest if previous else ""
+        return [InForce(sheet), *self._offer_to(self._receivers, base_digest, now)]
+
+    def _handle_offer(
+        self,
+        sender: str,
+        offer: SheetOffer,
+        now: float,
+    ) -> list[RelayAction]:
+        self.counts.offers_received += 1
+        self._inquiry.note_answer(offer.query_id, offer.revision, now)
+        if offer.revision < self.revision or offer.digest in self._refused:
+            return []
+        base = self._known_manifest(offer.base_digest)
+        if offer.base_digest and base is None:
+            # The query after the usual delay brings an offer on a base known here.
+            self._rumour = _Rumour(offer.revision, sender, now)
+            return []
+        manifest = apply_offer(offer, base)
+        if isinstance(manifest, Err):
+            self.counts.refused_offers += 1
+            text = f"{sender}, revision {offer.revision}: {manifest.err_value}"
+            return self._alarm_once("offer-invalid", text)
+        seconds = (offer.read_seconds, offer.relay_seconds)
+        return self._consider(manifest.ok_value, sender, now, *seconds)
+
+    def _known_manifest(self, digest: str) -> Manifest | None:
+        if self._fetch and self._fetch.manifest.digest == digest:
+            return self._fetch.manifest
+        return self._store.manifest(digest)
+
+    def _handle_parts(
+        self,
+        part_by_digest: Mapping[str, bytes],
+        now: float,
+    ) -> list[RelayAction]:
+        fetch = self._fetch
+        if fetch is None:
+            return []
+        if not part_by_digest:
+            fetch.holder_has_none()
+        for digest in part_by_digest.keys() & fetch.missing.keys():
+            if self._store.add_part(digest, part_by_digest[digest]):
+                self.counts.parts_received += 1
+                self._inquiry.note_progress(now)
+                fetch.received(digest)
+            else:
+                self.counts.bad_parts += 1
+        return self._continue_fetch(now)
+
+    def _answer_query(
+        self,
+        sender: str,
+        base_digest: str,
+        query_id: str,
+        now: float,
+    ) -> list[RelayAction]:
+        """Offer the revision in force, unless this process is itself not sure of it."""
+        if not self.ready(now):
+            return []
+        return self._offer_to([sender], base_digest, now, query_id)
+
+    def _repair(
+        self,
+        sender: str,
+        envelope: Envelope,
+        now: float,
+    ) -> list[RelayAction]:
+        """Offer the revision again to a peer whose heartbeat shows an older one."""
+        if envelope.revision >= self.revision or sender not in self._known_peers():
+            return []
+        last = max(self._in_force_at, self._repaired_at.get(sender, 0.0))
+        if now - last < REPAIR_SECONDS or not self.ready(now):
+            return []
+        self._repaired_at[sender] = now
+        self.counts.repairs += 1
+        return self._offer_to([sender], envelope.digest, now)
+
+    def _offer_to(
+        self,
+        receivers: Iterable[str],
+        base_digest: str,
+        now: float,
+        query_id: str = "",
+    ) -> list[RelayAction]:
+        offer = self._source.offer(base_digest, now, query_id)
+        actions: list[RelayAction] = [Send(name, offer) for name in receivers]
+        self.counts.offers_sent += len(actions)
+        return actions
+
+    def _query_rumour(self, now: float) -> list[RelayAction]:
+        rumour = self._rumour
+        if rumour is None or now - rumour.heard_at < QUERY_DELAY_SECONDS:
+            return []
+        self._rumour = None
+        if self._fetch and self._fetch.manifest.revision >= rumour.revision:
+            return []
+        targets = [rumour.instance]
+        if self._is_entry and rumour.instance in self._view.agents:
+            # Agents hold no account parts, so ask where all parts may be.
+            targets += self._preferred_peers[:ENTRIES_ASKED_FOR_AGENT]
+        return [Send(target, SheetQuery()) for target in targets]
+
+    def _known_peers(self) -> frozenset[str]:
+        view = self._view
+        return view.zone_entries | view.agents | view.other_peers
+
+    def _alarm_conflict(
+        self,
+        instance: str,
+        revision: int,
+        digest: str,
+    ) -> list[RelayAction]:
+        text = f"{instance} has another content of revision {revision}: {digest[:8]}"
+        return self._alarm_once("sheet-conflict", text)
+
+    def _alarm_failure(self, counted: bool) -> list[RelayAction]:
+        if not counted or self._reader.failures != FAILURES_BEFORE_ALARM:
+            return []
+        text = f"{FAILURES_BEFORE_ALARM} reads in a row have failed"
+        return [Alarm("config-unreachable", text)]
+
+    def _alarm_once(self, code: str, text: str) -> list[RelayAction]:
+        if text in self._alarmed:
+            return []
+        self._alarmed.append(text)
+        return [Alarm(code, text)]
--- /dev/null
+++ b/lacewingcleat/sheet_store.py
@@ -0,0 +1,84 @@
+"""coordination: the manifests and parts that a process holds.
+
+Peers may still ask for parts of a revision that was replaced a moment ago, so the last
+few manifests are kept. Parts that none of them names are dropped, which bounds memory.
+"""
+
+from collections.abc import Iterable
+
+from lacewingcleat.sheet_parts import Manifest, digest_part, is_account_part
+
+KEPT_MANIFESTS = 8
+
+
+class SheetStore:
+    """Hold the last manifests that were in force, and their parts.
+
+    :param with_accounts: whether account parts are held; agents hold none.
+    """
+
+    __slots__ = ("_manifests", "_part_by_digest", "_with_accounts")
+
+    def __init__(self, with_accounts: bool) -> None:
+        self._with_accounts = with_accounts
+        self._manifests: list[Manifest] = []
+        self._part_by_digest: dict[str, bytes] = {}
+
+    @property
+    def part_count(self) -> int:
+        """Return the number of parts held."""
+        return len(self._part_by_digest)
+
+    def manifest(self, digest: str) -> Manifest | None:
+        """Return a kept manifest by its digest."""
+        for manifest in reversed(self._manifests):
+            if manifest.digest == digest:
+                return manifest
+        return None
+
+    def needed_digests(self, manifest: Manifest) -> dict[str, str]:
+        """Return the parts that this process needs, as digest by part name."""
+        return {
+            name: digest
+            for name, digest in manifest.digest_by_part.items()
+            if self._with_accounts or not is_account_part(name)
+        }
+
+    def missing_digests(self, manifest: Manifest) -> list[str]:
+        """Return the digests of needed parts that are not held, without duplicates."""
+        needed = self.needed_digests(manifest).values()
+        held = self._part_by_digest
+        return [digest for digest in dict.fromkeys(needed) if digest not in held]
+
+    def part(self, digest: str) -> bytes | None:
+        """Return a part."""
+        return self._part_by_digest.get(digest)
+
+    def parts_of(self, manifest: Manifest) -> dict[str, bytes]:
+        """Return the held parts of a manifest by name."""
+        held = self._part_by_digest
+        return {
+            name: held[digest]
+            for name, digest in self.needed_digests(manifest).items()
+            if digest in held
+        }
+
+    def add_part(self, digest: str, part: bytes) -> bool:
+        """Hold a part if it matches its digest."""
+        if digest_part(part) != digest:
+            return False
+        self._part_by_digest[digest] = part
+        return True
+
+    def keep(self, manifest: Manifest) -> None:
+        """Remember a manifest that is now in force."""
+        self._manifests.append(manifest)
+        del self._manifests[:-KEPT_MANIFESTS]
+
+    def drop_unused(self, pending: Iterable[Manifest]) -> None:
+        """Drop parts that neither a kept nor a pending manifest names."""
+        used: set[str] = set()
+        for manifest in (*self._manifests, *pending):
+            used.update(manifest.digest_by_part.values())
+        for digest in self._part_by_digest.keys() - used:
+            del self._part_by_digest[digest]
--- /dev/null
+++ b/tests/test_sheet_relay_faults.py
@@ -0,0 +1,146 @@
+"""Revisions spread and never revert while everything around them fails."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from bench.spread_model import Network, SpreadModel
+from lacewingcleat.sheet_check import PartCache
+from tests.builders_sheet import make_group_row, make_split_sheet
+
+SHAPE = [(2, 1), (2, 1), (1, 1)]
+NAMES = sorted(SpreadModel(SHAPE, Network()).process_by_name)
+# Longer than the longest backoff of a reader plus the repair by heartbeats.
+HEAL_SECONDS = 15.0
+CACHE = PartCache()
+
+processes = st.sampled_from(NAMES)
+
+
+class SpreadFaults(RuleBasedStateMachine):
+    """Publish, lose, delay, pause, restart, partition and heal in any order."""
+
+    @initialize(seed=st.integers(0, 1000), loss=st.sampled_from([0.0, 0.05, 0.4]))
+    def start(self, seed: int, loss: float) -> None:
+        network = Network(loss=loss, slow=0.2, slow_factor=300.0)
+        self.model = SpreadModel(SHAPE, network, seed, CACHE)
+        self.revision = 1
+        self.model.publish(make_split_sheet(1))
+        self.model.run(3.0)
+
+    @rule(rate=st.sampled_from([10, 20]), seconds=st.sampled_from([0.0, 0.01, 0.5]))
+    def publish_next(self, rate: int, seconds: float) -> None:
+        self.revision += 1
+        self.model.publish(make_split_sheet(self.revision, rate=rate))
+        self.model.run(seconds)
+
+    @rule(back=st.integers(0, 3), rate=st.sampled_from([10, 30]))
+    def publish_old(self, back: int, rate: int) -> None:
+        """Publish a lower revision, or the same one with another content."""
+        self.model.publish(make_split_sheet(max(self.revision - back, 1), rate=rate))
+        self.model.run(0.01)
+
+    @rule()
+    def publish_invalid(self) -> None:
+        self.revision += 1
+        groups = [make_group_row(ranks=("unknown",))]
+        extra = {"model_groups": groups}
+        self.model.publish(make_split_sheet(self.revision, extra=extra))
+        self.model.run(0.5)
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 2.0, 6.0]))
+    def wait(self, seconds: float) -> None:
+        self.model.run(seconds)
+
+    @rule(name=processes)
+    def pause(self, name: str) -> None:
+        self.model.pause(name)
+
+    @rule(name=processes)
+    def resume(self, name: str) -> None:
+        self.model.resume(name)
+
+    @rule(name=processes)
+    def restart(self, name: str) -> None:
+        self.model.restart(name)
+
+    @rule(names=st.sets(processes))
+    def partition(self, names: set[str]) -> None:
+        self.model.split(dict.fromkeys(names, 1))
+
+    @rule(up=st.booleans())
+    def config_service(self, up: bool) -> None:
+        self.model.config.up = up
+
+    @invariant()
+    def never_reverts(self) -> None:
+        """Guards against a process that goes back to an earlier sheet."""
+        for process in getattr(self, "model", _NOTHING).process_by_name.values():
+            revisions = [revision for _time, revision in process.in_force]
+            assert revisions == sorted(set(revisions)), revisions
+            assert process.relay.held_parts <= 8 * 8
+
+    @invariant()
+    def holds_only_valid_sheets(self) -> None:
+        """Guards against a sheet in force whose references do not resolve."""
+        for process in getattr(self, "model", _NOTHING).process_by_name.values():
+            sheet = process.relay.sheet
+            if sheet is not None:
+                assert "unknown" not in sheet.group_by_name["group-1"].ranks
+
+    def teardown(self) -> None:
+        """Guards against processes that stay behind after everything has healed."""
+        if not hasattr(self, "model"):
+            return
+        model = self.model
+        model.network = Network()
+        model.split({})
+        model.config.up = True
+        for name in NAMES:
+            model.resume(name)
+        model.run(HEAL_SECONDS)
+        model.publish(make_split_sheet(self.revision + 1))
+        model.run(6.0)
+        assert set(model.revisions().values()) == {self.revision + 1}
+        for process in model.process_by_name.values():
+            assert process.relay.ready(model.now)
+
+
+class _Nothing:
+    process_by_name: dict[str, object] = {}
+
+
+_NOTHING = _Nothing()
+
+SpreadFaults.TestCase.settings = settings(
+    max_examples=60,
+    stateful_step_count=25,
+    derandomize=True,
+    deadline=None,
+)
+
+
+class SpreadFaultsTest(SpreadFaults.TestCase):
+    """Runs the state machine above."""
+
+
+@pytest.mark.soak
+@pytest.mark.timeout(3600)
+def test_spread_faults_soak() -> None:
+    """Guards against rare orders of faults that the short run does not reach."""
+    run_state_machine_as_test(
+        SpreadFaults,
+        settings=settings(
+            max_examples=2_000,
+            stateful_step_count=50,
+            derandomize=True,
+            deadline=None,
+        ),
+    )
