Run the whole path as separate processes and in the demo

Cause: the parts were written apart and had not served a request together. Change: programs for entry, agent, stand-ins and the demo; graceful stop, reload, findings printed with exit code 1; the entry's attempt loop follows retries, tickets, limits, routing and crash suspects.

--- a/lacewingcleat/agent_node.py
+++ b/lacewingcleat/agent_node.py
@@ -140,15 +140,13 @@
             self._next_report = now + REPORT_SECONDS
             defer.ensureDeferred(self._report(now))
 
-    def schedule_gate_tick(self) -> None:
-        """Do nothing; the tick loop starts queued work within its period.
-
-        Finished requests start queued ones at once, so only time-dependent starts wait
-        for the tick.
-        """
-
     # Work at the backend server
 
+    @property
+    def running_ids(self) -> set[str]:
+        """Return the requests that are at the backend server."""
+        return set(self._run_by_id)
+
     def begin_run(self, request_id: str, fingerprint: str, cost: float) -> None:
         """Note a request that is now at the backend server."""
         self._run_by_id[request_id] = _Run(fingerprint, cost)
--- a/lacewingcleat/agent_server.py
+++ b/lacewingcleat/agent_server.py
@@ -14,13 +14,14 @@
 from twisted.web.http_headers import Headers
 
 from lacewingcleat import http_headers as names
-from lacewingcleat.agent_gate import GateEvent, GateRequest, Queued, Refused, Started
+from lacewingcleat.agent_gate import GateEvent, GateRequest, Queued, Refused
 from lacewingcleat.agent_node import AgentNode
 from lacewingcleat.chat_api import SERVICES_PREFIX
 from lacewingcleat.http_headers import Outcome
 from lacewingcleat.http_relay import (
     BodyReceiver,
     SendState,
+    Throttle,
     copy_headers,
     has_body,
     set_headers,
@@ -314,8 +315,11 @@
         node = self._node
         decision = node.gate.admit(self._gate_request(call), node.now())
         if isinstance(decision, Queued):
-            node.schedule_gate_tick()
-            decision = await call.admitted
+            try:
+                decision = await call.admitted
+            except defer.CancelledError:
+                end_span(call.span, {"lacewing.code": "cancelled"}, True)
+                return
         if isinstance(decision, Refused):
             self._end_refused(call, decision, token)
             return
@@ -384,8 +388,7 @@
         match sent:
             case Ok(response):
                 complete = await self._pass_on(call, response)
-                if not complete and not call.caller_gone:
-                    node.check_backend(call.fingerprint)
+                self._judge_end(call, complete)
                 end_span(span, {"http.status_code": response.code}, not complete)
                 end_span(call.span, {"lacewing.complete": complete}, not complete)
             case Err(failure) if failure.state is SendState.NOT_SENT:
@@ -399,12 +402,20 @@
                 end_span(span, {"lacewing.error": failure.text}, True)
                 self._end_lost(call, token, failure.text)
 
+    def _judge_end(self, call: _Call, complete: bool) -> None:
+        alone = call.request.header(names.RUN_ALONE) is not None
+        if complete and alone:
+            self._node.clear_suspect(call.fingerprint)
+        if not complete and not call.caller_gone:
+            self._node.check_backend(call.fingerprint, alone)
+
     def _end_lost(self, call: _Call, token: str, text: str) -> None:
         if call.ticket_id:
             self._node.book.lose(call.ticket_id)
         if call.caller_gone:
             return
-        self._node.check_backend(call.fingerprint)
+        alone = call.request.header(names.RUN_ALONE) is not None
+        self._node.check_backend(call.fingerprint, alone)
         detail = f"the connection to the backend server broke: {text}"
         self._end(call, unknown("backend-lost", detail, token))
 
@@ -426,6 +437,7 @@
 
     async def _pass_on(self, call: _Call, response: Any) -> bool:
         """Pass an answer on to the entry; return whether it was complete."""
+        node = self._node
         request = call.request
         if request.is_open:
             request.setResponseCode(response.code)
@@ -449,10 +461,16 @@
 
         receiver = BodyReceiver(receive, ended.callback)
         call.receiver = receiver
+        limit = node.reactor.callLater(
+            max(0.0, call.deadline - node.now()),
+            receiver.abort,
+        )
         if request.is_open and has_body(response.code, request.method.decode()):
-            request.registerProducer(_Throttle(receiver), True)
+            request.registerProducer(Throttle(receiver), True)
         response.deliverBody(receiver)
         complete = await ended
+        if limit.active():
+            limit.cancel()
         call.receiver = None
         self._store(call, response, kept, complete)
         if request.is_open:
@@ -503,12 +521,10 @@
         if call.ticket_id:
             return
         node = self._node
-        if not call.admitted.called:
+        if call.request_id not in node.running_ids and not call.admitted.called:
             events = node.gate.cancel(call.request_id, node.now())
-            if call.pending is None and call.receiver is None:
-                refused = not_run(499, "cancelled", "the caller has gone")
-                del refused
             self.apply_gate_events(events)
+            call.admitted.cancel()
         if call.pending is not None:
             call.pending.cancel()
         if call.receiver is not None:
@@ -566,28 +582,6 @@
         request.setHeader(names.REVISION.encode(), revision)
 
 
-class _Throttle:
-    """Pause the backend's answer while the entry's connection is full."""
-
-    def __init__(self, receiver: BodyReceiver) -> None:
-        self._receiver = receiver
-
-    def pauseProducing(self) -> None:
-        """Stop reading from the backend server."""
-        transport: Any = self._receiver.transport
-        if transport is not None:
-            transport.pauseProducing()
-
-    def resumeProducing(self) -> None:
-        """Read on."""
-        transport: Any = self._receiver.transport
-        if transport is not None:
-            transport.resumeProducing()
-
-    def stopProducing(self) -> None:
-        """Stop for good; the loss of the connection is handled by the call."""
-
-
 def _path_below_service(path: str, name: str) -> str:
     below = path.removeprefix(f"{SERVICES_PREFIX}{name}")
     return below or "/"
--- a/lacewingcleat/config_stand_in.py
+++ b/lacewingcleat/config_stand_in.py
@@ -43,6 +43,11 @@
         self.calls = 0
         self.factory = BoundedFactory(self.handle)
 
+    @property
+    def has_sheet(self) -> bool:
+        """Return whether a sheet was published."""
+        return MANIFEST_KEY in self._value_by_key
+
     def publish(self, sheet: Any) -> None:
         """Publish a sheet document as manifest and parts."""
         split = split_sheet(sheet)
--- a/lacewingcleat/entry_answer.py
+++ b/lacewingcleat/entry_answer.py
@@ -14,7 +14,12 @@
 from lacewingcleat.entry_call import BodyWatch, EntryCall
 from lacewingcleat.event_stream import EventSplitter, encode_event
 from lacewingcleat.http_headers import Outcome
-from lacewingcleat.http_relay import BodyReceiver, copy_headers, first_header
+from lacewingcleat.http_relay import (
+    BodyReceiver,
+    Throttle,
+    copy_headers,
+    first_header,
+)
 from lacewingcleat.problems import Problem
 from lacewingcleat.retries import Said
 from lacewingcleat.token_stream import Deliver, Fail
@@ -140,13 +145,16 @@
         self._finish()
         return Said.COMPLETE
 
-    def _write_head(self, response: Any, ticket: str, length: int | None = None) -> None:
+    def _write_head(
+        self, response: Any, ticket: str, length: int | None = None
+    ) -> None:
         call = self._call
         request = call.request
         if not request.is_open:
             return
         call.head_written = True
         call.first_byte_at = read_now()
+        call.on_first_byte()
         request.setResponseCode(response.code)
         request.responseHeaders = copy_headers(response.headers, INTERNAL_HEADERS)
         request.setHeader(names.REQUEST_ID.encode(), call.request_id.encode())
@@ -188,27 +196,3 @@
         # Without the end of the chunked body the caller sees that the answer is not
         # whole.
         request.channel.loseConnection()
-
-
-class Throttle:
-    """Pause the next hop's answer while the receiving connection is full."""
-
-    __slots__ = ("_receiver",)
-
-    def __init__(self, receiver: BodyReceiver) -> None:
-        self._receiver = receiver
-
-    def pauseProducing(self) -> None:
-        """Stop reading from the next hop."""
-        transport: Any = self._receiver.transport
-        if transport is not None:
-            transport.pauseProducing()
-
-    def resumeProducing(self) -> None:
-        """Read on."""
-        transport: Any = self._receiver.transport
-        if transport is not None:
-            transport.resumeProducing()
-
-    def stopProducing(self) -> None:
-        """Stop for good; the loss of the connection is handled by the call."""
--- a/lacewingcleat/entry_call.py
+++ b/lacewingcleat/entry_call.py
@@ -44,6 +44,7 @@
     code: str = ""
     used_tokens: int = 0
     first_byte_at: float = 0.0
+    on_first_byte: Callable[[], None] = lambda: None
 
     def cancel(self) -> None:
         """Give up the attempt that is running, because the caller has gone."""
--- a/lacewingcleat/entry_dispatch.py
+++ b/lacewingcleat/entry_dispatch.py
@@ -13,7 +13,7 @@
 from twisted.web.http_headers import Headers
 
 from lacewingcleat import http_headers as names
-from lacewingcleat.chat_api import SERVICES_PREFIX, ModelRequest
+from lacewingcleat.chat_api import ModelRequest
 from lacewingcleat.clock import read_now
 from lacewingcleat.entry_answer import AnswerWriter
 from lacewingcleat.entry_call import EntryCall
@@ -26,7 +26,7 @@
     set_headers,
 )
 from lacewingcleat.load_view import Target
-from lacewingcleat.prefix_blocks import prefix_blocks
+from lacewingcleat.prefix_affinity import digest_prompt_blocks
 from lacewingcleat.problems import Problem, not_run, ran, unknown
 from lacewingcleat.rendezvous import rank_by_rendezvous
 from lacewingcleat.retries import (
@@ -53,6 +53,7 @@
     ServiceRequest,
 )
 from lacewingcleat.routing_choice import ModelRequest as RouteModel
+from lacewingcleat.routing_choice import Outcome as RoutingOutcome
 from lacewingcleat.sheet import Service
 from lacewingcleat.ticket_token import read_ticket
 from lacewingcleat.tickets import TicketUse
@@ -66,6 +67,9 @@
 # Time in which a changed sheet reaches this entry after an agent has it.
 SHEET_WAIT_SECONDS = 0.05
 MAX_ATTEMPTS = 8
+# A revocation is worth a short wait even when the deadline is near, because it can
+# turn "unknown" into a certain answer.
+MIN_REVOKE_SECONDS = 0.1
 
 CALLER_HEADERS = frozenset(
     name.lower().encode()
@@ -107,6 +111,8 @@
     stream: bool = False
     failed: frozenset[Target] = frozenset()
     may_have_run: bool = False
+    lost_targets: int = 0
+    target: Target | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,7 +145,10 @@
             max_tokens=model.max_tokens,
             version=model.version,
             adapter=model.adapter,
-            prefix_blocks=prefix_blocks(model.prompt_text),
+            prefix_blocks=digest_prompt_blocks(
+                f"{model.model}@{model.version}:{model.adapter}",
+                model.prompt_text,
+            ),
             alone=call.alone,
         )
         writer = AnswerWriter(self._node.reactor, call)
@@ -280,10 +289,17 @@
             if isinstance(choice, NoRoute):
                 self._report_no_route(work, choice)
                 return
+            work.target = choice.target
             attempt = await self._attempt(work, choice)
             if attempt is None or work.call.caller_gone:
                 return
             decision = self._decide(work, attempt)
+            if isinstance(decision, RevokeFirst):
+                revoked = await self._revoke(work, choice.target)
+                if revoked is None:
+                    return
+                attempt = revoked
+                decision = self._decide(work, attempt)
             if not isinstance(decision, RetryElsewhere | ResumeAt):
                 self._report(work, decision)
                 return
@@ -311,6 +327,8 @@
             await task.deferLater(node.reactor, SHEET_WAIT_SECONDS, lambda: None)
             return
         work.failed |= {target}
+        if attempt.sent is Sent.SOME and attempt.said in (Said.NOTHING, Said.BROKEN):
+            work.lost_targets += 1
 
     async def _attempt(self, work: _Work, choice: Choice) -> Attempt | None:
         """Make one attempt; return None if the caller has its answer."""
@@ -328,13 +346,18 @@
                 work.writer.refuse(minted.problem)
                 return None
             work.ticket = minted.token
-        sent = node.router.loads.record_send(choice.target, choice.cost, read_now())
-        try:
-            address = sheet.server_by_name[choice.server].address
-            cost = choice.cost.prefill_seconds + choice.cost.decode_seconds
-            return await self._send(work, choice.target, address, cost)
-        finally:
-            node.router.loads.record_finish(sent, read_now())
+        router = node.router
+        routed = router.record_send(choice, work.route, read_now())
+        address = sheet.server_by_name[choice.server].address
+        cost = choice.cost.prefill_seconds + choice.cost.decode_seconds
+        call = work.call
+        call.on_first_byte = lambda: router.record_first_token(routed, read_now())
+        attempt = await self._send(work, choice.target, address, cost)
+        call.on_first_byte = _do_nothing
+        tokens = call.progress.delivered
+        ended = _routing_outcome(call, attempt)
+        router.record_finish(routed, ended, read_now(), tokens)
+        return attempt
 
     async def _send(
         self,
@@ -450,35 +473,33 @@
             work.idempotent,
             work.call.deadline,
             work.origin,
-            frozenset(target.server for target in work.failed),
-            work.may_have_run,
-            self._has_other_target(work, attempt),
-            work.call.progress.delivered,
-            work.call.head_written,
-            work.stream,
+            failed_targets=frozenset(target.server for target in work.failed),
+            may_have_run=work.may_have_run,
+            lost_targets=work.lost_targets,
+            has_other_target=self._has_other_target(work, attempt),
+            delivered=work.call.progress.delivered,
+            body_begun=work.call.head_written,
+            resumable=work.stream,
         )
         return decide_retry(attempt, facts, self._node.budget, read_now())
 
     def _has_other_target(self, work: _Work, attempt: Attempt) -> bool:
         if attempt.code in ("old-revision", "must-run-alone"):
             return True
-        failed = {target.server for target in work.failed} | {attempt.target}
-        targets = work.failed | {
-            target
-            for target in self._node.pool_targets(work.route)
-            if target.server in failed
-        }
-        route = _excluding(work.route, targets, work.call.alone)
-        return not isinstance(self._node.peek(route), NoRoute)
+        failed = work.failed | {work.target} if work.target else work.failed
+        route = _excluding(work.route, failed, work.call.alone)
+        return self._node.can_route(route)
 
     def _report(self, work: _Work, decision: RetryDecision) -> None:
         match decision:
-            case RevokeFirst(server):
-                task.deferLater(self._node.reactor, 0, self._revoke, work, server)
+            case RevokeFirst():
+                raise AssertionError("a revocation is handled by the loop")
             case ReportNotRun(code, retry_after):
                 status = _status_of(code)
                 detail = f"the request was not run: {code}"
-                problem = not_run(status, code, detail, retry_after or None, work.ticket)
+                problem = not_run(
+                    status, code, detail, retry_after or None, work.ticket
+                )
                 work.writer.refuse(problem)
             case ReportUnknown(code):
                 detail = f"it is unknown whether the request ran: {code}"
@@ -487,36 +508,27 @@
                 detail = "the request ran, but its answer was lost"
                 work.writer.refuse(ran(502, "answer-lost", detail, work.ticket))
 
-    async def revoke(self, work: _Work, server: str) -> None:
-        """Ask the agent to revoke a ticket, and report what it says."""
-        await self._revoke(work, server)
-
-    async def _revoke(self, work: _Work, server: str) -> None:
+    async def _revoke(self, work: _Work, target: Target) -> Attempt | None:
+        """Ask an agent to revoke a ticket; return None if the caller has its answer."""
         sheet = self._node.sheet
+        server = target.server
         record = sheet.server_by_name.get(server) if sheet else None
-        said = Said.NOTHING
-        code = ""
-        if record is not None:
-            document = {"ticket": work.ticket, "account": work.call.account.name}
-            remaining = max(0.1, work.call.deadline - read_now())
-            sent = await self._node.client.send(
-                "POST",
-                record.address,
-                "/lacewing/tickets/revoke",
-                Headers({"Content-Type": ["application/json"]}),
-                msgspec.json.encode(document),
-                remaining,
-            )
-            if isinstance(sent, Ok):
-                response = sent.ok_value
-                attempt = await self._take_answer(
-                    work, Target(work.service, server), response
-                )
-                if attempt is None:
-                    return
-                said, code = attempt.said, attempt.code
-        revocation = Attempt(server, Sent.SOME, said, code, revocation=True)
-        self._report(work, self._decide(work, revocation))
+        silent = Attempt(server, Sent.SOME, Said.NOTHING, revocation=True)
+        if record is None:
+            return silent
+        document = {"ticket": work.ticket, "account": work.call.account.name}
+        sent = await self._node.client.send(
+            "POST",
+            record.address,
+            "/lacewing/tickets/revoke",
+            Headers({"Content-Type": ["application/json"]}),
+            msgspec.json.encode(document),
+            max(MIN_REVOKE_SECONDS, work.call.deadline - read_now()),
+        )
+        if isinstance(sent, Err):
+            return silent
+        attempt = await self._take_answer(work, target, sent.ok_value)
+        return attempt and replace(attempt, revocation=True)
 
     def _report_no_route(self, work: _Work, no_route: NoRoute) -> None:
         match no_route.reason:
@@ -581,4 +593,15 @@
             return 503
 
 
-__all__ = ["SERVICES_PREFIX", "Dispatcher"]
+def _do_nothing() -> None:
+    pass
+
+
+def _routing_outcome(call: EntryCall, attempt: Attempt | None) -> RoutingOutcome:
+    if call.caller_gone:
+        return RoutingOutcome.CANCELLED
+    if attempt is None:
+        return RoutingOutcome.COMPLETED
+    if attempt.said is Said.NOT_RUN:
+        return RoutingOutcome.REFUSED
+    return RoutingOutcome.FAILED
--- a/lacewingcleat/entry_node.py
+++ b/lacewingcleat/entry_node.py
@@ -31,7 +31,7 @@
 from lacewingcleat.sheet import Sheet
 
 DIGEST_SECONDS = 1.0
-MAX_LEASE_WAITERS = 10_000
+JUDGE_SECONDS = 1.0
 
 
 class EntryNode(Node):
@@ -57,6 +57,7 @@
         self.budget = RetryBudget(now)
         self.on_leases: list[Any] = []
         self._next_digest = 0.0
+        self._next_judgement = 0.0
 
     def on_sheet(self, sheet: Sheet, now: float) -> None:
         """Put a sheet in force for routing and limits."""
@@ -66,7 +67,7 @@
 
     def on_pause(self, now: float) -> None:
         """Drop load views from before the pause."""
-        self.router.loads.drop_older_views()
+        self.router.drop_older_views(now)
 
     def on_message(self, envelope: Envelope, now: float) -> None:
         """Handle load reports and limit messages."""
@@ -104,6 +105,7 @@
         ]
         self.limits.observe_entries(entries, now)
         self.perform(self.limits.tick(now))
+        self._judge_targets(now)
         self.router.loads.entries = max(
             1, len([peer for peer in entries if peer.zone == self.peer.zone])
         )
@@ -111,6 +113,13 @@
             self._next_digest = now + DIGEST_SECONDS
             self._send_digest(sheet, now)
 
+    def _judge_targets(self, now: float) -> None:
+        if now < self._next_judgement:
+            return
+        self._next_judgement = now + JUDGE_SECONDS
+        for event in self.router.tick(now):
+            self.log.warning(f"{event}.")
+
     def _send_digest(self, sheet: Sheet, now: float) -> None:
         """Tell other zones about the groups of this one, if this entry is a reader."""
         if not self.relay.is_reader:
@@ -166,22 +175,6 @@
             frozenset(others),
         )
 
-    def crash_neighbours(self, now: float) -> list[str]:
-        """Return the entries of the zone, the other zones' readers and the agents."""
-        sheet = self.sheet
-        own = [
-            peer.instance
-            for peer in self.membership.live_entries(self.peer.zone, now)
-            if peer.instance != self.peer.instance
-        ]
-        others = [
-            instance
-            for zone in (sheet.zone_by_name if sheet else ())
-            if zone != self.peer.zone
-            for instance in self.membership.zone_readers(zone, now)
-        ]
-        return own + others + list(self.membership.reporting_agents(now))
-
     def _wake_lease_waiters(self) -> None:
         waiters, self.on_leases = self.on_leases, []
         for waiter in waiters:
@@ -199,6 +192,10 @@
             case Err(no_route):
                 return no_route
 
+    def can_route(self, request: RouteRequest) -> bool:
+        """Return whether any target is left for a request."""
+        return self.router.choose(request, read_now(), random.Random(0)).is_ok()
+
     def status(self) -> dict[str, Any]:
         """Return the status document of the admin port."""
         now = read_now()
@@ -259,8 +256,17 @@
                     "rule": choice.rule.value,
                     "spilled": choice.spilled,
                     "pool_size": choice.pool_size,
-                    "excluded": _named(choice.count_by_exclusion),
-                    "scores": [msgspec.to_builtins(score) for score in choice.scores],
+                    "targets": [
+                        {
+                            "group": verdict.target.group,
+                            "server": verdict.target.server,
+                            "excluded": (
+                                verdict.exclusion.value if verdict.exclusion else ""
+                            ),
+                            "seconds": verdict.score.total_seconds,
+                        }
+                        for verdict in self.router.explain(request, read_now())
+                    ],
                 }
             case Err(no_route):
                 return {
--- a/lacewingcleat/entry_server.py
+++ b/lacewingcleat/entry_server.py
@@ -135,7 +135,9 @@
         digest = sha256(key.ok_value.encode()).hexdigest()
         account = sheet.account_by_key_hash.get(digest) if sheet else None
         if account is None:
-            return not_run(401, "invalid_api_key", "the key belongs to no client account")
+            return not_run(
+                401, "invalid_api_key", "the key belongs to no client account"
+            )
         return account
 
     async def _dispatch(self, call: EntryCall) -> None:
--- a/lacewingcleat/http_relay.py
+++ b/lacewingcleat/http_relay.py
@@ -93,6 +93,30 @@
             transport.loseConnection()
 
 
+class Throttle:
+    """Pause the next hop's answer while the receiving connection is full."""
+
+    __slots__ = ("_receiver",)
+
+    def __init__(self, receiver: BodyReceiver) -> None:
+        self._receiver = receiver
+
+    def pauseProducing(self) -> None:
+        """Stop reading from the next hop."""
+        transport: Any = self._receiver.transport
+        if transport is not None:
+            transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """Read on."""
+        transport: Any = self._receiver.transport
+        if transport is not None:
+            transport.resumeProducing()
+
+    def stopProducing(self) -> None:
+        """Stop for good; the loss of the connection is handled by the call."""
+
+
 class RelayClient:
     """Send requests to other hops.
 
--- a/lacewingcleat/http_server.py
+++ b/lacewingcleat/http_server.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from http import HTTPStatus
 from io import BytesIO
 from typing import Any
 
@@ -89,11 +90,19 @@
         """Return the path without the query."""
         return self.path.decode("ascii", "replace")
 
+    def set_status(self, status: int) -> None:
+        """Set the status with its standard phrase."""
+        try:
+            phrase = HTTPStatus(status).phrase.encode()
+        except ValueError:
+            phrase = b""
+        self.setResponseCode(status, phrase or None)
+
     def respond(self, status: int, content_type: str, body: bytes) -> None:
         """Send a complete answer."""
         if self._disconnected or self.finished:
             return
-        self.setResponseCode(status)
+        self.set_status(status)
         self.setHeader(b"Content-Type", content_type.encode())
         self.setHeader(b"Content-Length", str(len(body)).encode())
         self.write(body)
--- a/lacewingcleat/node.py
+++ b/lacewingcleat/node.py
@@ -8,11 +8,10 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from result import Err, Ok
 from twisted.internet import defer, task
 
 from lacewingcleat.actions import Action, Alarm, Send
-from lacewingcleat.clock import read_now, read_wall
+from lacewingcleat.clock import read_now
 from lacewingcleat.config_client import ConfigClient
 from lacewingcleat.control_channel import ControlChannel
 from lacewingcleat.crash_suspects import CrashSuspects
@@ -162,7 +161,7 @@
 
     def crash_neighbours(self, now: float) -> list[str]:
         """Return the processes to which crash reports are passed on."""
-        return self.membership.reporting_entries(now)
+        return self.membership.flood_targets(now)
 
     # Messages and actions
 
@@ -249,6 +248,8 @@
         self.perform(self.relay.set_view(self.relay_view(now), now))
         self.perform(self.relay.tick(now))
         self.perform(self.suspects.tick(self.crash_neighbours(now), now))
+        for instance in self.membership.take_newcomers():
+            self.perform(self.suspects.greet(instance, now))
         self.on_tick(now)
 
     # Start and stop
@@ -272,6 +273,11 @@
         running: defer.Deferred[Any] = loop.start(seconds, now=False)
         running.addErrback(self._loop_failed, loop, seconds)
 
+    def reload(self) -> None:
+        """Ask peers and the configuration service for the newest sheet."""
+        self.log.info("reloading; peers are asked for the newest sheet.")
+        self.perform(self.relay.wake(read_now()))
+
     def set_leaving(self) -> None:
         """Tell peers that this process takes no new work."""
         self.membership.set_leaving(read_now())
@@ -320,15 +326,9 @@
             "leaving": self.membership.leaving,
             "reads_config": relay.is_reader,
             "live_entries": {
-                zone: [peer.instance for peer in self.membership.live_entries(zone, now)]
+                zone: [
+                    peer.instance for peer in self.membership.live_entries(zone, now)
+                ]
                 for zone in (sheet.zone_by_name if sheet else {self.peer.zone: None})
             },
         }
-
-
-def wall_now() -> Any:
-    """Return the present time for decisions by local hours."""
-    return read_wall()
-
-
-__all__ = ["Err", "Node", "Ok", "wall_now"]
--- a/lacewingcleat/peer_table.py
+++ b/lacewingcleat/peer_table.py
@@ -148,6 +148,22 @@
         """Return the two entries to which this agent reports."""
         return self._entries_of_agent(self.me.instance, now)
 
+    def reporting_agents(self, now: float) -> list[str]:
+        """Return the agents that report to this entry."""
+        return sorted(
+            name for name in self._reporting_since if self._is_alive(name, now)
+        )
+
+    def is_known_gone(self, server: str, now: float) -> bool:
+        """Return whether a server is known to be leaving, dead or not serving."""
+        record = self._server(server)
+        if record is None or record.state is not ServerState.SERVING:
+            return True
+        return self.status(server, now) in (
+            PeerStatus.LEAVING,
+            PeerStatus.UNREACHABLE,
+        )
+
     def zone_readers(self, zone: str, now: float) -> list[str]:
         """Return the entries of a zone that read the configuration service."""
         names = [peer.instance for peer in self.live_entries(zone, now)]
--- /dev/null
+++ b/lacewingcleat/program.py
@@ -0,0 +1,111 @@
+"""transport: what the programs share: arguments, listeners, signals and exit codes."""
+
+import argparse
+import signal
+import sys
+from collections.abc import Callable, Coroutine, Iterable
+from pathlib import Path
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet.error import CannotListenError
+
+from lacewingcleat import __version__
+from lacewingcleat.findings import Finding
+from lacewingcleat.http_server import BoundedFactory
+from lacewingcleat.logs import PartLogger
+
+EXIT_OK = 0
+EXIT_FINDINGS = 1
+EXIT_USAGE = 2
+EXIT_CANNOT_LISTEN = 3
+BACKLOG = 1024
+
+
+def make_parser(program: str, description: str) -> argparse.ArgumentParser:
+    """Return a parser with the options that every program has."""
+    parser = argparse.ArgumentParser(prog=program, description=description)
+    parser.add_argument(
+        "--version",
+        action="version",
+        version=f"{program} {__version__}",
+    )
+    return parser
+
+
+def read_text(path: str) -> str | None:
+    """Return the text of a file, or None after telling why it cannot be read."""
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        return None
+
+
+def print_findings(findings: Iterable[Finding]) -> None:
+    """Write findings to standard error, one a line."""
+    for finding in findings:
+        print(finding, file=sys.stderr)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an `IP:port` address."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def listen(reactor: Any, address: str, factory: BoundedFactory) -> Any:
+    """Listen on an address."""
+    host, port = split_address(address)
+    return reactor.listenTCP(port, factory, backlog=BACKLOG, interface=host)
+
+
+def run_until_stopped(
+    reactor: Any,
+    start: Callable[[], None],
+    stop: Callable[[], Coroutine[Any, Any, None]],
+    reload: Callable[[], None],
+    log: PartLogger,
+) -> int:
+    """Run the reactor until SIGTERM or SIGINT, then stop gracefully.
+
+    A second signal ends the process at once. SIGHUP reloads.
+    """
+    exit_code = EXIT_OK
+    stopping = False
+
+    def begin() -> None:
+        nonlocal exit_code
+        try:
+            start()
+        except CannotListenError as error:
+            log.error(f"cannot listen: {error}")
+            exit_code = EXIT_CANNOT_LISTEN
+            reactor.stop()
+
+    def end(_signal: int = 0, _frame: object = None) -> None:
+        nonlocal stopping
+        if stopping:
+            reactor.callFromThread(reactor.stop)
+            return
+        stopping = True
+        reactor.callFromThread(stop_gracefully)
+
+    def stop_gracefully() -> None:
+        log.info("stopping; requests in flight are finished first.")
+        done: defer.Deferred[None] = defer.ensureDeferred(stop())
+        done.addErrback(lambda failure: log.error(failure.getTraceback()))
+        done.addBoth(lambda _: reactor.stop() if reactor.running else None)
+
+    def hang_up(_signal: int, _frame: object) -> None:
+        reactor.callFromThread(reload)
+
+    def install_signals() -> None:
+        signal.signal(signal.SIGTERM, end)
+        signal.signal(signal.SIGINT, end)
+        signal.signal(signal.SIGHUP, hang_up)
+
+    reactor.callWhenRunning(install_signals)
+    reactor.callWhenRunning(begin)
+    reactor.run(installSignalHandlers=False)
+    return exit_code
--- a/lacewingcleat/tickets.py
+++ b/lacewingcleat/tickets.py
@@ -279,6 +279,15 @@
             return self._refuse(record, TicketCode.REVOKED)
         return self._outcome(record, now)
 
+    def refuse_unsent(self, ticket_id: str, code: str) -> None:
+        """Refuse a started request of which nothing was sent to the service.
+
+        A refused connection proves that it did not run; the ticket becomes a tombstone.
+        """
+        record = self._record_by_id.get(ticket_id)
+        if record is not None and record.state is _State.RUNNING:
+            self._refuse(record, code)
+
     def lose(self, ticket_id: str) -> None:
         """Mark one run as lost, after its connection to the service broke."""
         record = self._record_by_id.get(ticket_id)
