Judge crashes of backend servers before the entry is answered

Cause: a request that crashes engines was sent to a third one, because the entry retried before the crash report had arrived, and the demo's engine kept idle connections open after its crash, so that the agent's check found it alive. Change: the agent checks the backend and reports the crash before it answers; the entry waits 0.1 s before it sends a lost request again; a crashed stand-in closes all its connections; an agent whose backend is down refuses as not run and reports no capacity.

--- a/lacewingcleat/agent_node.py
+++ b/lacewingcleat/agent_node.py
@@ -10,7 +10,7 @@
 
 import msgspec
 from result import Err
-from twisted.internet import defer
+from twisted.internet import defer, task
 from twisted.web.http_headers import Headers
 
 from lacewingcleat.agent_gate import AgentGate, GateEvent
@@ -74,8 +74,9 @@
         self._load: dict[str, Any] = {}
         self._sequence = 0
         self._next_report = 0.0
-        self._checking = False
-        self._alone_id = ""
+        self._check: defer.Deferred[None] | None = None
+        self._in_flight_at_check: set[str] = set()
+        self._alone_at_check = False
 
     # Sheet, time and messages
 
@@ -155,6 +156,11 @@
         """Forget a request that has ended."""
         self._run_by_id.pop(request_id, None)
 
+    @property
+    def backend_up(self) -> bool:
+        """Return whether the backend server answered the last check."""
+        return self._backend_up
+
     def refuse_suspect(self, fingerprint: str, alone: bool) -> Problem | None:
         """Return a refusal for a request that may not run this way."""
         if not fingerprint:
@@ -175,40 +181,60 @@
             self.suspects.clear(fingerprint, self.crash_neighbours(now), now),
         )
 
-    def check_backend(self, fingerprint: str, alone: bool = False) -> None:
-        """Find out whether a broken answer was a crash of the backend server.
+    async def check_backend(self, fingerprint: str, alone: bool = False) -> None:
+        """Find out whether a broken answer was a crash, and report it if so.
 
-        :param fingerprint: the request whose answer broke.
-        """
-        fingerprints = {run.fingerprint for run in self._run_by_id.values()}
-        fingerprints.add(fingerprint)
-        fingerprints.discard("")
-        defer.ensureDeferred(self._check_backend(fingerprints, alone))
+        The caller answers its entry afterwards, so that the report is on its way before
+        the entry can send the request to another server. Broken answers that come
+        together wait for the same check.
 
-    async def _check_backend(self, fingerprints: set[str], alone: bool) -> None:
-        if self._checking:
-            return
-        self._checking = True
-        try:
-            incarnation = await self._read_incarnation()
-        finally:
-            self._checking = False
-        crashed = incarnation is None or (
-            self._backend_incarnation not in ("", incarnation)
-        )
-        if incarnation is not None:
-            self._backend_incarnation = incarnation
+        :param fingerprint: the request whose answer broke, empty if none did.
+        """
+        self._in_flight_at_check |= self._fingerprints_in_flight()
+        self._in_flight_at_check.add(fingerprint)
+        self._alone_at_check |= alone
+        if self._check is None:
+            self._check = defer.ensureDeferred(self._check_backend())
+        waiter: defer.Deferred[None] = defer.Deferred()
+        self._check.addBoth(lambda _: waiter.callback(None))
+        await waiter
+
+    def _fingerprints_in_flight(self) -> set[str]:
+        return {run.fingerprint for run in self._run_by_id.values()}
+
+    async def _check_backend(self) -> None:
+        # Lets the other broken answers of the same crash join this check.
+        await task.deferLater(self.reactor, 0, lambda: None)
+        incarnation = await self._read_incarnation()
+        self._check = None
+        fingerprints, self._in_flight_at_check = self._in_flight_at_check - {""}, set()
+        alone, self._alone_at_check = self._alone_at_check, False
+        self._note_incarnation(incarnation, fingerprints, alone)
+
+    def _note_incarnation(
+        self,
+        incarnation: str | None,
+        fingerprints: set[str],
+        alone: bool,
+    ) -> None:
+        """Compare the backend's incarnation with the one before."""
+        known = self._backend_incarnation
         was_up, self._backend_up = self._backend_up, incarnation is not None
-        if crashed and was_up:
+        if incarnation:
+            self._backend_incarnation = incarnation
+        restarted = bool(incarnation and known and incarnation != known)
+        if was_up and (incarnation is None or restarted):
             self._report_crash(fingerprints, alone)
 
     async def _read_incarnation(self) -> str | None:
         """Return the backend's incarnation, empty for a service, None if it is down."""
-        path = "/state" if self.settings.backend_kind == "engine" else "/"
+        address = self.settings.backend_address
+        if self.settings.backend_kind != "engine":
+            return "" if await self.client.can_connect(address) else None
         fetched = await self.client.fetch(
-            "GET" if self.settings.backend_kind == "engine" else "HEAD",
-            self.settings.backend_address,
-            path,
+            "GET",
+            address,
+            "/state",
             Headers(),
             b"",
             CHECK_TIMEOUT_SECONDS,
@@ -216,8 +242,6 @@
         )
         if isinstance(fetched, Err):
             return None
-        if self.settings.backend_kind != "engine":
-            return ""
         try:
             state = msgspec.json.decode(fetched.ok_value[1], type=dict[str, Any])
         except msgspec.MsgspecError:
@@ -248,6 +272,8 @@
     async def _report(self, now: float) -> None:
         if self.settings.backend_kind == "engine":
             await self._poll_load()
+        elif not self._backend_up:
+            await self.check_backend("")
         report = self._make_report(now)
         if report is None or self.stopping:
             return
@@ -270,19 +296,20 @@
             MAX_STATE_BYTES,
         )
         if isinstance(fetched, Err):
-            if self._backend_up:
-                self.check_backend("")
+            await self.check_backend("")
             return
-        self._backend_up = True
         try:
             self._load = msgspec.json.decode(fetched.ok_value[1], type=dict[str, Any])
         except msgspec.MsgspecError:
             self._load = {}
+        in_flight = self._fingerprints_in_flight()
+        incarnation = str(self._load.get("incarnation", ""))
+        self._note_incarnation(incarnation, in_flight, False)
 
     def _make_report(self, now: float) -> GroupReport | None:
         if self.service is not None:
             return self._service_report(self.service)
-        if self.leader is None or self.group is None or not self._backend_up:
+        if self.leader is None or self.group is None:
             return None
         load = self._load
         self.leader.observe_own(float(load.get("step_seconds", 0.0)), {}, 1)
@@ -293,7 +320,7 @@
         front = FrontState(
             self._queued_seconds(),
             self.gate.running,
-            self.gate.slots,
+            self._capacity(),
             float(load.get("prefill_tokens_per_second", 0.0)),
             tuple(load.get("adapters", ())),
             self.group.versions,
@@ -309,6 +336,10 @@
             or self.membership.may_receive_work(name, now)
         }
 
+    def _capacity(self) -> int:
+        """Return the slots, or 0 while the backend server is down."""
+        return self.gate.slots if self._backend_up else 0
+
     def _queued_seconds(self) -> float:
         waiting = self.gate.waiting * self.gate.queue.service_seconds
         return waiting / max(1, self.gate.slots)
@@ -320,7 +351,7 @@
             self.settings.server,
             self._queued_seconds(),
             self.gate.running,
-            self.gate.slots,
+            self._capacity(),
             self.gate.queue.service_seconds or DEFAULT_SERVICE_SECONDS,
             0,
             0.0,
--- a/lacewingcleat/agent_server.py
+++ b/lacewingcleat/agent_server.py
@@ -229,6 +229,10 @@
             detail = "the agent has too many open requests"
             self._end(call, not_run(503, "overload", detail, 1.0))
             return
+        if not node.backend_up:
+            detail = "the backend server is down"
+            self._end(call, not_run(503, "backend-down", detail, 1.0))
+            return
         refusal = node.refuse_suspect(
             call.fingerprint, request.header(names.RUN_ALONE) is not None
         )
@@ -388,34 +392,37 @@
         match sent:
             case Ok(response):
                 complete = await self._pass_on(call, response)
-                self._judge_end(call, complete)
+                await self._judge_end(call, complete)
                 end_span(span, {"http.status_code": response.code}, not complete)
                 end_span(call.span, {"lacewing.complete": complete}, not complete)
             case Err(failure) if failure.state is SendState.NOT_SENT:
                 end_span(span, {"lacewing.error": failure.text}, True)
                 if call.ticket_id:
                     node.book.refuse_unsent(call.ticket_id, "backend-unreachable")
-                node.check_backend("")
+                await node.check_backend("")
                 detail = "the backend server does not accept connections"
                 self._end(call, not_run(503, "backend-unreachable", detail, 1.0))
             case Err(failure):
                 end_span(span, {"lacewing.error": failure.text}, True)
-                self._end_lost(call, token, failure.text)
+                await self._end_lost(call, token, failure.text)
 
-    def _judge_end(self, call: _Call, complete: bool) -> None:
+    async def _judge_end(self, call: _Call, complete: bool) -> None:
         alone = call.request.header(names.RUN_ALONE) is not None
         if complete and alone:
             self._node.clear_suspect(call.fingerprint)
         if not complete and not call.caller_gone:
-            self._node.check_backend(call.fingerprint, alone)
+            await self._node.check_backend(call.fingerprint, alone)
+            # A broken chunked body tells the entry that the answer is not whole.
+            if call.request.is_open:
+                call.request.channel.forceAbortClient()
 
-    def _end_lost(self, call: _Call, token: str, text: str) -> None:
+    async def _end_lost(self, call: _Call, token: str, text: str) -> None:
         if call.ticket_id:
             self._node.book.lose(call.ticket_id)
         if call.caller_gone:
             return
         alone = call.request.header(names.RUN_ALONE) is not None
-        self._node.check_backend(call.fingerprint, alone)
+        await self._node.check_backend(call.fingerprint, alone)
         detail = f"the connection to the backend server broke: {text}"
         self._end(call, unknown("backend-lost", detail, token))
 
@@ -478,9 +485,6 @@
                 request.unregisterProducer()
             if complete:
                 request.finish()
-            else:
-                # A broken chunked body tells the entry that the answer is not whole.
-                request.channel.forceAbortClient()
         return complete
 
     def _store(
--- a/lacewingcleat/demo_main.py
+++ b/lacewingcleat/demo_main.py
@@ -39,7 +39,11 @@
 ANSWER_SECONDS = 20.0
 MAX_ANSWER_BYTES = 1 << 20
 POLL_SECONDS = 0.1
-CONCURRENT_REQUESTS = 40
+CONCURRENT_REQUESTS = 24
+# A caller that is told to come back later does so this often.
+MAX_SENDS = 6
+# A new home entry of account limits grants leases only after this time.
+WARM_UP_SECONDS = 8.0
 DEMO_KEY_PREFIX = "demo-"
 
 
@@ -78,6 +82,7 @@
         prefixes = [rule["path_prefix"] for rule in rules if rule["method"] == "GET"]
         self.read_path = (prefixes or ["/"])[0]
         self.write_path = "/demo-order"
+        self.require_ticket = sheet["services"][0].get("require_ticket", False)
 
     def next_entry(self) -> str:
         """Return the request address of the next entry in turn."""
@@ -92,6 +97,23 @@
         body: object = None,
         headers: dict[str, str] | None = None,
         key: str = "",
+    ) -> Answer:
+        """Send a request, and again when its account's limit asks for patience."""
+        for _ in range(MAX_SENDS):
+            answer = await self.send_once(method, path, body, headers, key)
+            if answer.status != 429:
+                break
+            seconds = float(first_header(answer.headers, names.RETRY_AFTER) or 1)
+            await task.deferLater(reactor, seconds, lambda: None)
+        return answer
+
+    async def send_once(
+        self,
+        method: str,
+        path: str,
+        body: object,
+        headers: dict[str, str] | None,
+        key: str,
     ) -> Answer:
         """Send one request through the next entry."""
         sent_headers = Headers()
@@ -187,9 +209,11 @@
         return "" if len(bodies) == 1 else "the answers differ"
 
     async def check_bare_order(self) -> str:
-        """Check that an order without key and ticket runs once."""
+        """Check an order without key and ticket: it runs once, or is refused."""
         path = f"/services/{self.service}{self.write_path}"
         answer = await self.send("POST", path, {"order": "one manifold"})
+        if self.require_ticket:
+            return "" if answer.status == 428 else f"status {answer.status}"
         runs = [
             count
             for call, count in self._fleet.executions().items()
@@ -315,8 +339,7 @@
     end = read_now() + READY_SECONDS
     while read_now() < end:
         if fleet.is_ready():
-            # One more period, so that load reports of all groups have arrived.
-            await task.deferLater(reactor, 1.0, lambda: None)
+            await task.deferLater(reactor, WARM_UP_SECONDS, lambda: None)
             return True
         await task.deferLater(reactor, POLL_SECONDS, lambda: None)
     return False
@@ -348,6 +371,7 @@
     fleet = DemoFleet(reactor, parsed.ok_value.value)
     log = PartLogger("demo")
     failures: list[str] = []
+    done: list[str] = []
     react: Any = reactor
 
     async def run() -> None:
@@ -366,6 +390,7 @@
                 return
             results = await demo.run()
             failures.extend(result.name for result in results if result.problem)
+            done.extend(result.name for result in results)
         finally:
             if not options.serve:
                 await fleet.close()
@@ -381,6 +406,9 @@
         print(f"{len(failures)} checks failed.")
         return EXIT_FINDINGS
     if exit_code == EXIT_OK and not options.serve:
+        if not done:
+            print("The demo was stopped before it had ended.")
+            return EXIT_FINDINGS
         print("All answers were right.")
     return exit_code
 
--- a/lacewingcleat/engine_stand_in.py
+++ b/lacewingcleat/engine_stand_in.py
@@ -178,6 +178,7 @@
 
     def _crash(self) -> None:
         self.stop()
+        self.factory.abort_connections()
         if self._on_crash is not None:
             self._on_crash()
 
@@ -225,6 +226,7 @@
         remaining = sum(len(run.tokens) - run.position for run in runs)
         running = min(self.slots, len(self._run_by_request_id))
         return {
+            "incarnation": self.incarnation,
             "running": running,
             "waiting": len(self._run_by_request_id) - running,
             "capacity": self.slots,
--- a/lacewingcleat/entry_dispatch.py
+++ b/lacewingcleat/entry_dispatch.py
@@ -15,6 +15,7 @@
 from lacewingcleat import http_headers as names
 from lacewingcleat.chat_api import ModelRequest
 from lacewingcleat.clock import read_now
+from lacewingcleat.crash_suspects import CRASHES_SERVER, Convicted, RunAlone
 from lacewingcleat.entry_answer import AnswerWriter
 from lacewingcleat.entry_call import EntryCall
 from lacewingcleat.entry_node import EntryNode
@@ -67,6 +68,8 @@
 # Time in which a changed sheet reaches this entry after an agent has it.
 SHEET_WAIT_SECONDS = 0.05
 MAX_ATTEMPTS = 8
+# Crash reports take two to three hops inside a zone.
+CRASH_REPORT_WAIT_SECONDS = 0.1
 # A revocation is worth a short wait even when the deadline is near, because it can
 # turn "unknown" into a certain answer.
 MIN_REVOKE_SECONDS = 0.1
@@ -303,9 +306,31 @@
             if not isinstance(decision, RetryElsewhere | ResumeAt):
                 self._report(work, decision)
                 return
+            if not await self._may_run_again(work, attempt):
+                return
             await self._prepare_retry(work, choice.target, attempt, decision)
         work.writer.refuse(_unsent(work, "attempts-exhausted", 1.0))
 
+    async def _may_run_again(self, work: _Work, attempt: Attempt) -> bool:
+        """Return whether a request may be sent again after it was lost.
+
+        Its server may have crashed by it. The crash report needs a moment to get here;
+        without the wait, the request would reach the next server beside others.
+        """
+        if attempt.sent is Sent.NOTHING or attempt.said is Said.NOT_RUN:
+            return True
+        node = self._node
+        call = work.call
+        await task.deferLater(node.reactor, CRASH_REPORT_WAIT_SECONDS, lambda: None)
+        match node.suspects.verdict(call.fingerprint, read_now()):
+            case Convicted():
+                detail = "the request has crashed two backend servers"
+                work.writer.refuse(ran(422, CRASHES_SERVER, detail))
+                return False
+            case RunAlone():
+                call.alone = True
+        return True
+
     async def _prepare_retry(
         self,
         work: _Work,
--- a/lacewingcleat/http_relay.py
+++ b/lacewingcleat/http_relay.py
@@ -13,7 +13,7 @@
 
 from result import Err, Ok, Result
 from twisted.internet import defer, error
-from twisted.internet.interfaces import IReactorTime
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from twisted.web import http
@@ -124,7 +124,7 @@
     """
 
     def __init__(self, reactor: Any) -> None:
-        self._reactor: IReactorTime = reactor
+        self._reactor: Any = reactor
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_SECONDS
@@ -194,6 +194,22 @@
             return Err(SendFailure(SendState.SENT, "the answer broke off"))
         return Ok((response, content))
 
+    async def can_connect(self, address: str) -> bool:
+        """Return whether a hop accepts connections."""
+        host, _, port = address.rpartition(":")
+        endpoint = TCP4ClientEndpoint(
+            self._reactor,
+            host,
+            int(port),
+            CONNECT_TIMEOUT_SECONDS,
+        )
+        try:
+            protocol: Any = await connectProtocol(endpoint, Protocol())
+        except error.ConnectError:
+            return False
+        protocol.transport.abortConnection()
+        return True
+
     async def read_body(
         self,
         response: Any,
--- a/lacewingcleat/http_server.py
+++ b/lacewingcleat/http_server.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 from io import BytesIO
 from typing import Any
+from weakref import WeakSet
 
 from twisted.internet import reactor
 from twisted.web import http
@@ -135,6 +136,7 @@
     ) -> None:
         super().__init__(timeout=IDLE_TIMEOUT_SECONDS)
         self.handle = handle
+        self._channels: WeakSet[Any] = WeakSet()
         self.body_limit = body_limit
 
     def buildProtocol(self, addr: Any) -> Any:
@@ -144,7 +146,14 @@
         channel.timeOut = self.timeOut
         channel.requestFactory = BoundedRequest
         channel.bounded_factory = self
+        self._channels.add(channel)
         return channel
 
+    def abort_connections(self) -> None:
+        """Break off all connections, as the end of a process would."""
+        for channel in list(self._channels):
+            if channel.transport is not None:
+                channel.forceAbortClient()
+
     def log(self, request: http.Request) -> None:
         """Write no access log; metrics and traces carry that information."""
