Test account limits against faults of all kinds

Cause: the bound on admission has to hold under loss, delay, restarts, partitions and wrong views. It found that an entry took a majority of one before it had a sheet (15.99 of 12 requests a second leased after a restart); without a sheet there is now no majority.

--- a/lacewingcleat/account_limits.py
+++ b/lacewingcleat/account_limits.py
@@ -179,7 +179,7 @@
     def apply_sheet(self, sheet: Sheet, now: float) -> None:
         """Put a revision in force."""
         self._sheet = sheet
-        self._home.apply_sheet(sheet)
+        self._home.apply_sheet(sheet, now)
         for name, account in list(self._account_by_name.items()):
             if name not in sheet.account_by_name:
                 if account.running == 0:
--- a/lacewingcleat/home_authority.py
+++ b/lacewingcleat/home_authority.py
@@ -150,6 +150,9 @@
         return end == now and established
 
     def _refresh(self, now: float) -> None:
+        if self._expected == 0:
+            # Without a sheet that names the zone, no number of votes is a majority.
+            return
         until = sorted(
             (
                 vote.until
--- a/lacewingcleat/limit_home.py
+++ b/lacewingcleat/limit_home.py
@@ -121,6 +121,7 @@
         "_ask_budget",
         "_ask_budget_at",
         "_authority",
+        "_digest",
         "_me",
         "_names_by_zone",
         "_next_request_id",
@@ -134,6 +135,7 @@
         self._authority = HomeAuthority(me)
         self._sheet: Sheet | None = None
         self._zones: list[str] = []
+        self._digest = ""
         self._names_by_zone: Mapping[str, tuple[str, ...]] = {}
         self._account_by_name: dict[str, _Account] = {}
         self._next_request_id = (int(me.incarnation[:10] or "0", 16) << 23) + (1 << 22)
@@ -146,7 +148,7 @@
         """Return the votes, for metrics and status pages."""
         return self._authority
 
-    def apply_sheet(self, sheet: Sheet) -> None:
+    def apply_sheet(self, sheet: Sheet, now: float) -> None:
         """Put a revision in force."""
         self._sheet = sheet
         own = sheet.zone_by_name.get(self._me.zone)
@@ -158,6 +160,7 @@
         for name in list(self._account_by_name):
             if name not in sheet.account_by_name:
                 del self._account_by_name[name]
+        self.observe_view(self._names_by_zone, self._digest, now)
 
     def observe_view(
         self,
@@ -171,6 +174,7 @@
         :param digest: digest of the own zone's view.
         """
         self._names_by_zone = names_by_zone
+        self._digest = digest
         expected = 0
         if self._sheet is not None and self._me.zone in self._sheet.zone_by_name:
             expected = self._sheet.zone_by_name[self._me.zone].entries
--- a/tests/builders_limits.py
+++ b/tests/builders_limits.py
@@ -1,8 +1,11 @@
 """Builders of test data for limits, claims and the agent gate."""
 
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from math import inf
+from random import Random
 
-from lacewingcleat.account_limits import AccountLimits
+from lacewingcleat.account_limits import AccountLimits, LimitPermit
 from lacewingcleat.actions import Action, Send
 from lacewingcleat.agent_gate import AgentGate, GateRequest
 from lacewingcleat.identity import Peer
@@ -11,44 +14,131 @@
 from tests.builders import make_peer, make_sheet
 
 
+@dataclass
+class LimitsProcess:
+    """Hold an entry process with its own clock and the requests it runs."""
+
+    peer: Peer
+    limits: AccountLimits
+    clock_rate: float
+    clock_offset: float
+    paused: bool = False
+    permits: list[LimitPermit] = field(default_factory=list)
+    waited: set[str] = field(default_factory=set)
+
+    def clock(self, now: float) -> float:
+        """Return what the process's clock shows."""
+        return now * self.clock_rate + self.clock_offset
+
+
+@dataclass
+class MessageInFlight:
+    """Hold a message with the moment of its delivery."""
+
+    due: float
+    sender: Peer
+    instance: str
+    message: LimitDemands | LimitLeases
+
+
 class LimitsNetwork:
-    """Run entries in memory, with messages delivered at once."""
+    """Run entries in memory; messages are lost, doubled and delayed as told.
+
+    :param loss: probability that a message is lost; doubling is half as likely.
+    :param max_delay: bound of the delay in seconds; 0 delivers at once.
+    """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, seed: int = 0) -> None:
         self.now = now
-        self.peer_by_instance: dict[str, Peer] = {}
-        self.limits_by_instance: dict[str, AccountLimits] = {}
+        self.random = Random(seed)
+        self.loss = 0.0
+        self.max_delay = 0.0
+        self.process_by_instance: dict[str, LimitsProcess] = {}
+        self.side_by_instance: dict[str, int] = {}
+        self.in_flight: list[MessageInFlight] = []
+        self.starts = 0
 
-    def start(self, peer: Peer, sheet: Sheet) -> None:
+    def start(
+        self,
+        peer: Peer,
+        sheet: Sheet,
+        clock_rate: float = 1.0,
+        clock_offset: float = 0.0,
+    ) -> LimitsProcess:
         """Start an entry, in place of an earlier one of the same name."""
-        limits = AccountLimits(peer, self.now)
-        limits.apply_sheet(sheet, self.now)
-        self.peer_by_instance[peer.instance] = peer
-        self.limits_by_instance[peer.instance] = limits
+        self.starts += 1
+        limits = AccountLimits(peer, self.now * clock_rate + clock_offset)
+        process = LimitsProcess(peer, limits, clock_rate, clock_offset)
+        limits.apply_sheet(sheet, process.clock(self.now))
+        self.process_by_instance[peer.instance] = process
+        return process
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        """Return whether no partition separates two entries."""
+        side = self.side_by_instance
+        return side.get(sender, 0) == side.get(receiver, 0)
+
+    def observe(self, instance: str, names: Iterable[str]) -> None:
+        """Let an entry see the live entries among the names."""
+        process = self.process_by_instance[instance]
+        seen = [
+            self.process_by_instance[name].peer
+            for name in names
+            if name in self.process_by_instance
+        ]
+        process.limits.observe_entries(seen, process.clock(self.now))
 
     def observe_all(self) -> None:
-        """Let all entries see each other."""
-        for limits in self.limits_by_instance.values():
-            limits.observe_entries(self.peer_by_instance.values(), self.now)
+        """Let all entries see the entries that they reach."""
+        for instance in self.process_by_instance:
+            reached = [n for n in self.process_by_instance if self.reaches(instance, n)]
+            self.observe(instance, reached)
 
-    def deliver(self, sender: str, actions: list[Action]) -> None:
-        """Deliver messages and the answers to them."""
+    def deliver(self, sender: Peer, actions: Iterable[Action]) -> None:
+        """Send messages."""
         for action in actions:
             assert isinstance(action, Send)
             assert isinstance(action.message, LimitDemands | LimitLeases)
-            receiver = self.limits_by_instance.get(action.instance)
-            if receiver is not None:
-                peer = self.peer_by_instance[sender]
-                answers = receiver.receive(peer, action.message, self.now)
-                self.deliver(action.instance, answers)
+            copies = (self.random.random() >= self.loss) + (
+                self.random.random() < self.loss / 2
+            )
+            for _ in range(copies):
+                due = self.now + self.random.random() * self.max_delay
+                message = MessageInFlight(due, sender, action.instance, action.message)
+                if self.max_delay == 0.0:
+                    self._arrive(message)
+                else:
+                    self.in_flight.append(message)
 
     def run(self, seconds: float, step: float = 0.25) -> None:
         """Let time pass with regular ticks."""
-        end = self.now + seconds
+        end = self.now + seconds - step / 2
         while self.now < end:
             self.now += step
-            for instance, limits in list(self.limits_by_instance.items()):
-                self.deliver(instance, limits.tick(self.now))
+            due = [message for message in self.in_flight if message.due <= self.now]
+            self.in_flight = [item for item in self.in_flight if item.due > self.now]
+            for message in sorted(due, key=lambda message: message.due):
+                self._arrive(message)
+            for process in list(self.process_by_instance.values()):
+                if not process.paused:
+                    actions = process.limits.tick(process.clock(self.now))
+                    self.deliver(process.peer, actions)
+
+    def _arrive(self, message: MessageInFlight) -> None:
+        process = self.process_by_instance.get(message.instance)
+        if process is None or not self.reaches(
+            message.sender.instance,
+            message.instance,
+        ):
+            return
+        if process.paused:
+            # The socket keeps the message until the process runs again.
+            message.due = self.now + 0.25
+            self.in_flight.append(message)
+            return
+        clock = process.clock(self.now)
+        answers = process.limits.receive(message.sender, message.message, clock)
+        self.deliver(process.peer, answers)
 
 
 def make_gate_request(
--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -18,10 +18,11 @@
     admitted = 0
     for _ in range(int(seconds / 0.05)):
         for instance in entries:
-            limits = network.limits_by_instance[instance]
+            process = network.process_by_instance[instance]
+            limits = process.limits
             decision = limits.admit("acme", 10, network.now)
             if isinstance(decision, LimitWait):
-                network.deliver(instance, list(decision.actions))
+                network.deliver(process.peer, decision.actions)
                 decision = limits.admit("acme", 10, network.now, waited=True)
             if isinstance(decision, LimitPermit):
                 admitted += 1
@@ -47,8 +48,7 @@
         )
         network = make_limits_zone(sheet)
         other = make_limits_zone(sheet, "brandon")
-        network.peer_by_instance |= other.peer_by_instance
-        network.limits_by_instance |= other.limits_by_instance
+        network.process_by_instance |= other.process_by_instance
         network.observe_all()
         network.run(SETTLED_SECONDS)
         admit_all(network, 6.0, ["regina-0", "regina-1"])
@@ -68,12 +68,13 @@
         """Guards against a caller that cannot tell which limit to raise."""
         network = make_limits_zone(make_sheet(accounts=[make_account(concurrency=3)]))
         network.run(SETTLED_SECONDS)
-        limits = network.limits_by_instance["regina-0"]
+        process = network.process_by_instance["regina-0"]
+        limits = process.limits
         decisions = []
         for _ in range(6):
             decision = limits.admit("acme", 10, network.now)
             if isinstance(decision, LimitWait):
-                network.deliver("regina-0", list(decision.actions))
+                network.deliver(process.peer, decision.actions)
                 decision = limits.admit("acme", 10, network.now, waited=True)
             decisions.append(decision)
             network.run(0.5)
