--- /dev/null
+++ b/tests/test_limits_scenarios.py
@@ -0,0 +1,204 @@
+"""Each mechanism that keeps the bound on admission, in the fault it exists for."""
+
+from collections.abc import Iterable
+
+from testtools import TestCase
+
+from lacewingcleat.actions import Send
+from lacewingcleat.home_authority import (
+    HOME_WAIT_SECONDS,
+    NEW_HOME_SECONDS,
+    VOTE_SECONDS,
+    HomeAuthority,
+)
+from lacewingcleat.lease_bucket import LeaseBucket
+from lacewingcleat.rendezvous import rank_by_rendezvous
+from tests.builders import make_peer
+from tests.test_limits_machine import NAMES, LimitsMachine
+
+REGINA = tuple(name for name in NAMES if name.startswith("regina"))
+BRANDON = tuple(name for name in NAMES if name.startswith("brandon"))
+
+
+class DrivenMachine(LimitsMachine):
+    """Run fixed steps; all checks of the machine stay on."""
+
+    def __init__(self, clocks: Iterable[float] = (1.0,) * 6) -> None:
+        self.begin(7, list(clocks))
+
+    def run_finely(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.02)):
+            self.network.run(0.02, 0.02)
+            for name in sorted(self.flooded):
+                self.offer_all(self.network.process_by_instance[name])
+            self.finish_some()
+            self.check_shares()
+
+
+def make_authority(now: float = 0.0) -> HomeAuthority:
+    """Build the authority of a zone's only entry, which is always the home entry."""
+    authority = HomeAuthority(make_peer())
+    authority.observe_view(("entry-1",), "digest", 1, now)
+    return authority
+
+
+def vote(authority: HomeAuthority, now: float) -> None:
+    authority.receive_vote("entry-1", "digest", authority.issue_challenge(now), now)
+
+
+class LimitsScenarioTest(TestCase):
+    def test_lease_of_a_slow_clock_ends_before_it_is_granted_again(self) -> None:
+        """Guards against clocks that drift while an entry is cut off."""
+        home = rank_by_rendezvous("rate", REGINA)[0]
+        clocks = [1.045 if name == home else 0.955 for name in NAMES]
+        machine = DrivenMachine(clocks)
+        machine.partition({name for name in REGINA if name != home})
+        # The cut-off entry keeps its lease; the other one hears the home entry.
+        cut_off = rank_by_rendezvous("rate", REGINA)[1]
+        machine.network.side_by_instance = {cut_off: 1}
+        machine.run_finely(4.0)
+
+    def test_loan_outlives_the_home_entry_that_granted_it(self) -> None:
+        """Guards against a new home entry that leases out what is still lent."""
+        machine = DrivenMachine()
+        machine.flooded = set(REGINA)
+        machine.run_flooded(20.0)
+        for account in ("rate", "slots", "tokens"):
+            machine.kill(rank_by_rendezvous(account, BRANDON)[0])
+        machine.network.observe_all()
+        machine.flooded = set(NAMES)
+        machine.run_flooded(16.0)
+
+    def test_borrower_does_not_outlive_its_loans(self) -> None:
+        """Guards against leases that are backed by a loan which has ended."""
+        machine = DrivenMachine()
+        machine.flooded = set(REGINA)
+        machine.run_flooded(20.0)
+        # The lender is cut off; what it lent comes back to its own zone.
+        machine.partition(set(BRANDON))
+        machine.flooded = set(NAMES)
+        machine.run_finely(10.0)
+
+    def test_late_loan_counts_from_its_demand(self) -> None:
+        """Guards against a loan that ends later at the borrower than at the lender."""
+        machine = DrivenMachine()
+        machine.flooded = set(REGINA)
+        machine.network.max_delay = 5.0
+        machine.run_flooded(30.0)
+        machine.partition(set(BRANDON))
+        machine.flooded = set(NAMES)
+        machine.run_finely(10.0)
+
+    def test_one_entry_alone_grants_nothing(self) -> None:
+        """Guards against a minority that leases out the zone's share again."""
+        machine = DrivenMachine()
+        machine.split_and_observe({REGINA[0]}, 20.0)
+        machine.split_and_observe({REGINA[1], BRANDON[1]}, 20.0)
+
+    def test_vote_that_changes_back_and_forth_makes_no_second_home(self) -> None:
+        """Guards against an entry that counts for two majorities at a time."""
+        machine = DrivenMachine()
+        first, second, third = rank_by_rendezvous("rate", REGINA)
+        machine.network.observe(second, [second, third])
+        for _ in range(20):
+            machine.network.observe(third, [second, third])
+            machine.run_flooded(1.0)
+            machine.network.observe(third, [first, second, third])
+            machine.run_flooded(1.0)
+
+    def test_running_work_keeps_its_slots(self) -> None:
+        """Guards against slots that are leased while their old holder still uses them.
+
+        Without faults the work that runs never exceeds the limit.
+        """
+        machine = DrivenMachine()
+        for flooded in (REGINA[:1], REGINA, BRANDON, NAMES, NAMES[2:4]) * 3:
+            machine.flooded = set(flooded)
+            for _ in range(24):
+                machine.run_flooded(0.25)
+                running = sum(
+                    process.limits.running_of("slots")
+                    for process in machine.network.process_by_instance.values()
+                )
+                self.assertLessEqual(running, 9)
+
+    def test_late_vote_counts_from_its_challenge(self) -> None:
+        """Guards against a delayed vote that prolongs a lost majority."""
+        authority = make_authority()
+        challenge = authority.issue_challenge(0.0)
+        authority.receive_vote("entry-1", "digest", challenge, VOTE_SECONDS - 0.1)
+        self.assertTrue(authority.holds(VOTE_SECONDS - 0.1))
+        self.assertFalse(authority.holds(VOTE_SECONDS + 0.1))
+
+    def test_vote_for_an_earlier_incarnation_does_not_count(self) -> None:
+        """Guards against a restarted home entry that lives on old votes."""
+        challenge = HomeAuthority(make_peer(incarnation="bb")).issue_challenge(0.0)
+        authority = make_authority()
+        authority.issue_challenge(0.0)
+        authority.receive_vote("entry-1", "digest", challenge, 0.1)
+        self.assertFalse(authority.holds(0.1))
+
+    def test_home_entry_that_was_away_for_long_waits_again(self) -> None:
+        """Guards against a home entry that missed the promises of another one."""
+        for gap, expected in (
+            (HOME_WAIT_SECONDS - 2, True),
+            (HOME_WAIT_SECONDS, False),
+        ):
+            authority = make_authority()
+            now = 0.0
+            while now <= NEW_HOME_SECONDS:
+                vote(authority, now)
+                now += 1.0
+            self.assertTrue(authority.may_grant("acme", now))
+            now += VOTE_SECONDS + gap
+            vote(authority, now)
+            self.assertEqual(expected, authority.may_grant("acme", now))
+
+    def test_lease_for_an_earlier_incarnation_is_ignored(self) -> None:
+        """Guards against a term that a restarted entry counts from its own demand."""
+        machine = DrivenMachine()
+        home = rank_by_rendezvous("rate", REGINA)[0]
+        name = next(name for name in REGINA if name != home)
+        network = machine.network
+        # An incarnation that has sent as many demands as the next one will send.
+        machine.restart(name, 1.0)
+        network.observe(name, REGINA)
+        process = network.process_by_instance[name]
+        old = self._demand(process, network.now)
+        peer = network.process_by_instance[home].peer
+        server = network.process_by_instance[home].limits
+        leases = server.receive(process.peer, old.message, network.now)
+        machine.restart(name, 1.0)
+        network.observe(name, REGINA)
+        process = network.process_by_instance[name]
+        network.now += 1.5
+        self._demand(process, network.now)
+        before = process.limits.share_of("rate", process.clock(network.now))
+        process.limits.receive(peer, leases[0].message, process.clock(network.now))
+        after = process.limits.share_of("rate", process.clock(network.now))
+        self.assertEqual(before, after)
+
+    def _demand(self, process, now: float) -> Send:
+        process.limits.admit("rate", 1, process.clock(now))
+        process.limits.admit("rate", 1, process.clock(now))
+        sends = process.limits.tick(process.clock(now))
+        return next(send for send in sends if send.message.demands)
+
+    def test_burst_shrinks_with_the_lease(self) -> None:
+        """Guards against a burst that is saved at one entry and leased to another."""
+        bucket = LeaseBucket(1.0, 0.0)
+        bucket.set_lease(9.0, 2.0, 0.0)
+        self.assertEqual(10.0, bucket.level(1.5))
+        self.assertEqual(1.0, bucket.level(2.0))
+        bucket.set_lease(9.0, 4.0, 2.0)
+        bucket.level(3.9)
+        bucket.set_lease(0.0, 6.0, 3.9)
+        self.assertEqual(1.0, bucket.level(3.9))
+
+    def test_debt_is_refilled_before_the_next_request(self) -> None:
+        """Guards against a long-run rate above the limit."""
+        bucket = LeaseBucket(10.0, 0.0)
+        bucket.charge(30.0, 0.0)
+        self.assertEqual(0.5, bucket.retry_after(1.0, 2.5))
+        self.assertFalse(bucket.may_charge(2.9))
+        self.assertTrue(bucket.may_charge(3.0))
