Add state machines for request safety, membership and crash suspects

Failures found and mended: agents lost sight of the entries to which they do not report every 15 s; a lost notice left a replaced server unused for 15 min.

--- a/lacewingcleat/membership.py
+++ b/lacewingcleat/membership.py
@@ -19,6 +19,7 @@
 )
 from lacewingcleat.peer_table import (
     ENTRY_ANSWER_SECONDS,
+    LEAVING_SECONDS,
     PeerStatus,
     PeerTable,
     PlatformList,
@@ -41,6 +42,7 @@
 MAX_AGENT_PROBES = 4
 # Notices of leaving and returning servers are repeated, because messages may be lost.
 NOTICE_REPEATS = 3
+MAX_OLD_NOTICES = 8
 SUSPICION_SECONDS = 15.0
 SUSPICION_REPEAT_SECONDS = 5.0
 # Bounds the burst when a whole rack is lost; connection failures cover the rest.
@@ -163,6 +165,7 @@
         if now >= self._next_list:
             self._next_list = now + PEER_LIST_SECONDS
             actions += self._send_all(targets, self._peer_list(now))
+            actions += self._old_notices(targets, now)
         return actions
 
     def update_sheet(self, sheet: Sheet) -> None:
@@ -201,9 +204,14 @@
         self._suspect_until.pop(sender.instance, None)
         if heartbeat.leaving:
             self._mark_leaving(view, now)
-        elif was_leaving and before != view.peer:
+        elif was_leaving and before != sender:
             self._notice_by_instance[sender.instance] = _Notice(now)
+        elif is_new and sender.role is Role.AGENT:
+            # The process that knew the last incarnation to be leaving may be gone.
+            self._notice_by_instance[sender.instance] = _Notice(now, left=0)
         if self.me.role is Role.AGENT:
+            if heartbeat.view_digest == self._digest:
+                self._confirm_entries(view, now)
             return []
         if sender.role is Role.AGENT:
             return self._answer_agent(view, now)
@@ -211,6 +219,12 @@
             return [Send(sender.instance, self._peer_list(now, reply_wanted=True))]
         return []
 
+    def _confirm_entries(self, view: PeerView, now: float) -> None:
+        """Take an entry's equal digest as a sign of life of all entries in it."""
+        for other in self._entry_view_by_instance.values():
+            if other.peer.zone == self.me.zone and self._is_live_entry(other, now):
+                other.alive_at = max(other.alive_at, view.alive_at)
+
     def _answer_agent(self, view: PeerView, now: float) -> list[Action]:
         """Answer an agent rarely, but soon if its view of the entries differs."""
         differs = view.view_digest != self._digest
@@ -256,13 +270,14 @@
         noted_at = sent_at - record.age
         if view.peer.incarnation in ("", peer.incarnation):
             view.peer = peer
-            if record.leaving:
-                self._mark_leaving(view, now, noted_at, sender)
-        elif noted_at > max(view.alive_at, view.leaving_at, self.views_from):
+        elif noted_at > max(view.alive_at, view.noted_at, self.views_from):
             # A later process under the name, which does not report to this one.
             view.replace(peer)
-            if record.leaving:
-                self._mark_leaving(view, now, noted_at, sender)
+        else:
+            return
+        view.noted_at = max(view.noted_at, noted_at)
+        if record.leaving:
+            self._mark_leaving(view, now, sender)
         # An agent hears only from the entries to which it reports, so it believes their
         # lists about the others, as of the time when the list was made.
         if self.me.role is Role.AGENT and peer.role is Role.ENTRY:
@@ -289,13 +304,13 @@
         self,
         view: PeerView,
         now: float,
-        noted_at: float | None = None,
         heard_from: Peer | None = None,
     ) -> None:
         if view.leaving:
             return
         view.leaving = True
-        view.leaving_at = now if noted_at is None or noted_at == NEVER else noted_at
+        if heard_from is None or view.noted_at == NEVER:
+            view.noted_at = now
         first_in_zone = heard_from is None or heard_from.zone != self.me.zone
         if first_in_zone or self.me.instance in self.zone_readers(self.me.zone, now):
             self._notice_by_instance[view.peer.instance] = _Notice(now)
@@ -338,7 +353,7 @@
                 peer, self._control_address, self._request_address, self.leaving, 0.0
             )
         view = self._view_by_instance[peer.instance]
-        known_at = max(view.alive_at, view.leaving_at, view.known_at)
+        known_at = max(view.alive_at, view.noted_at, now - FORGET_SECONDS)
         return PeerAddress(
             peer,
             view.control_address,
@@ -352,9 +367,10 @@
         records = []
         for instance, notice in list(self._notice_by_instance.items()):
             view = self._view_by_instance.get(instance)
-            if view is None or notice.left == 0 or self.me.role is Role.AGENT:
+            is_old = now - notice.next_at > LEAVING_SECONDS
+            if view is None or is_old or self.me.role is Role.AGENT:
                 del self._notice_by_instance[instance]
-            elif now >= notice.next_at:
+            elif notice.left and now >= notice.next_at:
                 notice.next_at = now + HEARTBEAT_SECONDS
                 notice.left -= 1
                 records.append(self._record(view.peer, now))
@@ -368,6 +384,25 @@
             actions += self._send_all(live, PeerList(chunk, False, now))
         return actions
 
+    def _old_notices(self, targets: Iterable[str], now: float) -> list[Action]:
+        """Repeat a few notices of the last 15 min, for entries that lost them all."""
+        instances = [
+            instance
+            for instance in self._notice_by_instance
+            if instance in self._view_by_instance
+        ]
+        chosen = instances[:MAX_OLD_NOTICES]
+        for instance in chosen:
+            notice = self._notice_by_instance.pop(instance)
+            self._notice_by_instance[instance] = notice
+        records = [
+            self._record(self._view_by_instance[instance].peer, now)
+            for instance in chosen
+        ]
+        if not records:
+            return []
+        return self._send_all(targets, PeerList(tuple(records), False, now))
+
     def _suspicions(self, now: float) -> list[Action]:
         """Tell the zone's entries of agents that should report here and are silent."""
         due = [
--- a/lacewingcleat/peer_table.py
+++ b/lacewingcleat/peer_table.py
@@ -263,7 +263,7 @@
 
     def _is_leaving(self, instance: str, view: PeerView | None, now: float) -> bool:
         if view is not None and view.leaving:
-            age = now - max(view.alive_at, view.leaving_at)
+            age = now - max(view.alive_at, view.noted_at)
             if age <= LEAVING_SECONDS:
                 return True
         if instance in self._platform.leaving:
--- a/lacewingcleat/peer_view.py
+++ b/lacewingcleat/peer_view.py
@@ -14,6 +14,9 @@
 # Clocks of two hosts drift by at most about 200 ppm against each other; the allowance
 # keeps a slow clock from looking like growing delay.
 DRIFT_ALLOWANCE = 0.001
+# Clocks of former incarnations are kept, so that their delayed messages are recognised
+# when their successor has died as well.
+MAX_CLOCKS = 4
 
 
 @dataclass(slots=True)
@@ -38,6 +41,12 @@
         return sent_at + allowed
 
 
+@dataclass(slots=True)
+class _Clock:
+    offset: ClockOffset
+    last_sent_at: float = NEVER
+
+
 @dataclass(slots=True)
 class _Candidate:
     peer: Peer
@@ -47,19 +56,21 @@
 class PeerView:
     """Follow one instance through its incarnations.
 
+    `noted_at` dates what was heard from others: that this is the present incarnation,
+    or that it is leaving. `alive_at` dates its own last sign of life.
+
     :param peer: the incarnation first heard of.
     """
 
     __slots__ = (
         "_candidate",
-        "_last_sent_at",
-        "_offset",
+        "_clock_by_incarnation",
         "alive_at",
         "answered_at",
         "control_address",
         "known_at",
         "leaving",
-        "leaving_at",
+        "noted_at",
         "peer",
         "request_address",
         "view_digest",
@@ -77,12 +88,11 @@
         self.control_address = control_address
         self.request_address = request_address
         self.leaving = False
-        self.leaving_at = NEVER
+        self.noted_at = NEVER
         self.view_digest = ""
         self.alive_at = NEVER
         self.answered_at = NEVER
-        self._last_sent_at = NEVER
-        self._offset: ClockOffset | None = None
+        self._clock_by_incarnation: dict[str, _Clock] = {}
         self._candidate: _Candidate | None = None
 
     def is_alive(self, now: float, timeout: float) -> bool:
@@ -111,12 +121,13 @@
             if self.is_alive(now, timeout) and not self._is_successor(peer, sent_at):
                 return False
             self.replace(peer)
-        if sent_at <= self._last_sent_at:
+        clock = self._clock_by_incarnation.get(peer.incarnation)
+        if clock is None:
+            clock = self._add_clock(peer, ClockOffset(now - sent_at, now))
+        if sent_at <= clock.last_sent_at:
             return False
-        if self._offset is None:
-            self._offset = ClockOffset(now - sent_at, now)
-        alive_at = self._offset.local_time(sent_at, now)
-        self._last_sent_at = sent_at
+        alive_at = clock.offset.local_time(sent_at, now)
+        clock.last_sent_at = sent_at
         if alive_at < not_before or now - alive_at > timeout:
             return False
         self._candidate = None
@@ -128,9 +139,8 @@
 
         Returns `NEVER` without a clock offset, that is before the first heartbeat.
         """
-        if self._offset is None:
-            return NEVER
-        return self._offset.local_time(sent_at, now)
+        clock = self._clock_by_incarnation.get(self.peer.incarnation)
+        return NEVER if clock is None else clock.offset.local_time(sent_at, now)
 
     def drop(self) -> None:
         """Forget signs of life, but neither the clock offset nor that it is leaving."""
@@ -144,10 +154,15 @@
         self.leaving = False
         self.view_digest = ""
         self.alive_at = NEVER
-        self._last_sent_at = NEVER
-        self._offset = None
         self._candidate = None
 
+    def _add_clock(self, peer: Peer, offset: ClockOffset) -> _Clock:
+        if len(self._clock_by_incarnation) >= MAX_CLOCKS:
+            del self._clock_by_incarnation[next(iter(self._clock_by_incarnation))]
+        clock = _Clock(offset)
+        self._clock_by_incarnation[peer.incarnation] = clock
+        return clock
+
     def _is_successor(self, peer: Peer, sent_at: float) -> bool:
         candidate = self._candidate
         if candidate is None or candidate.peer != peer:
--- /dev/null
+++ b/tests/safety_harness.py
@@ -0,0 +1,548 @@
+"""Entries, agents and counting services in memory, driven by state machines.
+
+Nothing is delivered by itself: a packet stays on the wire until it is delivered, lost
+or doubled, which stands for every delay and order.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from random import Random
+
+from result import Ok
+
+from lacewingcleat.actions import Action, Send
+from lacewingcleat.crash_suspects import (
+    Convicted,
+    CrashSuspects,
+    RunAlone,
+    choose_isolation_server,
+)
+from lacewingcleat.identity import Peer, Role
+from lacewingcleat.membership import Membership
+from lacewingcleat.messages import CrashReport, Heartbeat, Message, SuspectCleared
+from lacewingcleat.pause_watch import PauseWatch
+from lacewingcleat.retries import (
+    Attempt,
+    ReportNotRun,
+    RequestFacts,
+    RetryBudget,
+    RetryElsewhere,
+    ReturnResult,
+    RevokeFirst,
+    Said,
+    Sent,
+    TicketOrigin,
+    decide_retry,
+    report_unsent,
+)
+from lacewingcleat.sheet import Sheet, Zone
+from lacewingcleat.ticket_token import read_ticket
+from lacewingcleat.tickets import (
+    Attach,
+    NotRun,
+    Ran,
+    Response,
+    RunNow,
+    Started,
+    Stored,
+    TicketBook,
+    Unknown,
+)
+from tests.builders import make_server, make_sheet
+from tests.builders_safety import make_envelope
+
+TICKET_SECONDS = 30.0
+
+
+class Mode(Enum):
+    IDEMPOTENT = "idempotent"
+    ENTRY_TICKET = "the entry obtains a ticket"
+    CALLER_TICKET = "the caller holds a ticket"
+
+
+class Outcome(Enum):
+    RESULT = "result"
+    NOT_RUN = "not-run"
+    OTHER = "ran or unknown"
+
+
+@dataclass(slots=True)
+class Job:
+    """Follow one request of a caller through all its copies."""
+
+    name: str
+    mode: Mode
+    token: str = ""
+    key: str = ""
+    minted_at: float = 0.0
+    outcomes: list[Outcome] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Call:
+    """Follow one copy of a request at an entry.
+
+    :param step: what it waits for.
+    :param exchange: number of the connection on which it waits. A response cannot
+        belong to an earlier one.
+    """
+
+    job: Job
+    entry: str
+    facts: RequestFacts
+    target: str = ""
+    step: str = ""
+    exchange: int = 0
+    token: str = ""
+    open: bool = True
+    arrived: set[int] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class Packet:
+    agent: str
+    call: Call
+    step: str
+    exchange: int
+    token: str = ""
+    reply: Attempt | None = None
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Work:
+    job: Job
+    packets: list[Packet]
+    ticket_id: str
+    running: bool = False
+
+
+class AgentModel:
+    def __init__(self, name: str, epoch: int, skew: float) -> None:
+        self.name = name
+        self.epoch = epoch
+        self.skew = skew
+        self.leaving = False
+        self.paused = False
+        me = Peer(name, f"{name}-{epoch}", "a", Role.AGENT)
+        self.book = TicketBook(me, name, me.incarnation.encode())
+        self.work: list[Work] = []
+
+
+class RequestWorld:
+    """Run requests of callers over entries and agents with a counting service."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.minted = 0
+        self.entries = ["e1", "e2"]
+        self.agents = {name: AgentModel(name, 0, 1e3 * len(name)) for name in AGENTS}
+        self.budget = RetryBudget(0.0)
+        self.wire: list[Packet] = []
+        self.calls: list[Call] = []
+        self.jobs: list[Job] = []
+        self.runs: Counter[str] = Counter()
+        self.jobs_run_by_key: dict[tuple[str, int, str], list[Job]] = {}
+
+    def submit(self, mode: Mode, entry: str, agent: str, key: str) -> None:
+        job = Job(f"job-{len(self.jobs)}", mode)
+        if mode is Mode.CALLER_TICKET:
+            minted = self.mint(self.agents[agent], key)
+            if minted is None:
+                return
+            job.token, job.key, job.minted_at = minted, key, self.now
+        self.jobs.append(job)
+        self.send(job, entry, agent)
+
+    def send(self, job: Job, entry: str, agent: str, shed: bool = False) -> None:
+        origin = {
+            Mode.IDEMPOTENT: TicketOrigin.NONE,
+            Mode.ENTRY_TICKET: TicketOrigin.ENTRY,
+            Mode.CALLER_TICKET: TicketOrigin.CALLER,
+        }[job.mode]
+        idempotent = job.mode is Mode.IDEMPOTENT
+        call = Call(job, entry, RequestFacts(idempotent, self.now + 60.0, origin))
+        self.calls.append(call)
+        if shed:
+            report = report_unsent(call.facts, "limit")
+            is_not_run = isinstance(report, ReportNotRun)
+            self.close(call, Outcome.NOT_RUN if is_not_run else Outcome.OTHER)
+            return
+        if job.mode is Mode.CALLER_TICKET:
+            agent = read_ticket(job.token).unwrap().agent
+        self.attempt(call, agent)
+
+    def attempt(self, call: Call, agent: str) -> None:
+        call.target = agent
+        call.token = call.job.token
+        call.step = "mint" if call.job.mode is Mode.ENTRY_TICKET else "run"
+        self.post(call)
+
+    def post(self, call: Call) -> None:
+        call.exchange += 1
+        packet = Packet(call.target, call, call.step, call.exchange, call.token)
+        self.wire.append(packet)
+
+    def mint(self, agent: AgentModel, key: str = "") -> str | None:
+        self.minted += 1
+        result = agent.book.mint(
+            "orders",
+            "acme",
+            self.minted.to_bytes(16, "big"),
+            self.now + agent.skew,
+            key,
+            TICKET_SECONDS,
+        )
+        return result.unwrap().token if isinstance(result, Ok) else None
+
+    def deliver(self, packet: Packet) -> None:
+        if packet.reply is not None:
+            if packet.call.open and packet.call.exchange == packet.exchange:
+                self.hear_reply(packet.call, packet)
+            return
+        packet.call.arrived.add(packet.exchange)
+        agent = self.agents[packet.agent]
+        match packet.step:
+            case "mint":
+                token = self.mint(agent)
+                said = Said.COMPLETE if token else Said.NOT_RUN
+                self.reply(packet, said, token=token or "")
+            case "run":
+                self.run(agent, packet)
+            case "revoke":
+                now = self.now + agent.skew
+                outcome = agent.book.revoke(packet.token, "acme", now)
+                self.answer(packet, outcome)
+
+    def run(self, agent: AgentModel, packet: Packet) -> None:
+        job = packet.call.job
+        if job.mode is Mode.IDEMPOTENT:
+            agent.work.append(Work(job, [packet], ""))
+            return
+        outcome = agent.book.present(
+            packet.token, "orders", "acme", job.name, self.now + agent.skew, job.key
+        )
+        match outcome:
+            case RunNow(ticket_id=ticket_id) if agent.leaving:
+                refused = agent.book.refuse(ticket_id, "leaving")
+                self.answer(packet, refused)
+            case RunNow(ticket_id=ticket_id):
+                agent.work.append(Work(job, [packet], ticket_id))
+            case Attach(ticket_id=ticket_id):
+                for work in agent.work:
+                    if work.ticket_id == ticket_id:
+                        work.packets.append(packet)
+            case other:
+                self.answer(packet, other)
+
+    def answer(self, packet: Packet, outcome: object) -> None:
+        match outcome:
+            case Stored(response=response):
+                self.reply(packet, Said.COMPLETE, body=response.body)
+            case NotRun(code=code):
+                self.reply(packet, Said.NOT_RUN, code)
+            case Ran(code=code):
+                self.reply(packet, Said.RAN, code)
+            case Unknown(code=code):
+                self.reply(packet, Said.UNKNOWN, code)
+            case Attach():
+                self.reply(packet, Said.UNKNOWN, "running")
+
+    def reply(
+        self,
+        packet: Packet,
+        said: Said,
+        code: str = "",
+        token: str = "",
+        body: bytes = b"",
+    ) -> None:
+        is_revocation = packet.step == "revoke"
+        attempt = Attempt(packet.agent, Sent.SOME, said, code, 0.0, is_revocation)
+        self.wire.append(replace(packet, token=token, reply=attempt, body=body))
+
+    def start(self, agent: AgentModel, work: Work) -> None:
+        if work.ticket_id:
+            outcome = agent.book.start(work.ticket_id, self.now + agent.skew)
+            if not isinstance(outcome, Started):
+                self.end(agent, work, outcome)
+                return
+        work.running = True
+        self.runs[work.job.name] += 1
+        if work.job.key:
+            place = (agent.name, agent.epoch, work.job.key)
+            self.jobs_run_by_key.setdefault(place, []).append(work.job)
+
+    def finish(self, agent: AgentModel, work: Work) -> None:
+        response = Response(200, (), work.job.name.encode())
+        if work.ticket_id:
+            agent.book.finish(work.ticket_id, response, self.now + agent.skew)
+        self.end(agent, work, Stored(work.ticket_id, response))
+
+    def end(self, agent: AgentModel, work: Work, outcome: object) -> None:
+        agent.work.remove(work)
+        for packet in work.packets:
+            self.answer(packet, outcome)
+
+    def crash_engine(self, agent: AgentModel) -> None:
+        agent.book.lose_running()
+        for work in [work for work in agent.work if work.running]:
+            self.end(agent, work, Unknown("server-lost"))
+
+    def kill_agent(self, agent: AgentModel) -> None:
+        epoch = agent.epoch + 1
+        self.agents[agent.name] = AgentModel(agent.name, epoch, agent.skew)
+
+    def hear_reply(self, call: Call, packet: Packet) -> None:
+        assert packet.reply is not None
+        if packet.step == "mint" and packet.reply.said is Said.COMPLETE:
+            call.step, call.token = "run", packet.token
+            self.post(call)
+            return
+        # A mint that failed says nothing about a run, which was never sent.
+        reply = packet.reply
+        if packet.step == "mint":
+            reply = replace(reply, sent=Sent.NOTHING)
+        self.decide(call, reply, packet.body)
+
+    def lose_connection(self, call: Call, sent: Sent) -> None:
+        if sent is Sent.NOTHING:
+            if call.exchange in call.arrived:
+                return
+            self.wire = [packet for packet in self.wire if packet.call is not call]
+        if call.step == "mint":
+            sent = Sent.NOTHING
+        attempt = Attempt(call.target, sent, Said.NOTHING, "", 0.0)
+        self.decide(call, replace(attempt, revocation=call.step == "revoke"), b"")
+
+    def decide(self, call: Call, attempt: Attempt, body: bytes) -> None:
+        call.step = ""
+        left = set(AGENTS) - call.facts.failed_targets - {attempt.target}
+        call.facts = replace(call.facts, has_other_target=bool(left))
+        match decide_retry(attempt, call.facts, self.budget, self.now):
+            case RetryElsewhere(excluded=excluded, may_have_run=may_have_run):
+                call.facts = replace(
+                    call.facts, failed_targets=excluded, may_have_run=may_have_run
+                )
+                self.attempt(call, min(left))
+            case RevokeFirst(target=target):
+                call.step, call.target = "revoke", target
+                self.post(call)
+            case ReturnResult() if attempt.said is Said.COMPLETE:
+                call.job.bodies.append(body)
+                self.close(call, Outcome.RESULT)
+            case ReportNotRun():
+                self.close(call, Outcome.NOT_RUN)
+            case _:
+                self.close(call, Outcome.OTHER)
+
+    @staticmethod
+    def close(call: Call, outcome: Outcome) -> None:
+        call.open = False
+        call.job.outcomes.append(outcome)
+
+
+AGENTS = ("s1", "s22", "s333")
+
+
+class Node:
+    """Hold one process of a `MembershipWorld`, with its own clock."""
+
+    def __init__(self, peer: Peer, skew: float, sheet: Sheet, now: float) -> None:
+        self.peer = peer
+        self.skew = skew
+        self.paused = False
+        self.resumed_at = now
+        self.sheet = sheet
+        seeds = {name: name for name in ("ea1", "eb1")}
+        name = peer.instance
+        self.watch = PauseWatch(now + skew)
+        self.view = Membership(peer, name, name, seeds, now + skew)
+        self.view.update_sheet(sheet)
+
+    def wake(self, now: float) -> None:
+        if self.watch.observe(now + self.skew):
+            self.view.drop_views(now + self.skew)
+            self.resumed_at = now
+
+
+class MembershipWorld:
+    """Run memberships of two zones over a network with faults drawn from a seed."""
+
+    STEP = 0.25
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.random = Random(0)
+        self.loss = self.delay = self.double = 0.0
+        self.cut = False
+        servers = [make_server(f"s{zone}{i}", zone) for zone in "ab" for i in "123"]
+        self.sheet = make_sheet(
+            zones=[Zone("a", "r", 3), Zone("b", "r", 3)], servers=servers
+        )
+        self.wire: list[tuple[float, float, str, Peer, Message]] = []
+        self.prompt_pairs: set[tuple[str, str]] = set()
+        self.heard_by_pair: dict[tuple[str, str], float] = {}
+        self.node_by_name: dict[str, Node] = {}
+        for zone in "ab":
+            for number in "123":
+                self.boot(f"e{zone}{number}", Role.ENTRY)
+                self.boot(f"s{zone}{number}", Role.AGENT)
+
+    def end_faults(self) -> None:
+        self.cut, self.loss, self.delay = False, 0.0, 0.0
+        for node in self.node_by_name.values():
+            node.paused = False
+
+    def boot(self, name: str, role: Role) -> None:
+        incarnation = f"{name}-{self.random.random()}"
+        peer = Peer(name, incarnation, name[1], role)
+        skew = self.random.uniform(1.0, 1e5)
+        self.node_by_name[name] = Node(peer, skew, self.sheet, self.now)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += self.STEP
+            self.deliver_due()
+            for node in self.node_by_name.values():
+                if not node.paused:
+                    node.wake(self.now)
+                    self.post(node, node.view.tick(self.now + node.skew))
+
+    def post(self, node: Node, actions: list[Action]) -> None:
+        for action in actions:
+            assert isinstance(action, Send)
+            copies = 1 + (self.random.random() < self.double)
+            for _ in range(copies):
+                if self.random.random() < self.loss:
+                    continue
+                late = self.random.random() < self.delay
+                delay = self.random.uniform(1.0, 20.0) if late else 0.01
+                packet = (self.now + delay, self.now, action.instance, node.peer)
+                self.wire.append((*packet, action.message))
+
+    def deliver_due(self) -> None:
+        """Deliver what is due; a cut and a pause hold messages back."""
+        packets, self.wire = sorted(self.wire, key=lambda packet: packet[0]), []
+        for packet in packets:
+            due, sent_at, target, sender, message = packet
+            node = self.node_by_name.get(target)
+            if node is None:
+                continue
+            is_cut = self.cut and node.peer.zone != sender.zone
+            if due > self.now or node.paused or is_cut:
+                self.wire.append(packet)
+                continue
+            node.wake(self.now)
+            if isinstance(message, Heartbeat):
+                self.note_delivery(node, sender, sent_at)
+            envelope = make_envelope(sender, message)
+            self.post(node, node.view.hear(envelope, self.now + node.skew))
+
+    def note_delivery(self, node: Node, sender: Peer, sent_at: float) -> None:
+        pair = (node.peer.incarnation, sender.incarnation)
+        if self.now - sent_at <= self.STEP:
+            self.prompt_pairs.add(pair)
+        self.heard_by_pair[pair] = max(self.heard_by_pair.get(pair, 0.0), sent_at)
+
+
+class CrashWorld:
+    """Run one poisonous request and one bystander over two zones with lossy floods."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.random = Random(0)
+        self.cut = False
+        self.crashes = 0
+        self.crashes_known_by_zone: dict[str, set[str]] = {"a": set(), "b": set()}
+        self.process_by_name = {
+            f"{kind}{zone}{number}": CrashSuspects()
+            for kind in "es"
+            for zone in "ab"
+            for number in "123"
+        }
+
+    def neighbours(self, name: str) -> list[str]:
+        """Entries reach all entries and their zone's agents, agents their entries."""
+        reach = [other for other in self.process_by_name if other != name]
+        if name[0] == "s":
+            reach = [other for other in reach if other[0] == "e"]
+        return [
+            other
+            for other in reach
+            if other[1] == name[1] or (not self.cut and other[0] == name[0] == "e")
+        ]
+
+    def post(self, sender: str, actions: list[Action], loss: float) -> None:
+        """Deliver at once and in random order, losing a part."""
+        self.random.shuffle(actions)
+        for action in actions:
+            assert isinstance(action, Send)
+            name = action.instance
+            if self.random.random() < loss or name not in self.neighbours(sender):
+                continue
+            process, near = self.process_by_name[name], self.neighbours(name)
+            heard: list[Action] = []
+            if isinstance(action.message, CrashReport):
+                heard = process.hear_report(action.message, near, self.now, sender)
+            elif isinstance(action.message, SuspectCleared):
+                heard = process.hear_cleared(action.message, near, self.now, sender)
+            self.post(name, heard, loss)
+
+    def settle(self) -> None:
+        """Let the repeats run; the last round loses nothing."""
+        for loss in (0.5, 0.0):
+            self.now += 1.0
+            for name, process in self.process_by_name.items():
+                self.post(name, process.tick(self.neighbours(name), self.now), loss)
+
+    def restart(self, name: str) -> None:
+        self.process_by_name[name] = CrashSuspects()
+        for other in self.neighbours(name):
+            self.greet(other, name)
+
+    def heal(self) -> None:
+        self.cut = False
+        for a, b in (("ea1", "eb1"), ("ea2", "eb2")):
+            self.greet(a, b)
+            self.greet(b, a)
+
+    def greet(self, sender: str, name: str) -> None:
+        actions = self.process_by_name[sender].greet(name, self.now)
+        self.post(sender, actions, 0.0)
+
+    def submit(self, entry: str, request: str, beside: str, is_poison: bool) -> str:
+        """Send a request through an entry and return what became of it."""
+        verdict = self.process_by_name[entry].verdict(request, self.now)
+        zones = [entry[1]] if self.cut else ["a", "b"]
+        names = {zone: [f"s{zone}{number}" for number in "123"] for zone in zones}
+        server: str | None = self.random.choice(names[entry[1]])
+        if isinstance(verdict, Convicted):
+            return "refused"
+        if isinstance(verdict, RunAlone):
+            server = choose_isolation_server(request, names)
+        assert server is not None
+        alone = isinstance(verdict, RunAlone)
+        agent = self.process_by_name[server]
+        known = agent.verdict(request, self.now)
+        if isinstance(known, Convicted) or (isinstance(known, RunAlone) and not alone):
+            return "refused"
+        near = self.neighbours(server)
+        if not is_poison:
+            if alone:
+                self.post(server, agent.clear(request, near, self.now), 0.5)
+            return "done"
+        self.crashes += 1
+        crash_id = f"crash-{self.crashes}"
+        flight = (request,) if alone or not beside else (request, beside)
+        report = CrashReport(crash_id, server, flight, alone)
+        self.post(server, agent.hear_report(report, near, self.now), 0.5)
+        known_crashes = set().union(*(self.crashes_known_by_zone[z] for z in zones))
+        assert len(known_crashes) <= 1, "third crash"
+        for zone in zones:
+            self.crashes_known_by_zone[zone] |= known_crashes | {crash_id}
+        # The caller sends again only after its failure, when the flood has passed.
+        self.settle()
+        return "crashed"
--- /dev/null
+++ b/tests/test_safety_machines.py
@@ -0,0 +1,335 @@
+"""State machines over entries, agents and services with generated faults.
+
+CI runs them derandomized. `make soak` runs them long, with a seed that is printed.
+"""
+
+import os
+from itertools import pairwise
+from random import Random, SystemRandom
+
+import pytest
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from lacewingcleat.crash_suspects import Convicted
+from lacewingcleat.identity import Role
+from lacewingcleat.membership import PeerStatus
+from lacewingcleat.peer_table import PEER_TIMEOUT_SECONDS
+from lacewingcleat.rendezvous import rank_by_rendezvous
+from lacewingcleat.retries import Sent
+from tests.safety_harness import (
+    AGENTS,
+    TICKET_SECONDS,
+    CrashWorld,
+    MembershipWorld,
+    Mode,
+    Node,
+    Outcome,
+    RequestWorld,
+)
+
+INDEX = st.integers(0, 1_000)
+CI = settings(
+    derandomize=True,
+    stateful_step_count=50,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+    phases=(Phase.explicit, Phase.generate),
+)
+SOAK = settings(CI, derandomize=False, stateful_step_count=100)
+# Messages take a step of the harness, 0.25 s, to arrive; 0.1 s are for clock drift.
+SLACK_SECONDS = 0.35
+
+
+class RequestMachine(RuleBasedStateMachine):
+    """At most once, truthful outcomes, and responses to their own requests only."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = RequestWorld()
+
+    @rule(
+        mode=st.sampled_from([*Mode, Mode.ENTRY_TICKET, Mode.CALLER_TICKET]),
+        agent=st.sampled_from(AGENTS),
+        key=st.sampled_from(["", "k"]),
+    )
+    def submit(self, mode: Mode, agent: str, key: str) -> None:
+        self.world.submit(mode, "e1", agent, key)
+
+    @precondition(lambda self: self.world.jobs)
+    @rule(index=INDEX, shed=st.booleans())
+    def send_again_by_another_entry(self, index: int, shed: bool) -> None:
+        """The caller repeats a request with its ticket; the entry may refuse it."""
+        job = self.world.jobs[index % len(self.world.jobs)]
+        if job.mode is Mode.CALLER_TICKET:
+            self.world.send(job, "e2", "", shed)
+
+    @rule(number=INDEX, steps=st.sampled_from([2, 8, 30]))
+    def go_on(self, number: int, steps: int) -> None:
+        """Deliver packets and work at agents, in a random order, sometimes doubled."""
+        random = Random(number)
+        for _ in range(steps):
+            if self.world.wire and random.random() < 0.7:
+                self.deliver(random.randrange(1_000), random.choice([1, 1, 1, 2]))
+            else:
+                self.work(random.randrange(1_000), random.choice(AGENTS))
+
+    def deliver(self, index: int, copies: int) -> None:
+        packet = self.world.wire[index % len(self.world.wire)]
+        if self.world.agents[packet.agent].paused:
+            return
+        if copies < 2:
+            self.world.wire.remove(packet)
+        self.world.deliver(packet)
+
+    def work(self, index: int, agent: str) -> None:
+        model = self.world.agents[agent]
+        if model.paused or not model.work:
+            return
+        work = model.work[index % len(model.work)]
+        if work.running:
+            self.world.finish(model, work)
+        else:
+            self.world.start(model, work)
+
+    @precondition(lambda self: self.world.wire)
+    @rule(index=INDEX)
+    def lose(self, index: int) -> None:
+        self.world.wire.pop(index % len(self.world.wire))
+
+    @precondition(lambda self: any(call.open for call in self.world.calls))
+    @rule(index=INDEX, sent=st.sampled_from(Sent))
+    def lose_connection(self, index: int, sent: Sent) -> None:
+        calls = [call for call in self.world.calls if call.open]
+        call = calls[index % len(calls)]
+        self.world.lose_connection(call, sent)
+
+    @rule(index=INDEX, agent=st.sampled_from(AGENTS))
+    def agent_sheds(self, index: int, agent: str) -> None:
+        model = self.world.agents[agent]
+        queued = [work for work in model.work if work.ticket_id and not work.running]
+        if queued and not model.paused:
+            work = queued[index % len(queued)]
+            outcome = model.book.refuse(work.ticket_id, "overloaded")
+            self.world.end(model, work, outcome)
+
+    @rule(
+        agent=st.sampled_from(AGENTS),
+        fault=st.sampled_from(["crash", "crash", "kill", "pause", "resume", "leave"]),
+    )
+    def disturb(self, agent: str, fault: str) -> None:
+        model = self.world.agents[agent]
+        match fault:
+            case "crash":
+                self.world.crash_engine(model)
+            case "kill":
+                self.world.kill_agent(model)
+            case "pause" | "resume":
+                model.paused = fault == "pause"
+            case "leave":
+                model.leaving = not model.leaving
+
+    @rule(seconds=st.sampled_from([1.0, 1.0, 10.0, 31.0, 100.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.world.now += seconds
+
+    @invariant()
+    def non_idempotent_requests_run_at_most_once(self) -> None:
+        for job in self.world.jobs:
+            if job.mode is not Mode.IDEMPOTENT:
+                assert self.world.runs[job.name] <= 1, job
+
+    @invariant()
+    def keys_run_once_while_their_tickets_overlap(self) -> None:
+        for jobs in self.world.jobs_run_by_key.values():
+            minted_at = sorted(job.minted_at for job in jobs)
+            for first, second in pairwise(minted_at):
+                assert second - first >= TICKET_SECONDS, jobs
+
+    @invariant()
+    def not_run_is_true_for_ever(self) -> None:
+        for job in self.world.jobs:
+            if Outcome.NOT_RUN in job.outcomes:
+                assert self.world.runs[job.name] == 0, job
+
+    @invariant()
+    def responses_belong_to_their_requests(self) -> None:
+        for job in self.world.jobs:
+            assert set(job.bodies) <= {job.name.encode()}, job
+
+
+NAMES = st.sampled_from(sorted(MembershipWorld().node_by_name))
+ENTRIES = st.sampled_from(["ea1", "ea2", "ea3", "eb1", "eb2", "eb3"])
+SERVERS = st.sampled_from(["sa1", "sa2", "sb1", "sb2"])
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """No work for leaving servers, no old views, and views that agree again."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = MembershipWorld()
+
+    def node(self, name: str) -> Node:
+        return self.world.node_by_name[name]
+
+    @rule(seconds=st.sampled_from([0.5, 1.0, 2.0, 4.0, 10.0]), number=INDEX)
+    def run(self, seconds: float, number: int) -> None:
+        self.world.random = Random(number)
+        self.world.run(seconds)
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.0, 0.3, 0.9]),
+        delay=st.sampled_from([0.0, 0.0, 0.3]),
+        double=st.sampled_from([0.0, 0.3]),
+    )
+    def change_network(self, loss: float, delay: float, double: float) -> None:
+        self.world.loss, self.world.delay, self.world.double = loss, delay, double
+
+    @rule()
+    def toggle_cut(self) -> None:
+        self.world.cut = not self.world.cut
+
+    @rule(name=NAMES)
+    def toggle_pause(self, name: str) -> None:
+        self.node(name).paused = not self.node(name).paused
+
+    @rule(name=ENTRIES, seconds=st.sampled_from([1.5, 2.5, 10.0]))
+    def pause_for(self, name: str, seconds: float) -> None:
+        self.node(name).paused = True
+        self.world.run(seconds)
+        self.node(name).paused = False
+
+    @rule(name=NAMES)
+    def restart(self, name: str) -> None:
+        self.world.boot(name, self.node(name).peer.role)
+
+    @rule(name=SERVERS)
+    def leave(self, name: str) -> None:
+        node = self.node(name)
+        if not node.paused:
+            node.view.set_leaving(self.world.now + node.skew)
+
+    @rule(name=SERVERS)
+    def leave_without_faults(self, name: str) -> None:
+        """After 3 s, no entry sends new work to the server."""
+        self.world.end_faults()
+        self.world.run(30.0)
+        self.leave(name)
+        self.world.run(PEER_TIMEOUT_SECONDS)
+        for entry in self.entries():
+            local = self.world.now + entry.skew
+            assert not entry.view.may_receive_work(name, local), entry.peer
+
+    def entries(self) -> list[Node]:
+        nodes = self.world.node_by_name.values()
+        return [n for n in nodes if n.peer.role is Role.ENTRY and not n.paused]
+
+    @invariant()
+    def views_rest_on_recent_signs_of_life(self) -> None:
+        world = self.world
+        for entry in self.entries():
+            entry.wake(world.now)
+            local = world.now + entry.skew
+            for name, view in entry.view._view_by_instance.items():
+                pair = (entry.peer.incarnation, view.peer.incarnation)
+                if pair not in world.prompt_pairs:
+                    continue
+                if view.is_alive(local, PEER_TIMEOUT_SECONDS):
+                    oldest = max(world.now - PEER_TIMEOUT_SECONDS, entry.resumed_at)
+                    assert world.heard_by_pair[pair] >= oldest - SLACK_SECONDS, name
+
+    def teardown(self) -> None:
+        """Check that views agree once the faults are over."""
+        world = self.world
+        world.end_faults()
+        world.run(60.0)
+        for node in world.node_by_name.values():
+            local = world.now + node.skew
+            zone = node.peer.zone
+            names = [f"e{zone}{number}" for number in "123"]
+            live = [peer.instance for peer in node.view.live_entries(zone, local)]
+            assert live == names, (node.peer, live)
+            if node.peer.role is Role.AGENT:
+                expected = rank_by_rendezvous(node.peer.instance, names)[:2]
+                assert node.view.reporting_entries(local) == expected
+            for server in (f"s{zone}{number}" for number in "123"):
+                is_leaving = self.node(server).view.leaving
+                if node.peer.role is Role.ENTRY and not is_leaving:
+                    assert node.view.status(server, local) in (
+                        PeerStatus.LIVE,
+                        PeerStatus.UNHEARD,
+                    ), (node.peer, server)
+
+
+class CrashMachine(RuleBasedStateMachine):
+    """At most two crashes per set of zones that communicate, and no bystander refused.
+
+    The harness fails on the third crash that a set of zones could know of.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = CrashWorld()
+        self.names = sorted(self.world.process_by_name)
+
+    @rule(index=INDEX, with_bystander=st.booleans(), number=INDEX)
+    def submit_poison(self, index: int, with_bystander: bool, number: int) -> None:
+        self.world.random = Random(number)
+        beside = "bystander" if with_bystander else ""
+        self.world.submit(self.names[index % 6], "poison", beside, True)
+
+    @rule(index=INDEX, number=INDEX)
+    def submit_bystander(self, index: int, number: int) -> None:
+        self.world.random = Random(number)
+        self.world.submit(self.names[index % 6], "bystander", "", False)
+
+    @rule()
+    def toggle_cut(self) -> None:
+        self.world.settle()
+        if self.world.cut:
+            self.world.heal()
+        else:
+            self.world.cut = True
+
+    @rule(index=INDEX)
+    def restart(self, index: int) -> None:
+        self.world.restart(self.names[index % len(self.names)])
+
+    @invariant()
+    def bystander_is_not_convicted(self) -> None:
+        for process in self.world.process_by_name.values():
+            verdict = process.verdict("bystander", self.world.now)
+            assert not isinstance(verdict, Convicted)
+
+
+# A run of memberships costs about 20 times as much as one of the others.
+EXAMPLES_BY_MACHINE = {RequestMachine: 800, MembershipMachine: 60, CrashMachine: 100}
+MACHINES = list(EXAMPLES_BY_MACHINE)
+
+
+@pytest.mark.parametrize("machine", MACHINES)
+def test_machine(machine: type[RuleBasedStateMachine]) -> None:
+    """Guards against the failures named in the machine's docstring."""
+    chosen = settings(CI, max_examples=EXAMPLES_BY_MACHINE[machine])
+    run_state_machine_as_test(machine, settings=chosen)
+
+
+@pytest.mark.soak
+@pytest.mark.timeout(3_600)
+@pytest.mark.parametrize("machine", MACHINES)
+def test_machine_for_long(machine: type[RuleBasedStateMachine]) -> None:
+    """Guards against failures too rare for the short run."""
+    number = int(os.environ.get("SOAK_SEED", SystemRandom().randrange(1 << 32)))
+    print(f"SOAK_SEED={number}")
+    examples = 20 * EXAMPLES_BY_MACHINE[machine]
+    chosen = settings(SOAK, max_examples=examples)
+    run_state_machine_as_test(seed(number)(machine), settings=chosen)
--- a/tests/test_token_stream.py
+++ b/tests/test_token_stream.py
@@ -28,6 +28,8 @@
             attempt = progress.begin_attempt() if fresh == 0 else progress._attempt
             match progress.accept(attempt - (fresh == 1), offset, count):
                 case Deliver(skip=skip, count=passed):
+                    self.assertGreaterEqual(skip, 0)
+                    self.assertEqual(count, skip + passed)
                     received += range(offset + skip, offset + skip + passed)
                 case Fail(code=code):
                     self.assertEqual(StreamCode.GAP, code)
