Test the map switch under faults and stop a message storm

Cause: a hypothesis state machine over three ranks showed that a leader in its settling phase answered each status with one message per rank; statuses and answers multiplied and the simulation did not end. Hold steps were a fixed count of steps ahead, which exceeds the 300 ms bound when a step takes 50 ms.

Change: the leader sends at once only when the last rank has switched and otherwise waits for its resend period; the hold step lies 40 ms ahead by the measured step rate; ranks push a status when their phase changes; a status after a promise waits for a reading of the engine. RankSwitch.tick(now) and .set_leader(instance) are new: call tick in place of OrderFence.tick. receive_order(fence, server_order, now) is new.

--- a/lacewingcleat/map_switch.py
+++ b/lacewingcleat/map_switch.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from math import ceil
 
 from lacewingcleat.actions import Action, Alarm, Send
 from lacewingcleat.messages import (
@@ -42,9 +43,11 @@
 HOLD_SECONDS = 0.3
 STUCK_SECONDS = 2.0
 BACKOFF_SECONDS = 1.0
-MAX_BACKOFF_SECONDS = 60.0
-HOLD_LEAD_STEPS = 4
-MAX_HOLD_LEAD_STEPS = 64
+MAX_BACKOFF_SECONDS = 30.0
+PREPARE_SECONDS = 600.0
+# The hold step lies this far ahead, so that Hold reaches all ranks before it.
+HOLD_LEAD_SECONDS = 0.04
+MAX_HOLD_LEAD_SECONDS = 0.16
 
 
 class LeaderPhase(Enum):
@@ -107,17 +110,26 @@
         self._proposal: EncodedMap | None = None
         self._target = 0
         self._hold_step = 0
-        self._hold_lead = HOLD_LEAD_STEPS
+        self._first_step = 0
+        self._first_step_at = now
+        self._hold_lead = HOLD_LEAD_SECONDS
         self._since = now
         self._sent_at = float("-inf")
         self._retry_at = now
         self._backoff = BACKOFF_SECONDS
+        self._reread = False
+        self._resuming = False
 
     @property
     def leading(self) -> bool:
         """Return whether this process acts as leader."""
         return self.phase is not LeaderPhase.FOLLOWING
 
+    @property
+    def busy(self) -> bool:
+        """Return whether a proposed switch is not finished."""
+        return self._proposal is not None
+
     def lead(self, now: float) -> list[Action]:
         """Take the lead with an epoch above all that were seen."""
         if self.leading:
@@ -156,7 +168,11 @@
         if status.promised > self.epoch:
             return self._back_off(now)
         if status.grant.incarnation != self._incarnations.get(status.rank, ""):
-            return self._start_epoch(now)
+            self._reread = True
+            return []
+        if self.phase is LeaderPhase.IDLE and not self._is_settled(status):
+            self._reread = True
+            return []
         if status.promised < self.epoch:
             return []
         self._status_by_rank[status.rank] = status
@@ -166,21 +182,26 @@
         """Resend what is unanswered and keep the bound on the hold."""
         if self._watch.observe(now) and self.leading:
             return self._start_epoch(now)
+        if self.phase is LeaderPhase.FOLLOWING:
+            return []
+        if self._reread and now - self._since >= RESEND_SECONDS:
+            return self._start_epoch(now)
         match self.phase:
-            case LeaderPhase.FOLLOWING:
-                return []
             case LeaderPhase.BACKING_OFF:
                 return self._start_epoch(now) if now >= self._retry_at else []
             case LeaderPhase.IDLE:
                 return self._begin_switch(now)
             case LeaderPhase.HOLDING if now - self._since > HOLD_SECONDS:
                 return self._abort(now)
+            case LeaderPhase.PREPARING if now - self._since > PREPARE_SECONDS:
+                return self._abort(now)
             case LeaderPhase.SETTLING if now - self._since > STUCK_SECONDS:
                 return self._start_epoch(now)
             case _:
                 return self._resend(now)
 
     def _start_epoch(self, now: float) -> list[Action]:
+        self._reread = False
         self._highest_term = max(self._highest_term, self.epoch.term) + 1
         self.epoch = Epoch(self._highest_term, self._instance)
         self._incarnations = {
@@ -191,6 +212,7 @@
     def _enter(self, phase: LeaderPhase, now: float) -> list[Action]:
         self.phase = phase
         self.rounds += 1
+        self._resuming = False
         self._since = now
         self._sent_at = float("-inf")
         if phase is LeaderPhase.READING:
@@ -235,11 +257,11 @@
                 return []
 
     def _decide(self, now: float) -> list[Action]:
+        steps = [status.step for status in self._status_by_rank.values()]
+        self._first_step, self._first_step_at = max(steps), now
         versions = [status.map_version for status in self._status_by_rank.values()]
         self._target = max(versions)
         self.map_version = self._target
-        if self._target == 0:
-            return self._enter(LeaderPhase.IDLE, now)
         if self._all(self._is_settled):
             return self._enter(LeaderPhase.IDLE, now)
         return self._enter(LeaderPhase.SETTLING, now)
@@ -254,7 +276,10 @@
 
     def _hold(self, now: float) -> list[Action]:
         steps = [status.step for status in self._status_by_rank.values()]
-        self._hold_step = max(steps) + self._hold_lead
+        elapsed = now - self._first_step_at
+        steps_per_second = (max(steps) - self._first_step) / elapsed if elapsed else 0.0
+        lead = max(1, ceil(steps_per_second * self._hold_lead))
+        self._hold_step = max(steps) + lead
         return self._enter(LeaderPhase.HOLDING, now)
 
     def _abort(self, now: float) -> list[Action]:
@@ -262,22 +287,23 @@
         self._target = self.map_version
         self._retry_at = now + self._backoff
         self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
-        self._hold_lead = min(2 * self._hold_lead, MAX_HOLD_LEAD_STEPS)
+        self._hold_lead = min(2 * self._hold_lead, MAX_HOLD_LEAD_SECONDS)
         return self._enter(LeaderPhase.SETTLING, now)
 
     def _settle(self, now: float) -> list[Action]:
         if not self._all(self._is_settled):
-            actions: list[Action] = []
-            for rank, status in self._status_by_rank.items():
-                message = self._settling_message(rank, status)
-                if message is not None and not isinstance(message, SwitchPrepare):
-                    actions.append(Send(self._instances[rank], message))
-            return actions if self._all_switched() else []
+            if self._resuming or not self._all_switched():
+                return []
+            # Sends at once when the last rank has switched. Any other message waits
+            # for the resend period, since one message per status would multiply.
+            self._resuming = True
+            self._sent_at = float("-inf")
+            return self._resend(now)
         if self._proposal is not None and self._target == self._proposal.version:
             self.finished += 1
             self._proposal = None
             self._backoff = BACKOFF_SECONDS
-            self._hold_lead = HOLD_LEAD_STEPS
+            self._hold_lead = HOLD_LEAD_SECONDS
         self.map_version = self._target
         return self._start_epoch(now)
 
@@ -365,8 +391,8 @@
         return self._all(lambda status: status.map_version == self._target)
 
     def _is_settled(self, status: SwitchStatus) -> bool:
-        running = status.phase is RankPhase.RUNNING
-        return running and status.map_version == self._target
+        rest = RankPhase.RUNNING if self._target else RankPhase.DOWN
+        return status.phase is rest and status.map_version == self._target
 
     def _is_prepared(self, status: SwitchStatus) -> bool:
         proposal = self._proposal
--- a/lacewingcleat/order_fence.py
+++ b/lacewingcleat/order_fence.py
@@ -18,12 +18,19 @@
 from result import Err, Ok, Result
 
 from lacewingcleat.actions import Alarm
-from lacewingcleat.messages import Epoch, Grant, OrderKind
+from lacewingcleat.messages import (
+    Epoch,
+    Grant,
+    OrderKind,
+    ServerOrder,
+    ServerOrderStatus,
+)
 from lacewingcleat.pause_watch import PauseWatch
 
 AUTHORITY_SECONDS = 5.0
 SETTLE_SECONDS = 2.0
 READ_RETRY_SECONDS = 0.5
+REISSUE_SECONDS = 1.0
 UNSETTLED_ALARM_SECONDS = 5.0
 KEPT_GRANTS = 64
 NO_EPOCH = Epoch(0, "")
@@ -112,6 +119,7 @@
     order: Order
     since: float
     engine_incarnation: str
+    issued_at: float
     answered: bool = False
     answered_read: int = 0
     alarmed: bool = False
@@ -132,12 +140,14 @@
         self._watch = PauseWatch(now)
         self._started = now
         self._last = FenceNumber(NO_EPOCH, 0)
+        self._last_order = Order(OrderKind.BARRIER)
         self._outstanding: _Outstanding | None = None
         self._issued_at_by_grant: dict[int, float] = {}
         self._grants = 0
         self._reads = 0
         self._last_read_at = float("-inf")
         self._usable_read = 1
+        self.taken_read_id = 0
 
     @property
     def outstanding(self) -> IssueOrder | None:
@@ -146,6 +156,11 @@
             return None
         return IssueOrder(self._outstanding.fence, self._outstanding.order)
 
+    @property
+    def last_read_id(self) -> int:
+        """Return the number of the last reading asked for."""
+        return self._reads
+
     @property
     def ready(self) -> bool:
         """Return whether the state is known and no order is outstanding."""
@@ -179,6 +194,17 @@
         issued_at = self._issued_at_by_grant.get(grant.number)
         return issued_at is not None and now - issued_at <= AUTHORITY_SECONDS
 
+    @property
+    def last(self) -> FenceNumber:
+        """Return the number of the last admitted order."""
+        return self._last
+
+    def outcome_of_last(self) -> str:
+        """Return `pending`, `applied` or `not-applied` for the last admitted order."""
+        if self._outstanding is not None or self.state is None:
+            return "pending"
+        return "applied" if is_applied(self._last_order, self.state) else "not-applied"
+
     def next_sequence(self, epoch: Epoch) -> int:
         """Return the lowest sequence number that an order of an epoch may use."""
         return self._last.sequence + 1 if self._last.epoch == epoch else 1
@@ -207,8 +233,15 @@
             return Err(Refusal.UNREAD)
         self.observe_epoch(fence.epoch)
         self._last = fence
+        self._last_order = order
         self._usable_read = self._reads + 1
-        self._outstanding = _Outstanding(fence, order, now, self.state.incarnation)
+        self._outstanding = _Outstanding(
+            fence,
+            order,
+            now,
+            self.state.incarnation,
+            now,
+        )
         return Ok([IssueOrder(fence, order)])
 
     def order_answered(self, fence: FenceNumber, now: float) -> list[FenceAction]:
@@ -236,17 +269,23 @@
             return []
         waiting = self._outstanding
         if waiting is None:
-            self.state = state
+            self._usable_read = read_id
+            self._take(read_id, state)
             return []
-        if waiting.answered and read_id >= waiting.answered_read:
-            self._settle(state)
-            return []
-        if not waiting.answered and _is_settled(waiting, state):
-            self._settle(state)
+        is_after_answer = waiting.answered and read_id >= waiting.answered_read
+        if is_after_answer or (not waiting.answered and _is_settled(waiting, state)):
+            self._outstanding = None
+            self._usable_read = self._reads
+            self._take(read_id, state)
         return []
 
     def tick(self, now: float) -> list[FenceAction]:
-        """Read the state where it is unknown or an order is outstanding."""
+        """Read the state where it is unknown or an order is outstanding.
+
+        An order without an answer is sent again only to an engine that checks fencing
+        numbers, since it refuses the second copy. Otherwise the order stays outstanding
+        until its effect is seen or the engine restarts.
+        """
         self._observe(now)
         if self.ready:
             return []
@@ -257,7 +296,12 @@
             return []
         actions: list[FenceAction] = [self._read(now)]
         waiting = self._outstanding
-        if waiting is None or waiting.alarmed:
+        if waiting is None:
+            return actions
+        if self.engine_checks and now - waiting.issued_at > REISSUE_SECONDS:
+            waiting.issued_at = now
+            actions.append(IssueOrder(waiting.fence, waiting.order))
+        if waiting.alarmed:
             return actions
         if now - waiting.since > UNSETTLED_ALARM_SECONDS:
             waiting.alarmed = True
@@ -270,9 +314,8 @@
         self._observe(now)
         return [self._read(now)]
 
-    def _settle(self, state: EngineState) -> None:
-        self._outstanding = None
-        self._usable_read = self._reads
+    def _take(self, read_id: int, state: EngineState) -> None:
+        self.taken_read_id = read_id
         self.state = state
 
     def _read(self, now: float) -> ReadState:
@@ -312,3 +355,38 @@
             return state.role == order.name
         case OrderKind.BARRIER:
             return False
+
+
+@dataclass(frozen=True, slots=True)
+class OrderReceipt:
+    """Hold what follows from an order that a leader has sent."""
+
+    actions: tuple[FenceAction, ...]
+    status: ServerOrderStatus
+
+
+def receive_order(fence: OrderFence, order: ServerOrder, now: float) -> OrderReceipt:
+    """Pass a leader's order to the fence and build the reply.
+
+    A repeated order is answered from the fence's state and not issued again.
+    """
+    number = FenceNumber(order.epoch, order.sequence)
+    asked = Order(order.kind, name=order.name)
+    actions: tuple[FenceAction, ...] = ()
+    match fence.submit(number, order.grant, asked, now):
+        case Ok(issued):
+            actions = tuple(issued)
+            outcome = "pending"
+        case Err(Refusal.OLD_SEQUENCE) if number == fence.last:
+            outcome = fence.outcome_of_last()
+        case Err(refusal):
+            outcome = refusal.value
+    grant = fence.grant(now)
+    status = ServerOrderStatus(
+        order.group,
+        order.epoch,
+        order.sequence,
+        outcome,
+        grant,
+    )
+    return OrderReceipt(actions, status)
--- a/lacewingcleat/rank_switch.py
+++ b/lacewingcleat/rank_switch.py
@@ -31,6 +31,9 @@
     OrderFence,
 )
 
+POLL_SECONDS = 0.01
+PUSH_SECONDS = 1.0
+
 SwitchMessage = (
     SwitchPrepare | SwitchHold | SwitchCommit | SwitchResume | SwitchAbort | SwitchQuery
 )
@@ -82,6 +85,11 @@
         self._status_due = False
         self._grant = Grant()
         self._fetching = 0
+        self._ready_version = 0
+        self._needed_read = 0
+        self._reported: tuple[RankPhase, int] | None = None
+        self._pushed_at = float("-inf")
+        self._polled_at = float("-inf")
 
     @property
     def phase(self) -> RankPhase:
@@ -102,21 +110,48 @@
             return []
         self._leader = sender
         self._status_due = True
+        actions: list[RankAction] = []
         if isinstance(message, SwitchQuery):
-            self._promise(message)
+            actions = self._promise(message, now)
         if not self._follows(message):
-            return self._reply(now)
+            return actions + self._reply(now)
         self._grant = message.grant
-        return self._act(message, now) + self._reply(now)
+        return actions + self._act(message, now) + self._reply(now)
 
     def engine_read(self, now: float) -> list[RankAction]:
         """Go on after the fence has taken a reading of the engine's state."""
-        return self._place_barrier(now) + self._reply(now)
+        barrier = self._place_barrier(now)
+        if self.phase is not RankPhase.RUNNING and self._seen() != self._reported:
+            self._status_due = True
+        return barrier + self._reply(now)
+
+    def set_leader(self, instance: str) -> None:
+        """Take the leader's name from the view of the live ranks."""
+        self._leader = instance
+
+    def tick(self, now: float) -> list[RankAction]:
+        """Read the engine while it comes to a hold, and report what is unfinished.
+
+        A rank that does not run reports once a second without being asked, because
+        the leader reads the ranks only when it has a reason to.
+        """
+        actions: list[RankAction] = list(self._fence.tick(now))
+        state = self._fence.state
+        stopping = state is not None and state.hold_step >= 0 and not state.held
+        period = POLL_SECONDS if stopping else PUSH_SECONDS
+        if self._fence.ready and now - self._polled_at >= period:
+            self._polled_at = now
+            actions += self._fence.refresh(now)
+        if now - self._pushed_at >= PUSH_SECONDS:
+            self._pushed_at = now
+            self._status_due |= self.phase is not RankPhase.RUNNING
+        return actions + self._reply(now)
 
     def weights_ready(self, map_version: int, now: float) -> list[RankAction]:
         """Load a map whose weights have arrived at the server."""
         if map_version != self._fetching:
             return []
+        self._ready_version = map_version
         return self._order(Order(OrderKind.LOAD_MAP, map_version), now)
 
     def status(self, now: float) -> SwitchStatus:
@@ -134,20 +169,24 @@
             self._fence.grant(now),
         )
 
-    def _promise(self, query: SwitchQuery) -> None:
-        own = self._fence.is_own(query.grant)
-        if not own or query.epoch < self.promised:
-            return
+    def _promise(self, query: SwitchQuery, now: float) -> list[RankAction]:
+        if not self._fence.is_own(query.grant) or query.epoch < self.promised:
+            return []
         if query.epoch > self.promised:
             self.promised = query.epoch
             self._fence.observe_epoch(query.epoch)
             self._reading = 0
             self._closed = False
             self._fetching = 0
+            self._ready_version = 0
             self._barrier_done = not self._fence.engine_checks
             self._barrier_issued = False
         self._reading = max(self._reading, query.reading)
-        self._grant = query.grant
+        if not self._fence.ready:
+            return []
+        actions = self._fence.refresh(now)
+        self._needed_read = self._fence.last_read_id
+        return list(actions)
 
     def _follows(self, message: SwitchMessage) -> bool:
         return (
@@ -165,7 +204,7 @@
         phase = phase_of(state)
         match message:
             case SwitchPrepare():
-                return self._prepare(message, state)
+                return self._prepare(message, state, now)
             case SwitchHold(map_version=version, step=step):
                 if phase is not RankPhase.PREPARED or state.next_map_version != version:
                     return []
@@ -187,8 +226,15 @@
             case SwitchQuery():
                 return []
 
-    def _prepare(self, message: SwitchPrepare, state: EngineState) -> list[RankAction]:
+    def _prepare(
+        self,
+        message: SwitchPrepare,
+        state: EngineState,
+        now: float,
+    ) -> list[RankAction]:
         version = message.map_version
+        if version == self._ready_version != state.next_map_version:
+            return self.weights_ready(version, now)
         if version in (self._fetching, state.map_version, state.next_map_version):
             return []
         if phase_of(state) not in (RankPhase.RUNNING, RankPhase.DOWN):
@@ -222,6 +268,7 @@
         if self._barrier_issued:
             self._barrier_done = True
             return []
+        self._grant = self._fence.grant(now)
         actions = self._order(Order(OrderKind.BARRIER), now)
         self._barrier_issued = bool(actions)
         return actions
@@ -229,8 +276,18 @@
     def _reply(self, now: float) -> list[RankAction]:
         if not self._status_due or not self._leader:
             return []
-        promised_but_unread = not self._fence.ready or not self._barrier_done
-        if self.promised != NO_EPOCH and promised_but_unread:
+        if self.promised != NO_EPOCH and not self._is_read():
             return []
         self._status_due = False
+        self._reported = self._seen()
         return [Send(self._leader, self.status(now))]
+
+    def _is_read(self) -> bool:
+        """Return whether the known state is from after the promise."""
+        if not self._fence.ready or not self._barrier_done:
+            return False
+        return self._fence.taken_read_id >= self._needed_read
+
+    def _seen(self) -> tuple[RankPhase, int]:
+        state = self._fence.state
+        return self.phase, state.map_version if state else 0
--- a/tests/builders_experts.py
+++ b/tests/builders_experts.py
@@ -15,13 +15,28 @@
     def __init__(self, checks: bool, map_version: int = 1, starts: int = 0) -> None:
         self.checks = checks
         self.starts = starts
+        self.step_map = 0
         self.highest: FenceNumber | None = None
         held = map_version == 0
         self.state = EngineState(f"engine-{starts}", map_version, held=held)
 
-    def restart(self) -> None:
-        """Come back without a map, held, as an engine does."""
-        self.__init__(self.checks, 0, self.starts + 1)  # type: ignore[misc]
+    def restart(self, step: int) -> None:
+        """Come back without a map, held, at the group's step."""
+        self.starts += 1
+        self.highest = None
+        self.step_map = 0
+        self.state = EngineState(f"engine-{self.starts}", step=step)
+
+    def start_step(self) -> None:
+        """Begin the next step with the map in use."""
+        if not self.state.held and not self.step_map:
+            self.step_map = self.state.map_version
+
+    def cancel_step(self) -> None:
+        """Return to the last boundary, because another rank has failed."""
+        self.step_map = 0
+        held = self.state.held or 0 <= self.state.hold_step <= self.state.step
+        self.state = replace(self.state, held=held)
 
     def run(self, fence: FenceNumber, order: Order) -> bool:
         """Carry out an order; return whether it was accepted."""
@@ -34,7 +49,8 @@
             case OrderKind.LOAD_MAP:
                 state = replace(state, next_map_version=order.map_version)
             case OrderKind.HOLD:
-                held = state.held or state.step >= order.step
+                at_boundary = not self.step_map and state.step >= order.step
+                held = state.held or at_boundary
                 state = replace(state, hold_step=order.step, held=held)
             case OrderKind.SWITCH_MAP if state.next_map_version == order.map_version:
                 state = replace(
@@ -62,6 +78,7 @@
 
     def complete_step(self) -> None:
         """Finish a step, and hold if it was the last one asked for."""
+        self.step_map = 0
         step = self.state.step + 1
         held = 0 <= self.state.hold_step <= step
         self.state = replace(self.state, step=step, held=held)
--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,241 @@
+"""Switch off one mechanism at a time and check that its test fails.
+
+Run as `python -m tests.mutations [NAME ...]`. Each mutation works on a copy of the
+packages in a temporary directory.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+SWITCH = (
+    "tests/test_rank_switch.py tests/test_map_switch.py tests/test_map_switch_faults.py"
+)
+ORDERS = "tests/test_order_fence.py"
+
+
+@dataclass(frozen=True)
+class Mutation:
+    name: str
+    module: str
+    old: str
+    new: str
+    tests: str
+
+
+MUTATIONS = [
+    Mutation(
+        "promise-of-lower-epoch",
+        "rank_switch",
+        "or query.epoch < self.promised:",
+        "or False:",
+        SWITCH,
+    ),
+    Mutation(
+        "follow-any-epoch",
+        "rank_switch",
+        "message.epoch == self.promised",
+        "message.epoch <= self.promised",
+        SWITCH,
+    ),
+    Mutation(
+        "accept-other-incarnation",
+        "order_fence",
+        "return grant.incarnation == self._incarnation",
+        "return True",
+        SWITCH,
+    ),
+    Mutation(
+        "commit-before-all-hold",
+        "map_switch",
+        "case LeaderPhase.HOLDING if self._all(self._is_holding):",
+        "case LeaderPhase.HOLDING if any(\n"
+        "                map(self._is_holding, self._status_by_rank.values())\n"
+        "            ):",
+        SWITCH,
+    ),
+    Mutation(
+        "resume-before-all-switched",
+        "map_switch",
+        "return self._all(lambda status: status.map_version == self._target)",
+        "return True",
+        SWITCH,
+    ),
+    Mutation(
+        "abort-after-commit",
+        "map_switch",
+        "self._target = max(versions)",
+        "self._target = min(versions)",
+        SWITCH,
+    ),
+    Mutation(
+        "reply-with-order-outstanding",
+        "rank_switch",
+        "if self.promised != NO_EPOCH and not self._is_read():",
+        "if False:",
+        SWITCH,
+    ),
+    Mutation(
+        "no-barrier",
+        "rank_switch",
+        "self._barrier_done = not self._fence.engine_checks",
+        "self._barrier_done = True",
+        SWITCH,
+    ),
+    Mutation(
+        "no-second-reading",
+        "map_switch",
+        "return self._enter(LeaderPhase.CONFIRMING, now)",
+        "return self._decide(now)",
+        SWITCH,
+    ),
+    Mutation(
+        "switch-without-hold",
+        "rank_switch",
+        "if phase is not RankPhase.HELD or state.next_map_version != version:",
+        "if state.next_map_version != version:",
+        SWITCH,
+    ),
+    Mutation(
+        "resume-on-its-own",
+        "rank_switch",
+        "        actions: list[RankAction] = list(self._fence.tick(now))\n",
+        "        actions: list[RankAction] = list(self._fence.tick(now))\n"
+        "        if self.phase is RankPhase.SWITCHED and self._fence.ready:\n"
+        "            self._grant = self._fence.grant(now)\n"
+        "            actions += self._order(Order(OrderKind.RESUME), now)\n",
+        SWITCH,
+    ),
+    Mutation(
+        "no-hold-bound",
+        "map_switch",
+        "case LeaderPhase.HOLDING if now - self._since > HOLD_SECONDS:",
+        "case LeaderPhase.HOLDING if False:",
+        SWITCH,
+    ),
+    Mutation(
+        "no-resend",
+        "map_switch",
+        "if now - self._sent_at < period:",
+        'if self._sent_at > float("-inf"):',
+        SWITCH,
+    ),
+    Mutation(
+        "act-after-abort",
+        "rank_switch",
+        "self._closed = bool(actions)",
+        "self._closed = False",
+        SWITCH,
+    ),
+    Mutation(
+        "old-epoch-order",
+        "order_fence",
+        "if fence.epoch < self.highest:",
+        "if False:",
+        ORDERS,
+    ),
+    Mutation(
+        "repeated-order",
+        "order_fence",
+        "if fence <= self._last:",
+        "if False:",
+        ORDERS,
+    ),
+    Mutation(
+        "authority-without-end",
+        "order_fence",
+        "issued_at is not None and now - issued_at <= AUTHORITY_SECONDS",
+        "issued_at is not None",
+        ORDERS,
+    ),
+    Mutation(
+        "authority-from-before-a-pause",
+        "order_fence",
+        "self._issued_at_by_grant.clear()",
+        "pass",
+        ORDERS,
+    ),
+    Mutation(
+        "two-orders-outstanding",
+        "order_fence",
+        "if self._outstanding is not None:\n            return Err(Refusal.BUSY)",
+        "if False:\n            return Err(Refusal.BUSY)",
+        ORDERS,
+    ),
+    Mutation(
+        "no-read-back",
+        "order_fence",
+        "        read = self._read(now)\n"
+        "        self._outstanding.answered_read = read.read_id\n",
+        "        read = self._read(now)\n        self._outstanding = None\n",
+        ORDERS,
+    ),
+    Mutation(
+        "resend-to-engine-that-ignores",
+        "order_fence",
+        "if self.engine_checks and now - waiting.issued_at",
+        "if now - waiting.issued_at",
+        ORDERS,
+    ),
+    Mutation(
+        "act-before-first-reading",
+        "order_fence",
+        "if self.state is None:\n            return Err(Refusal.UNREAD)",
+        'if self.state is None:\n            self.state = EngineState("")',
+        ORDERS,
+    ),
+    Mutation(
+        "no-settling-after-restart",
+        "order_fence",
+        "if settling and now - self._started < SETTLE_SECONDS:",
+        "if False:",
+        ORDERS,
+    ),
+]
+
+
+def try_mutation(mutation: Mutation) -> bool:
+    """Return whether the tests fail with the mutation."""
+    with tempfile.TemporaryDirectory() as directory:
+        for part in ("lacewingcleat", "tests", "bench"):
+            shutil.copytree(ROOT / part, Path(directory) / part)
+        shutil.copy(ROOT / "pyproject.toml", directory)
+        path = Path(directory) / "lacewingcleat" / f"{mutation.module}.py"
+        text = path.read_text()
+        if text.count(mutation.old) != 1:
+            raise SystemExit(f"{mutation.name}: text found {text.count(mutation.old)}x")
+        path.write_text(text.replace(mutation.old, mutation.new))
+        command = [sys.executable, "-m", "pytest", "-x", "-p", "no:cacheprovider"]
+        command += ["-m", "not soak", "--timeout", "100", *mutation.tests.split()]
+        environment = {**os.environ, "PYTHONPATH": directory}
+        done = subprocess.run(
+            command,
+            cwd=directory,
+            env=environment,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        lines = [line for line in done.stdout.splitlines() if line.startswith("E  ")]
+        reason = " ".join(lines[0][1:].split())[:76] if lines else ""
+        failed = done.returncode == 1
+        print(f"{'fails' if failed else 'PASSES':7}{mutation.name:32}{reason}")
+        return failed
+
+
+def main() -> int:
+    """Run the named mutations, or all, and return 1 if a test did not notice one."""
+    names = sys.argv[1:]
+    chosen = [each for each in MUTATIONS if not names or each.name in names]
+    with ThreadPoolExecutor(4) as pool:
+        return 0 if all(list(pool.map(try_mutation, chosen))) else 1
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/tests/test_map_switch.py
+++ b/tests/test_map_switch.py
@@ -1,81 +1,73 @@
 from testtools import TestCase
 
-from lacewingcleat.actions import Send
-from lacewingcleat.map_switch import EncodedMap, LeaderPhase, RankSwitch, SwitchLeader
-from lacewingcleat.messages import RankPhase, SwitchStatus
-from lacewingcleat.order_fence import IssueOrder, OrderFence, ReadState
-from lacewingcleat.rank_switch import FetchMap, RankAction
-from tests.builders_experts import StandInEngine
+from lacewingcleat.map_switch import HOLD_SECONDS, LeaderPhase
+from lacewingcleat.messages import RankPhase
+from tests.group_simulation import GroupSimulation
 
 
-class PlainGroup:
-    """Deliver every message at once and run all engines in lock-step."""
-
-    def __init__(self, ranks: int, checks: bool) -> None:
-        self.now = 0.0
-        self.names = tuple(f"server-{rank}" for rank in range(ranks))
-        self.engines = [StandInEngine(checks) for _ in self.names]
-        self.fences = [OrderFence(f"inc-{name}", checks, 0.0) for name in self.names]
-        self.ranks = [
-            RankSwitch("group-1", rank, fence) for rank, fence in enumerate(self.fences)
-        ]
-        self.leader = SwitchLeader("group-1", self.names[0], self.names, 0.0)
-
-    def carry_out(self, rank: int, actions: list[RankAction]) -> None:
-        fence, switch = self.fences[rank], self.ranks[rank]
-        for action in actions:
-            match action:
-                case IssueOrder(number, order):
-                    self.engines[rank].run(number, order)
-                    self.carry_out(rank, list(fence.order_answered(number, self.now)))
-                case ReadState(read_id):
-                    fence.state_read(read_id, self.engines[rank].state, self.now)
-                    self.carry_out(rank, switch.engine_read(self.now))
-                case FetchMap(map_version=version):
-                    self.carry_out(rank, switch.weights_ready(version, self.now))
-                case Send(_, SwitchStatus() as status):
-                    self.deliver(self.leader.receive(status, self.now))
+class MapSwitchTest(TestCase):
+    def test_group_switches_without_faults(self) -> None:
+        """Guards against a switch that never ends, or holds longer than its bound."""
+        for checks in (True, False):
+            group = GroupSimulation(3, checks)
+            group.lead(0)
+            group.run(4.0)
+            self.assertEqual(LeaderPhase.IDLE, group.agents[0].leader.phase)
+            group.propose(0)
+            group.run(5.0)
+            maps = [engine.state.map_version for engine in group.engines]
+            self.assertEqual([2] * 3, maps)
+            phases = [agent.switch.phase for agent in group.agents]
+            self.assertEqual([RankPhase.RUNNING] * 3, phases)
+            self.assertEqual(1, group.agents[0].leader.finished)
+            self.assertLess(group.longest_hold, HOLD_SECONDS)
 
-    def deliver(self, actions: list) -> None:
-        for action in actions:
-            rank = self.names.index(action.instance)
-            replies = self.ranks[rank].receive(
-                self.names[0],
-                action.message,
-                self.now,
-            )
-            self.carry_out(rank, replies)
+    def test_hold_ends_at_its_bound_when_a_rank_is_cut_off(self) -> None:
+        """Guards against a group that stands still until the rank is back."""
+        group = GroupSimulation(3, False)
+        group.lead(0)
+        group.run(4.0)
+        group.propose(0)
+        leader = group.agents[0].leader
+        while leader.phase is not LeaderPhase.HOLDING:
+            group.run(0.01)
+        group.cut.add(2)
+        started = group.now
+        while leader.phase is LeaderPhase.HOLDING:
+            group.run(0.01)
+            self.assertLess(group.now - started, HOLD_SECONDS + 0.05)
+        group.run(0.2)
+        held = [engine.state.held for engine in group.engines[:2]]
+        self.assertEqual([False, False], held)
+        self.assertEqual([1] * 3, [each.state.map_version for each in group.engines])
 
-    def run(self, seconds: float) -> None:
-        for _ in range(round(seconds / 0.01)):
-            self.now += 0.01
-            if not any(engine.state.held for engine in self.engines):
-                for engine in self.engines:
-                    engine.complete_step()
-            for rank, fence in enumerate(self.fences):
-                self.carry_out(rank, list(fence.refresh(self.now)))
-                self.carry_out(rank, list(fence.tick(self.now)))
-            self.deliver(self.leader.tick(self.now))
+    def test_restart_between_promise_and_reading_starts_a_new_epoch(self) -> None:
+        """Guards against a decision on the word of an agent that has forgotten it."""
+        group = GroupSimulation(2, False)
+        leader = group.agents[0].leader
+        group.lead(0)
+        while leader.phase is not LeaderPhase.CONFIRMING:
+            group.run(0.01)
+        term = leader.epoch.term
+        group.start_agent(1)
+        group.agents[1].switch.set_leader(group.names[0])
+        for _ in range(400):
+            group.run(0.01)
+            if leader.phase is LeaderPhase.IDLE:
+                break
+        self.assertEqual(LeaderPhase.IDLE, leader.phase)
+        self.assertGreater(leader.epoch.term, term)
 
+    def test_messages_do_not_multiply(self) -> None:
+        """Guards against a leader that answers each status with one message per rank.
 
-class MapSwitchTest(TestCase):
-    def test_group_switches_without_faults(self) -> None:
-        """Guards against a switch that never ends or ends on two maps."""
-        for checks in (True, False):
-            group = PlainGroup(3, checks)
-            group.deliver(group.leader.lead(0.0))
-            group.run(3.0)
-            self.assertEqual(LeaderPhase.IDLE, group.leader.phase)
-            self.assertTrue(
-                group.leader.propose(EncodedMap(2, "d", 1, b"", b""), group.now),
-            )
-            group.run(10.0)
-            self.assertEqual(
-                [2] * 3,
-                [engine.state.map_version for engine in group.engines],
-            )
-            self.assertEqual(
-                [RankPhase.RUNNING] * 3,
-                [rank.phase for rank in group.ranks],
-            )
-            self.assertEqual(1, group.leader.finished)
+        Statuses and answers then multiplied until the group was flooded.
+        """
+        group = GroupSimulation(8, True)
+        group.lead(0)
+        group.run(4.0)
+        group.messages = 0
+        group.propose(0)
+        group.run(4.0)
+        self.assertEqual(1, group.agents[0].leader.finished)
+        self.assertLess(group.messages, 8 * 40)
--- /dev/null
+++ b/tests/test_map_switch_faults.py
@@ -0,0 +1,203 @@
+"""Every step of a group uses one expert map, whatever fails."""
+
+import os
+
+import pytest
+from hypothesis import HealthCheck, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from testtools import TestCase
+
+from lacewingcleat.map_switch import LeaderPhase
+from lacewingcleat.messages import RankPhase
+from tests.group_simulation import GroupSimulation
+
+RANKS = st.integers(0, 2)
+SETTLING_SECONDS = 90.0
+
+
+class SwitchMachine(RuleBasedStateMachine):
+    """Lose, delay, double and reorder messages; kill, pause and cut off processes."""
+
+    checks = True
+
+    @initialize(leader=RANKS)
+    def begin(self, leader: int) -> None:
+        self.group = GroupSimulation(3, self.checks)
+        self.group.lead(leader)
+        self.group.run(3.5, 0.05)
+        self.group.propose(leader)
+
+    @rule(rank=RANKS)
+    def lead(self, rank: int) -> None:
+        self.group.lead(rank)
+
+    @rule(rank=RANKS)
+    def stop_leading(self, rank: int) -> None:
+        agent = self.group.agents[rank]
+        if agent is not None:
+            agent.leader.stop()
+
+    @rule(rank=RANKS)
+    def propose(self, rank: int) -> None:
+        self.group.propose(rank)
+
+    @rule(rounds=st.integers(1, 12), keep=st.booleans(), lost=st.integers(0, 5))
+    def progress(self, rounds: int, keep: bool, lost: int) -> None:
+        """Run on, keep copies of messages for later and lose some."""
+        for number in range(rounds):
+            if keep:
+                self.group.late = (self.group.late + self.group.packets)[-40:]
+            if lost and number % 3 == 0:
+                del self.group.packets[lost - 1 : lost]
+            self.group.run(0.01)
+
+    @rule(data=st.data())
+    def deliver_late(self, data: st.DataObject) -> None:
+        late = self.group.late
+        if late:
+            index = data.draw(st.integers(0, len(late) - 1))
+            self.group.deliver(late[index])
+
+    @rule()
+    def delay_all(self) -> None:
+        self.group.late = (self.group.late + self.group.packets)[-40:]
+        self.group.packets.clear()
+
+    @rule()
+    def reorder(self) -> None:
+        self.group.packets.reverse()
+
+    @rule(rank=RANKS)
+    def slow_or_quick_engine(self, rank: int) -> None:
+        self.group.slow ^= {rank}
+
+    @rule(rank=RANKS)
+    def deafen_or_hear(self, rank: int) -> None:
+        self.group.deaf ^= {rank}
+
+    @rule(rank=RANKS, answer=st.booleans())
+    def run_order(self, rank: int, answer: bool) -> None:
+        self.group.run_call(rank, answer)
+
+    @rule(rank=RANKS)
+    def kill_agent(self, rank: int) -> None:
+        self.group.kill_agent(rank)
+
+    @rule(rank=RANKS)
+    def restart_agent(self, rank: int) -> None:
+        self.group.start_agent(rank)
+
+    @rule(rank=RANKS)
+    def kill_engine(self, rank: int) -> None:
+        self.group.kill_engine(rank)
+
+    @rule(rank=RANKS, paused=st.booleans())
+    def pause(self, rank: int, paused: bool) -> None:
+        agent = self.group.agents[rank]
+        if agent is not None:
+            agent.paused = paused
+
+    @rule(rank=RANKS)
+    def cut_off_or_join(self, rank: int) -> None:
+        self.group.cut ^= {rank}
+
+    @rule(seconds=st.sampled_from([0.01, 0.06, 0.4, 1.1, 2.1, 6.0]))
+    def wait(self, seconds: float) -> None:
+        self.group.now += seconds
+        for rank in range(3):
+            self.group.tick(rank)
+
+    @rule(order=st.permutations([0, 1, 2]), finish=st.booleans())
+    def step(self, order: list[int], finish: bool) -> None:
+        for rank in order[: 3 if finish else 2]:
+            self.group.start_step(rank)
+        self.group.finish_step()
+
+    @invariant()
+    def one_map_per_step(self) -> None:
+        if hasattr(self, "group"):
+            self.group.check()
+
+    def is_settled(self) -> bool:
+        leader = self.group.agents[0].leader
+        phases = {agent.switch.phase for agent in self.group.agents}
+        resting = phases in ({RankPhase.RUNNING}, {RankPhase.DOWN})
+        return resting and leader.phase is LeaderPhase.IDLE and not leader.busy
+
+    def teardown(self) -> None:
+        """Check that the switch finishes or is aborted when the faults end."""
+        if not hasattr(self, "group"):
+            return
+        group = self.group
+        group.heal()
+        for _ in range(round(2 * SETTLING_SECONDS)):
+            group.run(0.5, 0.02)
+            if self.is_settled():
+                break
+        leader = group.agents[0].leader
+        maps = {engine.state.map_version for engine in group.engines}
+        assert len(maps) == 1, f"maps {maps} after the faults ended"
+        phases = {agent.switch.phase for agent in group.agents}
+        if maps == {0}:
+            assert phases == {RankPhase.DOWN}
+            return
+        assert phases == {RankPhase.RUNNING}, f"phases {phases}"
+        assert leader.phase is LeaderPhase.IDLE, leader.phase
+        assert not leader.busy, "a proposed switch neither finished nor was dropped"
+
+
+class IgnoringSwitchMachine(SwitchMachine):
+    """The same over engines that ignore fencing numbers."""
+
+    checks = False
+
+
+def run_machine(machine: type[SwitchMachine], examples: int, steps: int) -> None:
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+class SwitchFaultsTest(TestCase):
+    def test_one_map_per_step_with_engines_that_check(self) -> None:
+        """Guards against P1 violations and switches that never end."""
+        run_machine(SwitchMachine, 150, 40)
+
+    def test_one_map_per_step_with_engines_that_ignore(self) -> None:
+        """Guards against the same where only the agent refuses old orders."""
+        run_machine(IgnoringSwitchMachine, 150, 40)
+
+
+@pytest.mark.soak
+@pytest.mark.timeout(3600)
+@pytest.mark.parametrize("machine", [SwitchMachine, IgnoringSwitchMachine])
+def test_one_map_per_step_soak(machine: type[SwitchMachine]) -> None:
+    """Guards against rare orders of events that the short runs do not reach."""
+    number = int(os.environ.get("SOAK_SEED", "0")) or int.from_bytes(os.urandom(4))
+    print(f"SOAK_SEED={number}")
+    examples = int(os.environ.get("SOAK_EXAMPLES", "2000"))
+    run_state_machine_as_test(
+        seed(number)(machine),
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=80,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
