--- a/bench/limits_model.py
+++ b/bench/limits_model.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import astuple, dataclass, field
 
-import msgpack  # type: ignore[import-untyped]
+import msgpack
 
 from lacewingcleat.account_limits import AccountLimits, LimitPermit, LimitWait
 from lacewingcleat.actions import Action, Send
