--- a/lacewingcleat/demo_fleet.py
+++ b/lacewingcleat/demo_fleet.py
@@ -5,6 +5,8 @@
 """
 
 import copy
+import os
+import random
 import socket
 from dataclasses import dataclass, field
 from typing import Any
@@ -22,24 +24,35 @@
 
 LOOPBACK = "127.0.0.1"
 DEMO_TRACE_RATIO = 1.0
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 SEEDS_PER_PROCESS = 2
 
 
 class PortPool:
-    """Find free loopback ports, none of them twice."""
+    """Find free loopback ports, none of them twice.
+
+    The ports lie below the range from which the system takes the local ports of
+    outgoing connections, so that none is taken between the probe and its use.
+    """
 
     def __init__(self) -> None:
         self._taken: set[int] = set()
+        self._rng = random.Random(os.urandom(8))
 
     def take(self) -> str:
         """Return an address with a free port."""
         while True:
+            port = self._rng.randrange(FIRST_PORT, LAST_PORT)
+            if port in self._taken:
+                continue
+            self._taken.add(port)
             with socket.socket() as probe:
-                probe.bind((LOOPBACK, 0))
-                port = probe.getsockname()[1]
-            if port not in self._taken:
-                self._taken.add(port)
-                return f"{LOOPBACK}:{port}"
+                try:
+                    probe.bind((LOOPBACK, port))
+                except OSError:
+                    continue
+            return f"{LOOPBACK}:{port}"
 
 
 @dataclass(slots=True)
--- a/lacewingcleat/entry_main.py
+++ b/lacewingcleat/entry_main.py
@@ -3,12 +3,14 @@
 import sys
 from collections.abc import Sequence
 
+from pynng.exceptions import AddressInUse
 from result import Err
 from twisted.internet import reactor
 
 from lacewingcleat.entry_process import EntryProcess
-from lacewingcleat.logs import start_logs
+from lacewingcleat.logs import PartLogger, start_logs
 from lacewingcleat.program import (
+    EXIT_CANNOT_LISTEN,
     EXIT_FINDINGS,
     EXIT_USAGE,
     make_parser,
@@ -35,7 +37,11 @@
         return EXIT_FINDINGS
     settings = loaded.ok_value
     start_logs(settings.log_format, settings.log_level)
-    process = EntryProcess(reactor, settings)
+    try:
+        process = EntryProcess(reactor, settings)
+    except AddressInUse:
+        PartLogger("entry").error(f"cannot listen on {settings.control_address}.")
+        return EXIT_CANNOT_LISTEN
     return run_until_stopped(
         reactor,
         process.start,
--- a/lacewingcleat/entry_server.py
+++ b/lacewingcleat/entry_server.py
@@ -10,11 +10,16 @@
 import msgspec
 from opentelemetry.trace import SpanKind
 from result import Err
-from twisted.internet import defer
+from twisted.internet import defer, task
 
 from lacewingcleat import chat_api
 from lacewingcleat import http_headers as names
-from lacewingcleat.account_limits import LimitPermit, LimitReason, LimitRefusal
+from lacewingcleat.account_limits import (
+    LimitPermit,
+    LimitReason,
+    LimitRefusal,
+    LimitWait,
+)
 from lacewingcleat.clock import read_now
 from lacewingcleat.crash_suspects import Convicted, RunAlone, fingerprint_request
 from lacewingcleat.entry_answer import AnswerWriter
@@ -31,6 +36,9 @@
 REQUEST_ID_BYTES = 12
 STATUS_BY_LIMIT = {LimitReason.UNKNOWN_ACCOUNT: 401}
 LIMIT_STATUS = 429
+# A request that its limit admits within this time is held instead of refused, so that
+# a few requests at the same instant do not cost their callers a second each.
+LIMIT_WAIT_SECONDS = 0.5
 
 
 class _TicketBody(msgspec.Struct):
@@ -250,18 +258,26 @@
 
     async def _admit(self, call: EntryCall, tokens: int) -> bool:
         """Return whether the account's limits admit the request."""
-        limits = self._node.limits
-        decision = limits.admit(call.account.name, tokens, read_now())
-        while not isinstance(decision, LimitPermit | LimitRefusal):
-            self._node.perform(decision.actions)
-            await self._wait_for_lease(decision.until)
+        node = self._node
+        name = call.account.name
+        decision = node.limits.admit(name, tokens, read_now())
+        last = read_now() + LIMIT_WAIT_SECONDS
+        while not isinstance(decision, LimitPermit):
+            match decision:
+                case LimitWait(until, actions):
+                    node.perform(actions)
+                    await self._wait_for_lease(until)
+                case LimitRefusal(_, seconds):
+                    if read_now() + seconds > last:
+                        break
+                    await task.deferLater(node.reactor, seconds, lambda: None)
             if call.caller_gone:
                 return False
-            decision = limits.admit(call.account.name, tokens, read_now(), waited=True)
+            decision = node.limits.admit(name, tokens, read_now(), waited=True)
         if isinstance(decision, LimitPermit):
             call.permit = decision
             return True
-        self._node.metrics.limit_refusals.labels(decision.reason.value).inc()
+        node.metrics.limit_refusals.labels(decision.reason.value).inc()
         status = STATUS_BY_LIMIT.get(decision.reason, LIMIT_STATUS)
         detail = f"the client account has reached its limit: {decision.reason.value}"
         problem = not_run(status, decision.reason.value, detail)
--- /dev/null
+++ b/tests/test_process_failures.py
@@ -0,0 +1,339 @@
+"""Real processes are ended, paused and drained while requests are in flight."""
+
+import http.client
+import json
+import signal
+import threading
+import time
+
+from testtools import TestCase
+
+from bench.process_fleet import ENTRIES, KEY, ProcessFleet
+from lacewingcleat.engine_stand_in import CRASH_MARKER, answer_tokens
+from lacewingcleat.stand_in_main import CRASH_EXIT_CODE
+
+CHAT = "/v1/chat/completions"
+NOT_RUN = "https://lacewingcleat.invalid/problems/not-run"
+UNKNOWN = "https://lacewingcleat.invalid/problems/unknown"
+DEADLINE_SECONDS = 15.0
+
+
+def _body(prompt: str, count: int, stream: bool = False) -> dict[str, object]:
+    return {
+        "model": "drafting",
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": count,
+        "stream": stream,
+    }
+
+
+def _tokens(content: bytes) -> list[str]:
+    tokens = []
+    for event in content.split(b"\n\n"):
+        data = event.removeprefix(b"data: ")
+        if data and data != b"[DONE]":
+            choices = json.loads(data).get("choices", [])
+            tokens += [choice["delta"]["content"] for choice in choices]
+    return tokens
+
+
+class _Caller(threading.Thread):
+    """Read one stream in a thread, because the client library blocks."""
+
+    def __init__(
+        self, fleet: ProcessFleet, entry: str, prompt: str, count: int
+    ) -> None:
+        super().__init__()
+        self.fleet = fleet
+        self.entry = entry
+        self.prompt = prompt
+        self.count = count
+        self.content = b""
+        self.status = 0
+        self.broken = False
+        self.seconds = 0.0
+
+    def run(self) -> None:
+        began = time.monotonic()
+        connection = http.client.HTTPConnection(
+            self.fleet.request_by_entry[self.entry],
+            timeout=DEADLINE_SECONDS + 10,
+        )
+        headers = {
+            "Authorization": f"Bearer {KEY}",
+            "Lacewing-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+        }
+        body = json.dumps(_body(self.prompt, self.count, stream=True))
+        try:
+            connection.request("POST", CHAT, body, headers)
+            response = connection.getresponse()
+            self.status = response.status
+            while chunk := response.read1(65536):
+                self.content += chunk
+        except (OSError, http.client.HTTPException):
+            self.broken = True
+        finally:
+            connection.close()
+            self.seconds = time.monotonic() - began
+
+    def is_right_or_told(self) -> bool:
+        """Return whether the caller has the whole answer or a true error."""
+        expected = answer_tokens(self.prompt, self.count)
+        if self.status == 200 and self.content.endswith(b"data: [DONE]\n\n"):
+            return _tokens(self.content) == expected
+        tokens = _tokens(self.content) if self.status == 200 else []
+        told = self.broken or b"problems/" in self.content or b'"error"' in self.content
+        # Whatever arrived before the error is the beginning of its own answer.
+        return told and tokens == expected[: len(tokens)]
+
+
+class ProcessFailureTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = ProcessFleet(token_seconds=0.03)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+
+    def _callers(self, count: int) -> list[_Caller]:
+        callers = [
+            _Caller(self.fleet, ENTRIES[index % 3], f"prompt {index}", 60)
+            for index in range(count)
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.8)
+        return callers
+
+    def _join(self, callers: list[_Caller]) -> None:
+        for caller in callers:
+            caller.join(DEADLINE_SECONDS + 15)
+            self.assertFalse(caller.is_alive(), f"{caller.prompt} hangs")
+            self.assertLess(caller.seconds, DEADLINE_SECONDS + 5)
+            self.assertTrue(
+                caller.is_right_or_told(),
+                f"{caller.prompt}: {caller.status} {caller.content[-300:]!r}",
+            )
+
+    def test_engine_killed_in_the_middle_of_streams(self) -> None:
+        """Guards against lost or doubled tokens when a stream changes its engine."""
+        callers = self._callers(6)
+        self.fleet.kill("backend-draft-1")
+        self._join(callers)
+        whole = [caller for caller in callers if caller.content.endswith(b"[DONE]\n\n")]
+        self.assertEqual(6, len(whole))
+
+    def test_agent_killed_in_the_middle_of_streams(self) -> None:
+        """Guards against callers that hang when an agent is gone."""
+        callers = self._callers(6)
+        self.fleet.kill("draft-1")
+        self._join(callers)
+
+    def test_entry_killed_in_the_middle_of_streams(self) -> None:
+        """Guards against an answer that looks whole although its entry has died."""
+        callers = self._callers(6)
+        self.fleet.kill("entry-1")
+        self._join(callers)
+        others = [caller for caller in callers if caller.entry != "entry-1"]
+        for caller in others:
+            self.assertTrue(caller.content.endswith(b"[DONE]\n\n"))
+
+    def test_configuration_service_killed(self) -> None:
+        """Guards against a fleet that needs the configuration service to serve."""
+        callers = self._callers(3)
+        self.fleet.kill("config")
+        self._join(callers)
+        for caller in callers:
+            self.assertTrue(caller.content.endswith(b"[DONE]\n\n"))
+        status, _, _ = self.fleet.send("entry-2", "POST", CHAT, _body("after", 3))
+        self.assertEqual(200, status)
+
+    def test_new_entry_without_configuration_service(self) -> None:
+        """Guards against a new instance that cannot learn the sheet from its peers."""
+        self.fleet.kill("config")
+        self.fleet.kill("entry-3")
+        self.fleet.start_entry("entry-3")
+        self.fleet.wait_until_ready(["entry-3"])
+        status, _, _ = self.fleet.send("entry-3", "POST", CHAT, _body("again", 3))
+        self.assertEqual(200, status)
+
+    def test_stale_configuration_service_does_not_turn_back(self) -> None:
+        """Guards against a new instance that starts with an old revision."""
+        self.fleet.publish(5)
+        self._wait_for_revision(5, ENTRIES)
+        self.fleet.publish(3)
+        self.fleet.kill("entry-3")
+        self.fleet.start_entry("entry-3")
+        self.fleet.wait_until_ready(["entry-3"])
+        for name in (*ENTRIES, "draft-1"):
+            self.assertEqual(5, self.fleet.revision(name))
+
+    def _wait_for_revision(self, revision: int, names: tuple[str, ...]) -> None:
+        end = time.monotonic() + 6.0
+        while time.monotonic() < end:
+            if all(self.fleet.revision(name) == revision for name in names):
+                return
+            time.sleep(0.1)
+        self.fail(f"revision {revision} was not in force within 6 s")
+
+    def test_paused_agent_and_entry(self) -> None:
+        """Guards against hanging callers and decisions by views from before a pause."""
+        callers = self._callers(4)
+        self.fleet.signal("draft-1", signal.SIGSTOP)
+        self.fleet.signal("entry-3", signal.SIGSTOP)
+        time.sleep(4.0)
+        self.fleet.publish(7)
+        time.sleep(1.0)
+        self.fleet.signal("draft-1", signal.SIGCONT)
+        self.fleet.signal("entry-3", signal.SIGCONT)
+        self._join(callers)
+        self._wait_for_revision(7, (*ENTRIES, "draft-1"))
+        self.assertIn("was paused", self.fleet.log("entry-3"))
+
+    def test_sigterm_cuts_off_no_stream(self) -> None:
+        """Guards against a graceful stop that breaks answers in flight."""
+        callers = self._callers(6)
+        self.fleet.signal("entry-1", signal.SIGTERM)
+        self.fleet.signal("draft-1", signal.SIGTERM)
+        self._join(callers)
+        for caller in callers:
+            self.assertTrue(
+                caller.content.endswith(b"[DONE]\n\n"),
+                f"{caller.prompt}: {caller.status} {caller.content[-400:]!r}",
+            )
+        for name in ("entry-1", "draft-1"):
+            self.assertEqual(0, self.fleet.process_by_name[name].wait(10))
+        status, _, _ = self.fleet.send("entry-2", "POST", CHAT, _body("later", 3))
+        self.assertEqual(200, status)
+
+    def test_request_that_crashes_engines(self) -> None:
+        """Guards against a request that ends one engine after the other."""
+        body = _body(f"please {CRASH_MARKER}", 3)
+        statuses = []
+        crashes = 0
+        for entry in ("entry-1", "entry-2", "entry-3", "entry-1"):
+            status, _, _ = self.fleet.send(entry, "POST", CHAT, body)
+            statuses.append(status)
+            for name in ("draft-1", "draft-2"):
+                code = self.fleet.process_by_name[f"backend-{name}"].poll()
+                if code is not None:
+                    log = self.fleet.log(f"backend-{name}")
+                    self.assertEqual(CRASH_EXIT_CODE, code, log[-500:])
+                    crashes += 1
+                    self.fleet.start_backend(name)
+            time.sleep(2.0)
+        self.assertEqual(422, statuses[-1])
+        logs = "\n".join(self.fleet.log(name) for name in ("draft-1", "draft-2"))
+        self.assertLessEqual(crashes, 2, f"{statuses}\n{logs}")
+
+
+class OrderFailureTest(TestCase):
+    """Orders are sent again while processes end; the service counts executions."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = ProcessFleet(delay_seconds=1.0)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+
+    def _ticket(self, key: str) -> dict[str, str]:
+        headers = {"Idempotency-Key": key}
+        status, answer, _ = self.fleet.send(
+            "entry-1", "POST", "/services/orders/place", {"key": key}, headers
+        )
+        self.assertEqual(428, status)
+        return headers | {"Lacewing-Ticket": answer["Lacewing-Ticket"]}
+
+    def _send_in_thread(self, entry: str, key: str, headers: dict[str, str]) -> None:
+        def send() -> None:
+            try:
+                self.fleet.send(
+                    entry, "POST", "/services/orders/place", {"key": key}, headers
+                )
+            except (OSError, http.client.HTTPException):
+                pass
+
+        thread = threading.Thread(target=send)
+        thread.start()
+        self.addCleanup(thread.join)
+
+    def _runs(self, key: str) -> int:
+        calls = self.fleet.executions().items()
+        return sum(count for call, count in calls if f'"{key}"' in call)
+
+    def test_entry_killed_with_an_order_in_flight(self) -> None:
+        """Guards against an order that runs twice when its entry dies."""
+        headers = self._ticket("a")
+        self._send_in_thread("entry-1", "a", headers)
+        time.sleep(0.4)
+        self.fleet.kill("entry-1")
+        status, _, body = self.fleet.send(
+            "entry-2", "POST", "/services/orders/place", {"key": "a"}, headers
+        )
+        self.assertEqual((200, 1), (status, self._runs("a")), body)
+
+    def test_agent_killed_with_an_order_in_flight(self) -> None:
+        """Guards against "not run" about an order whose agent has died."""
+        headers = self._ticket("b")
+        self._send_in_thread("entry-1", "b", headers)
+        time.sleep(0.4)
+        for name in ("orders-1", "orders-2"):
+            self.fleet.kill(name)
+        for server in self.fleet.sheet["backend_servers"]:
+            if server["name"].startswith("orders"):
+                self.fleet.start_agent(server)
+        self.fleet.wait_until_ready(("orders-1", "orders-2"))
+        status, _, body = self.fleet.send(
+            "entry-2", "POST", "/services/orders/place", {"key": "b"}, headers
+        )
+        self.assertEqual(UNKNOWN, json.loads(body)["type"])
+        self.assertEqual((502, 1), (status, self._runs("b")))
+
+    def test_agent_paused_with_an_order_in_flight(self) -> None:
+        """Guards against an order that a waking agent runs a second time."""
+        headers = self._ticket("c")
+        self._send_in_thread("entry-1", "c", headers)
+        time.sleep(0.4)
+        for name in ("orders-1", "orders-2"):
+            self.fleet.signal(name, signal.SIGSTOP)
+        time.sleep(4.0)
+        for name in ("orders-1", "orders-2"):
+            self.fleet.signal(name, signal.SIGCONT)
+        time.sleep(1.0)
+        status, _, body = self.fleet.send(
+            "entry-3", "POST", "/services/orders/place", {"key": "c"}, headers
+        )
+        self.assertEqual((200, 1), (status, self._runs("c")), body)
+
+    def test_key_without_ticket_never_runs(self) -> None:
+        """Guards against an order that two entries run under the same key."""
+        for entry in ENTRIES:
+            status, _, body = self.fleet.send(
+                entry,
+                "POST",
+                "/services/orders/place",
+                {"key": "d"},
+                {"Idempotency-Key": "d"},
+            )
+            self.assertEqual(428, status)
+            self.assertEqual(NOT_RUN, json.loads(body)["type"])
+        self.assertEqual(0, self._runs("d"))
+
+    def test_leaving_server_gets_no_new_work(self) -> None:
+        """Guards against new work at a server that leaves by the sheet."""
+        for server in self.fleet.sheet["backend_servers"]:
+            if server["name"] == "orders-1":
+                server["state"] = "leaving"
+        self.fleet.publish(9)
+        time.sleep(3.0)
+        before = self.fleet.get(
+            self.fleet.backend_by_server["orders-1"], "/executions"
+        )[1]
+        for index in range(6):
+            status, _, _ = self.fleet.send(
+                ENTRIES[index % 3], "GET", f"/services/orders/proof/{index}"
+            )
+            self.assertEqual(200, status)
+        after = self.fleet.get(self.fleet.backend_by_server["orders-1"], "/executions")[
+            1
+        ]
+        self.assertEqual(before, after)
