Split the relay into smaller modules

Change: peer_revisions decides when to ask peers that are ahead and to tell those that are behind, sheet_gate checks complete revisions, alarm_log raises each alarm once, and ChangeLog keeps the stage delays. No change in behaviour.

--- a/lacewingcleat/sheet_relay.py
+++ b/lacewingcleat/sheet_relay.py
@@ -5,14 +5,14 @@
 only place that changes it.
 """
 
-from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from result import Err
 
 from lacewingcleat.actions import Alarm, Send
-from lacewingcleat.change_times import ChangeTimes
+from lacewingcleat.alarm_log import AlarmLog
+from lacewingcleat.change_times import ChangeLog, ChangeTimes
 from lacewingcleat.config_reader import (
     FAILURES_BEFORE_ALARM,
     ConfigReader,
@@ -29,6 +29,7 @@
 from lacewingcleat.offer_tree import choose_agents, choose_branch
 from lacewingcleat.part_fetch import PartFetch
 from lacewingcleat.peer_inquiry import PeerInquiry
+from lacewingcleat.peer_revisions import PeerRevisions
 from lacewingcleat.relay_actions import (
     FetchPart,
     InForce,
@@ -39,7 +40,8 @@
 )
 from lacewingcleat.rendezvous import rank_by_rendezvous
 from lacewingcleat.sheet import Sheet
-from lacewingcleat.sheet_check import PartCache, check_parts
+from lacewingcleat.sheet_check import PartCache
+from lacewingcleat.sheet_gate import SheetGate
 from lacewingcleat.sheet_offers import apply_offer
 from lacewingcleat.sheet_parts import (
     Manifest,
@@ -50,24 +52,8 @@
 from lacewingcleat.sheet_source import SheetSource
 from lacewingcleat.sheet_store import SheetStore
 
-# An offer along the tree usually overtakes the query after a heartbeat.
-QUERY_DELAY_SECONDS = 0.25
-# A peer that is still behind after this time has lost its offer; a fetch that had to
-# ask twice takes 0.4 s.
-REPAIR_SECONDS = 0.5
 # Entries asked when only an agent, which holds no account parts, knows a revision.
 ENTRIES_ASKED_FOR_AGENT = 4
-KEPT_CHANGES = 32
-KEPT_REFUSALS = 64
-
-
-@dataclass(frozen=True, slots=True)
-class _Rumour:
-    """A higher revision that a peer mentioned, before its offer is here."""
-
-    revision: int
-    instance: str
-    heard_at: float
 
 
 class SheetRelay:
@@ -91,15 +77,13 @@
         self._preferred_peers: list[str] = []
         self._store = SheetStore(with_accounts=self._is_entry)
         self._source = SheetSource(self._store)
-        self._cache = cache or PartCache()
+        self._gate = SheetGate(self._store, self._is_entry, cache)
         self._reader = ConfigReader(peer.instance)
         self._inquiry = PeerInquiry(peer.incarnation, now)
         self._fetch: PartFetch | None = None
-        self._rumour: _Rumour | None = None
-        self._refused: deque[str] = deque(maxlen=KEPT_REFUSALS)
-        self._alarmed: deque[str] = deque(maxlen=KEPT_REFUSALS)
-        self._repaired_at: dict[str, float] = {}
-        self._changes: deque[ChangeTimes] = deque(maxlen=KEPT_CHANGES)
+        self._peers = PeerRevisions()
+        self._alarms = AlarmLog()
+        self._changes = ChangeLog()
         self._in_force_at = now
         self.counts = RelayCounts()
         self.sheet: Sheet | None = None
@@ -132,7 +116,7 @@
     @property
     def recent_changes(self) -> tuple[ChangeTimes, ...]:
         """Return the stage delays of the last revisions, the newest last."""
-        return tuple(self._changes)
+        return self._changes.recent
 
     @property
     def held_parts(self) -> int:
@@ -163,16 +147,13 @@
                 *choose_branch(own, self._readers, entries),
                 *choose_agents(own, self._readers, view.agents, entries),
             ]
-        known = self._known_peers()
-        self._repaired_at = {
-            name: at for name, at in self._repaired_at.items() if name in known
-        }
+        self._peers.keep_only(self._known_peers())
         return self.tick(now)
 
     def wake(self, now: float) -> list[RelayAction]:
         """Ask the peers again after a pause, before the next decision."""
         self._inquiry.begin(now)
-        self._rumour = None
+        self._peers.forget_ahead()
         self._reader.forget_open_reads()
         return self.tick(now)
 
@@ -182,7 +163,7 @@
         query = SheetQuery(self._inquiry.query_id)
         asked = self._inquiry.peers_to_ask(self._preferred_peers, now)
         actions: list[RelayAction] = [Send(peer, query) for peer in asked]
-        actions += self._query_rumour(now)
+        actions += self._query_peer(now)
         actions += self._continue_fetch(now)
         if self.is_reader and self._reader.start_watch(now):
             self.counts.watches += 1
@@ -221,12 +202,12 @@
         """
         if revision == self.revision and digest != self.digest and self.sheet:
             return self._alarm_conflict(instance, revision, digest)
-        if revision <= self.revision or digest in self._refused:
+        if revision <= self.revision or self._gate.is_refused(digest):
             return []
         if self._fetch and self._fetch.manifest.digest == digest:
             self._fetch.add_holder(instance)
-        elif self._rumour is None or self._rumour.revision < revision:
-            self._rumour = _Rumour(revision, instance, now)
+        else:
+            self._peers.note_ahead(instance, revision, now)
         return []
 
     def manifest_read(
@@ -244,12 +225,12 @@
         self._reader.watch_ended(version)
         decoded = decode_manifest(data, "manifest")
         if isinstance(decoded, Err):
-            return self._alarm_once("manifest-invalid", str(decoded.err_value[0]))
+            return [*self._alarms.once("manifest-invalid", str(decoded.err_value[0]))]
         manifest = decoded.ok_value
         actions: list[RelayAction] = []
         if manifest.revision < self.revision:
             text = f"it has revision {manifest.revision}, {self.revision} is in force"
-            actions += self._alarm_once("config-service-stale", text)
+            actions += self._alarms.once("config-service-stale", text)
         actions += self._consider(manifest, None, now, max(age, 0.0), 0.0)
         return actions + self.tick(now)
 
@@ -278,11 +259,7 @@
 
     def applied(self, revision: int, now: float) -> ChangeTimes | None:
         """Record that the process uses a revision, and return its stage delays."""
-        if not self._changes or self._changes[-1].revision != revision:
-            return None
-        apply = max(now - self._in_force_at, 0.0)
-        self._changes[-1] = replace(self._changes[-1], apply=apply)
-        return self._changes[-1]
+        return self._changes.applied(revision, now)
 
     def _consider(
         self,
@@ -299,7 +276,7 @@
         revision, digest = manifest.revision, manifest.digest
         if revision == self.revision and digest != self.digest:
             return self._alarm_conflict(holder or "config service", revision, digest)
-        if revision <= self.revision or digest in self._refused:
+        if revision <= self.revision or self._gate.is_refused(digest):
             return []
         fetch = self._fetch
         if fetch is None or fetch.manifest.revision < revision:
@@ -346,32 +323,12 @@
     def _accept(self, fetch: PartFetch, now: float) -> list[RelayAction]:
         """Check a complete revision and put it in force."""
         self._fetch = None
-        checked = self._check(fetch.manifest)
+        checked = self._gate.check(fetch.manifest, self.sheet)
         if isinstance(checked, Alarm):
-            self._refused.append(fetch.manifest.digest)
             self._store.drop_unused([])
             return [checked]
         return self._put_in_force(fetch, checked, now)
 
-    def _check(self, manifest: Manifest) -> Sheet | Alarm:
-        sheet, digest = self.sheet, manifest.digest
-        same_routing = manifest.routing_digest == self.routing_digest
-        if sheet is not None and same_routing and not self._is_entry:
-            # Only accounts differ, which agents do not hold.
-            return replace(sheet, revision=manifest.revision, digest=digest)
-        checked = check_parts(
-            manifest,
-            self._store.parts_of(manifest),
-            f"revision {manifest.revision}",
-            self._cache,
-            with_accounts=self._is_entry,
-        )
-        if isinstance(checked, Err):
-            findings = checked.err_value
-            text = f"{len(findings)} findings, the first: {findings[0]}"
-            return Alarm("sheet-refused", text)
-        return checked.ok_value
-
     def _put_in_force(
         self,
         fetch: PartFetch,
@@ -386,13 +343,12 @@
             # A process that catches up after a start or pause says nothing about how
             # fast changes spread.
             times = (fetch.read_seconds, fetch.relay_seconds, accept_seconds)
-            self._changes.append(ChangeTimes(manifest.revision, *times))
+            self._changes.accepted(ChangeTimes(manifest.revision, *times), now)
         self.sheet = sheet
         self._in_force_at = now
         relay_seconds = fetch.relay_seconds + accept_seconds
         self._source.put_in_force(manifest, now, fetch.read_seconds, relay_seconds)
-        if self._rumour and self._rumour.revision <= self.revision:
-            self._rumour = None
+        self._peers.reached(manifest.revision)
         self._inquiry.settle(self.revision, now)
         base_digest = previous.digest if previous else ""
         return [InForce(sheet), *self._offer_to(self._receivers, base_digest, now)]
@@ -405,18 +361,18 @@
     ) -> list[RelayAction]:
         self.counts.offers_received += 1
         self._inquiry.note_answer(offer.query_id, offer.revision, now)
-        if offer.revision < self.revision or offer.digest in self._refused:
+        if offer.revision < self.revision or self._gate.is_refused(offer.digest):
             return []
         base = self._known_manifest(offer.base_digest)
         if offer.base_digest and base is None:
             # The query after the usual delay brings an offer on a base known here.
-            self._rumour = _Rumour(offer.revision, sender, now)
+            self._peers.note_ahead(sender, offer.revision, now)
             return []
         manifest = apply_offer(offer, base)
         if isinstance(manifest, Err):
             self.counts.refused_offers += 1
             text = f"{sender}, revision {offer.revision}: {manifest.err_value}"
-            return self._alarm_once("offer-invalid", text)
+            return [*self._alarms.once("offer-invalid", text)]
         seconds = (offer.read_seconds, offer.relay_seconds)
         return self._consider(manifest.ok_value, sender, now, *seconds)
 
@@ -474,10 +430,10 @@
         """Offer the revision again to a peer whose heartbeat shows an older one."""
         if envelope.revision >= self.revision or sender not in self._known_peers():
             return []
-        last = max(self._in_force_at, self._repaired_at.get(sender, 0.0))
-        if now - last < REPAIR_SECONDS or not self.ready(now):
+        if not self.ready(now):
+            return []
+        if not self._peers.take_repair(sender, self._in_force_at, now):
             return []
-        self._repaired_at[sender] = now
         self.counts.repairs += 1
         return self._offer_to([sender], envelope.digest, now)
 
@@ -493,15 +449,14 @@
         self.counts.offers_sent += len(actions)
         return actions
 
-    def _query_rumour(self, now: float) -> list[RelayAction]:
-        rumour = self._rumour
-        if rumour is None or now - rumour.heard_at < QUERY_DELAY_SECONDS:
+    def _query_peer(self, now: float) -> list[RelayAction]:
+        ahead = self._peers.take_query(now)
+        if ahead is None:
             return []
-        self._rumour = None
-        if self._fetch and self._fetch.manifest.revision >= rumour.revision:
+        if self._fetch and self._fetch.manifest.revision >= ahead.revision:
             return []
-        targets = [rumour.instance]
-        if self._is_entry and rumour.instance in self._view.agents:
+        targets = [ahead.instance]
+        if self._is_entry and ahead.instance in self._view.agents:
             # Agents hold no account parts, so ask where all parts may be.
             targets += self._preferred_peers[:ENTRIES_ASKED_FOR_AGENT]
         return [Send(target, SheetQuery()) for target in targets]
@@ -517,16 +472,10 @@
         digest: str,
     ) -> list[RelayAction]:
         text = f"{instance} has another content of revision {revision}: {digest[:8]}"
-        return self._alarm_once("sheet-conflict", text)
+        return [*self._alarms.once("sheet-conflict", text)]
 
     def _alarm_failure(self, counted: bool) -> list[RelayAction]:
         if not counted or self._reader.failures != FAILURES_BEFORE_ALARM:
             return []
         text = f"{FAILURES_BEFORE_ALARM} reads in a row have failed"
         return [Alarm("config-unreachable", text)]
-
-    def _alarm_once(self, code: str, text: str) -> list[RelayAction]:
-        if text in self._alarmed:
-            return []
-        self._alarmed.append(text)
-        return [Alarm(code, text)]
