--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -57,7 +57,7 @@
 
         The parser reads no further than the first error, however long the document is.
         """
-        for text in ("a ", "[1 1 ", "{a:1,", '"', "0x"):
+        for text in ("a ", "[1 1 ", "{a:1,", '"', "0x", "[", "{a:"):
             read: list[JSON5Token] = []
 
             def recorded(source: str, read: list[JSON5Token] = read) -> object:
--- a/tests/test_hours.py
+++ b/tests/test_hours.py
@@ -76,6 +76,13 @@
             share = claim_share(sheet, "group-1", moment)
             self.assertEqual(active, len(share), hour)
 
+    def test_claims_of_an_unknown_time_zone_are_inactive(self) -> None:
+        """Guards against a process with older time zone data that stops."""
+        firm = Firm("coteau", "Mars/Olympus", 1, 1)
+        sheet = make_sheet(firms=[firm], claims=[make_claim(0, 1440)])
+        moment = datetime(2026, 12, 4, tzinfo=UTC)
+        self.assertEqual({}, claim_share(sheet, "group-1", moment))
+
     def test_unknown_time_zones(self) -> None:
         """Guards against a path that leaves the time zone data."""
         for name in ("", "Mars/Olympus", "../zone1970.tab", "/etc/passwd", "America"):
@@ -118,10 +125,26 @@
         shares = claim_share(sheet, "group-1", datetime(2026, 12, 4, tzinfo=UTC))
         self.assertEqual({"coteau": 0.5, "kowhai": 0.5}, shares)
 
+    def test_excess_between_two_clock_changes_of_one_day(self) -> None:
+        """Guards against a combination of offsets that holds for two hours only.
+
+        On 5 April 2026, Auckland changes its clocks two hours before Sydney.
+        """
+        firms = {
+            "sydney": Firm("sydney", "Australia/Sydney", 1, 1),
+            "auckland": Firm("auckland", "Pacific/Auckland", 1, 1),
+        }
+        claims = [
+            make_claim(60, 120, 0.6, firm="sydney"),
+            make_claim(120, 180, 0.6, firm="auckland"),
+        ]
+        self.assertEqual(1, len(find_claim_excess(claims, firms)))
+
     def test_full_pool_is_no_conflict(self) -> None:
         """Guards against decimal shares whose sum exceeds 1 by rounding."""
-        shares = [0.7, 0.1, 0.1, 0.1]
-        firms = {f"f{i}": Firm(f"f{i}", "UTC", 1, 1) for i in range(4)}
+        shares = [0.56, 0.32, 0.07, 0.01, 0.04]
+        self.assertGreater(sum(shares), 1)
+        firms = {f"f{i}": Firm(f"f{i}", "UTC", 1, 1) for i in range(5)}
         claims = [make_claim(0, 60, s, firm=f"f{i}") for i, s in enumerate(shares)]
         self.assertEqual([], find_claim_excess(claims, firms))
 
--- a/tests/test_sheet_check.py
+++ b/tests/test_sheet_check.py
@@ -209,19 +209,20 @@
         """Guards against a sheet in force without some of its records."""
         split = make_split_sheet()
         for name in split.part_by_name:
-            for wrong in (b"", b"[]x", b"{}"):
+            for wrong in (b"", b"[]x", b"{}", b"[ ]"):
                 parts = {**split.part_by_name, name: wrong}
                 self.assertIsInstance(check_parts(split.manifest, parts, "test"), Err)
 
     def test_record_in_another_bucket(self) -> None:
-        """Guards against a record that appears in two buckets."""
+        """Guards against an account whose change would not be found by its name."""
         buckets = {"groups": 1, "servers": 1, "accounts": 2}
         split = split_sheet(make_sheet_value(), buckets)
-        part = encode_canonical([make_account_row()])
+        own = f"accounts-{bucket_of('acme', 2):02d}"
         other = f"accounts-{1 - bucket_of('acme', 2):02d}"
-        digests = {**split.manifest.digest_by_part, other: digest_part(part)}
+        parts = dict(split.part_by_name)
+        parts[own], parts[other] = parts[other], parts[own]
+        digests = {name: digest_part(part) for name, part in parts.items()}
         manifest = Manifest(1, digests, buckets)
-        parts = {**split.part_by_name, other: part}
         self.assertIsInstance(check_parts(manifest, parts, "test"), Err)
 
     def test_account_change_keeps_the_routing_digest(self) -> None:
--- a/tests/test_sheet_relay.py
+++ b/tests/test_sheet_relay.py
@@ -232,6 +232,9 @@
         stages = {figure.stage: figure.value for figure in figures if figure.stage}
         expected = {"read": 0.5, "relay": 0.0, "accept": 2.0, "apply": 0.25}
         self.assertEqual(expected, stages)
+        answers = relay.receive(make_envelope(SheetQuery()), 15.0)
+        offers = [a.message for a in answers if isinstance(a, Send)]
+        self.assertEqual([(0.5, 5.0)], [_delays(offer) for offer in offers])
         peer = make_relay(["entry-2"], Role.AGENT)
         offer_by(peer, make_split_sheet(1), 1.0)
         offer = make_offer(split.manifest, None, 0.5, 2.0)
@@ -239,6 +242,11 @@
         self.assertEqual((2, 0.5, 2.0, 0.0, 1.0, 3.5), _stages(peer.applied(2, 5.0)))
 
 
+def _delays(message: Message) -> tuple[float, float]:
+    assert isinstance(message, SheetOffer)
+    return message.read_seconds, message.relay_seconds
+
+
 def _stages(times: object) -> tuple[float, ...]:
     names = ("revision", "read", "relay", "accept", "apply", "total")
     return tuple(getattr(times, name) for name in names)
