Let a reader take large sheets from its peers

Cause: a restarted reader read all parts from the configuration service, at a paced 16/s. A service that accepts reads but never answers blocked it as well.

Change: with more than 8 missing parts, or after 1 s without an answer, a reader also asks the peers that hold the revision. They are asked for the last missing parts, the service for the first.

Conclusion: test_restarted_reader_asks_peers_for_a_large_sheet fails without either rule.

--- a/lacewingcleat/part_fetch.py
+++ b/lacewingcleat/part_fetch.py
@@ -98,4 +98,5 @@
         return holder, self._wanted()
 
     def _wanted(self) -> tuple[str, ...]:
-        return tuple(self.missing)[:DIGESTS_PER_REQUEST]
+        # Reads of the configuration service take the first ones.
+        return tuple(self.missing)[-DIGESTS_PER_REQUEST:]
--- a/lacewingcleat/sheet_relay.py
+++ b/lacewingcleat/sheet_relay.py
@@ -15,6 +15,7 @@
 from lacewingcleat.change_times import ChangeLog, ChangeTimes
 from lacewingcleat.config_reader import (
     FAILURES_BEFORE_ALARM,
+    MAX_OPEN_PART_READS,
     ConfigReader,
     choose_readers,
 )
@@ -54,6 +55,8 @@
 
 # Entries asked when only an agent, which holds no account parts, knows a revision.
 ENTRIES_ASKED_FOR_AGENT = 4
+# The service answers within milliseconds.
+SERVICE_PATIENCE_SECONDS = 1.0
 
 
 class SheetRelay:
@@ -297,20 +300,27 @@
             return []
         if not fetch.missing:
             return self._accept(fetch, now)
-        if self._reads_parts(fetch):
+        actions: list[RelayAction] = []
+        reads_parts = self._reads_parts(fetch)
+        if reads_parts:
             started = self._reader.start_part_reads(fetch.missing, now)
             self.counts.part_reads += len(started)
-            return [FetchPart(digest) for digest in started]
+            actions += [FetchPart(digest) for digest in started]
+            is_small = len(fetch.missing) <= MAX_OPEN_PART_READS
+            if is_small and now - fetch.heard_at < SERVICE_PATIENCE_SECONDS:
+                return actions
+        # A reader that starts with a large sheet asks peers too, because its reads of
+        # the service are paced; so does one whose reads are not answered.
         request = fetch.next_request(now)
         if request is not None:
             holder, digests = request
-            return [Send(holder, PartRequest(digests))]
-        if fetch.exhausted:
+            actions.append(Send(holder, PartRequest(digests)))
+        elif fetch.exhausted and not reads_parts:
             # The next heartbeat of a holder starts it again.
             self._fetch = None
             self._reader.forget_version()
             self.counts.fetches_given_up += 1
-        return []
+        return actions
 
     def _reads_parts(self, fetch: PartFetch) -> bool:
         """Return whether to read parts from the configuration service."""
--- a/tests/test_sheet_relay.py
+++ b/tests/test_sheet_relay.py
@@ -381,6 +381,13 @@
     return make_offer(split.manifest, None, query_id=queries[0].query_id)
 
 
+def make_large_split_sheet() -> SplitSheet:
+    """Build a sheet of 196 parts."""
+    buckets = {"groups": 64, "servers": 64, "accounts": 64}
+    rows = [make_account_row(f"a-{number}") for number in range(500)]
+    return split_sheet(make_sheet_value(client_accounts=rows), buckets)
+
+
 class ReaderTest(TestCase):
     def test_next_entry_takes_over(self) -> None:
         """Guards against a zone without readers after two deaths."""
@@ -411,11 +418,19 @@
         self.assertLessEqual(watches, 14)
         self.assertEqual(["config-unreachable"], alarms)
 
+    def test_restarted_reader_asks_peers_for_a_large_sheet(self) -> None:
+        """Guards against half a minute of paced reads while peers have all parts."""
+        split = make_large_split_sheet()
+        relay = make_relay(["entry-2"])
+        relay.manifest_read(encode_manifest(split.manifest), "v", 0.0)
+        offer_by(relay, split, 0.1)
+        self.assertGreaterEqual(relay.held_parts, len(split.part_by_digest) - 8)
+        offer_by(relay, split, 1.1)
+        self.assertEqual(1, relay.revision)
+
     def test_reads_of_parts_are_paced(self) -> None:
         """Guards against a burst of reads of a large sheet by all readers at once."""
-        buckets = {"groups": 64, "servers": 64, "accounts": 64}
-        rows = [make_account_row(f"a-{number}") for number in range(500)]
-        split = split_sheet(make_sheet_value(client_accounts=rows), buckets)
+        split = make_large_split_sheet()
         relay = make_relay()
         actions = relay.manifest_read(encode_manifest(split.manifest), "v", 0.0)
         reads = 0
