Let the request machine meet more faults per example

Cause: with uniformly drawn rules, 800 examples missed four of the mutations, among them a refusal without a tombstone and a lost run that starts again.

Change: few requests with many copies; one rule runs a random sequence of deliveries, work, crashes and broken connections.

--- a/tests/safety_harness.py
+++ b/tests/safety_harness.py
@@ -218,6 +218,9 @@
 
     def run(self, agent: AgentModel, packet: Packet) -> None:
         job = packet.call.job
+        if job.mode is Mode.IDEMPOTENT and agent.leaving:
+            self.answer(packet, NotRun("leaving"))
+            return
         if job.mode is Mode.IDEMPOTENT:
             agent.work.append(Work(job, [packet], ""))
             return
@@ -343,7 +346,7 @@
         call.job.outcomes.append(outcome)
 
 
-AGENTS = ("s1", "s22", "s333")
+AGENTS = ("s1", "s22")
 
 
 class Node:
--- a/tests/safety_mutations.py
+++ b/tests/safety_mutations.py
@@ -123,7 +123,7 @@
         "retries",
         "may_have_run = facts.may_have_run or not certain",
         "may_have_run = not certain",
-        REQUESTS,
+        "tests/test_retries.py",
     ),
     Mutation(
         "an entry vouches for a caller's ticket that it did not send",
@@ -280,7 +280,8 @@
 
 
 if __name__ == "__main__":
-    if subprocess.run([sys.executable, "-m", "pytest", "-q"], check=False).returncode:
+    unchanged = [sys.executable, "-m", "pytest", "-q"]
+    if not sys.argv[1:] and subprocess.run(unchanged, check=False).returncode:
         sys.exit("the tests fail without a mutation")
     numbers = [int(text) for text in sys.argv[1:]] or range(len(MUTATIONS))
     with ThreadPoolExecutor(3) as pool:
--- a/tests/test_safety_machines.py
+++ b/tests/test_safety_machines.py
@@ -27,7 +27,9 @@
 from tests.safety_harness import (
     AGENTS,
     TICKET_SECONDS,
+    Call,
     CrashWorld,
+    Job,
     MembershipWorld,
     Mode,
     Node,
@@ -56,6 +58,8 @@
         super().__init__()
         self.world = RequestWorld()
 
+    # A few requests with many copies each meet more faults than many requests.
+    @precondition(lambda self: len(self.world.jobs) < 4)
     @rule(
         mode=st.sampled_from([*Mode, Mode.ENTRY_TICKET, Mode.CALLER_TICKET]),
         agent=st.sampled_from(AGENTS),
@@ -64,23 +68,38 @@
     def submit(self, mode: Mode, agent: str, key: str) -> None:
         self.world.submit(mode, "e1", agent, key)
 
-    @precondition(lambda self: self.world.jobs)
-    @rule(index=INDEX, shed=st.booleans())
     def send_again_by_another_entry(self, index: int, shed: bool) -> None:
         """The caller repeats a request with its ticket; the entry may refuse it."""
-        job = self.world.jobs[index % len(self.world.jobs)]
-        if job.mode is Mode.CALLER_TICKET:
-            self.world.send(job, "e2", "", shed)
+        jobs = self.caller_jobs()
+        self.world.send(jobs[index % len(jobs)], "e2", "", shed)
+
+    @precondition(lambda self: self.caller_jobs())
+    @rule(index=INDEX)
+    def entry_sheds(self, index: int) -> None:
+        self.send_again_by_another_entry(index, True)
+
+    def caller_jobs(self) -> list[Job]:
+        jobs = self.world.jobs
+        return [job for job in jobs if job.mode is Mode.CALLER_TICKET]
 
     @rule(number=INDEX, steps=st.sampled_from([2, 8, 30]))
     def go_on(self, number: int, steps: int) -> None:
-        """Deliver packets and work at agents, in a random order, sometimes doubled."""
+        """Deliver packets and work at agents in a random order, with small faults."""
         random = Random(number)
         for _ in range(steps):
-            if self.world.wire and random.random() < 0.7:
-                self.deliver(random.randrange(1_000), random.choice([1, 1, 1, 2]))
-            else:
-                self.work(random.randrange(1_000), random.choice(AGENTS))
+            index = random.randrange(1_000)
+            agent = random.choice(AGENTS)
+            match random.choices("dwclr", (60, 25, 4, 8, 3))[0]:
+                case "d" if self.world.wire:
+                    self.deliver(index, random.choice([1, 1, 1, 2]))
+                case "w":
+                    self.work(index, agent)
+                case "c":
+                    self.world.crash_engine(self.world.agents[agent])
+                case "l" if self.open_calls():
+                    self.lose_connection(index, random.choice(list(Sent)))
+                case "r" if self.caller_jobs():
+                    self.send_again_by_another_entry(index, False)
 
     def deliver(self, index: int, copies: int) -> None:
         packet = self.world.wire[index % len(self.world.wire)]
@@ -100,17 +119,17 @@
         else:
             self.world.start(model, work)
 
-    @precondition(lambda self: self.world.wire)
+    @precondition(lambda self: len(self.world.wire) > 3)
     @rule(index=INDEX)
     def lose(self, index: int) -> None:
         self.world.wire.pop(index % len(self.world.wire))
 
-    @precondition(lambda self: any(call.open for call in self.world.calls))
-    @rule(index=INDEX, sent=st.sampled_from(Sent))
     def lose_connection(self, index: int, sent: Sent) -> None:
-        calls = [call for call in self.world.calls if call.open]
-        call = calls[index % len(calls)]
-        self.world.lose_connection(call, sent)
+        calls = self.open_calls()
+        self.world.lose_connection(calls[index % len(calls)], sent)
+
+    def open_calls(self) -> list[Call]:
+        return [call for call in self.world.calls if call.open]
 
     @rule(index=INDEX, agent=st.sampled_from(AGENTS))
     def agent_sheds(self, index: int, agent: str) -> None:
@@ -123,19 +142,17 @@
 
     @rule(
         agent=st.sampled_from(AGENTS),
-        fault=st.sampled_from(["crash", "crash", "kill", "pause", "resume", "leave"]),
+        fault=st.sampled_from(["kill", "pause", "resume", "resume", "leave", "stay"]),
     )
     def disturb(self, agent: str, fault: str) -> None:
         model = self.world.agents[agent]
         match fault:
-            case "crash":
-                self.world.crash_engine(model)
             case "kill":
                 self.world.kill_agent(model)
             case "pause" | "resume":
                 model.paused = fault == "pause"
-            case "leave":
-                model.leaving = not model.leaving
+            case "leave" | "stay":
+                model.leaving = fault == "leave"
 
     @rule(seconds=st.sampled_from([1.0, 1.0, 10.0, 31.0, 100.0]))
     def pass_time(self, seconds: float) -> None:
@@ -312,7 +329,7 @@
 
 
 # A run of memberships costs about 20 times as much as one of the others.
-EXAMPLES_BY_MACHINE = {RequestMachine: 800, MembershipMachine: 60, CrashMachine: 100}
+EXAMPLES_BY_MACHINE = {RequestMachine: 600, MembershipMachine: 60, CrashMachine: 100}
 MACHINES = list(EXAMPLES_BY_MACHINE)
 
 
