--- a/lacewingcleat/peer_view.py
+++ b/lacewingcleat/peer_view.py
@@ -117,10 +117,6 @@
         :param not_before: local time of the last pause or partition; anything sent
             earlier is rejected.
         """
-        if peer.incarnation != self.peer.incarnation:
-            if self.is_alive(now, timeout) and not self._is_successor(peer, sent_at):
-                return False
-            self.replace(peer)
         clock = self._clock_by_incarnation.get(peer.incarnation)
         if clock is None:
             clock = self._add_clock(peer, ClockOffset(now - sent_at, now))
@@ -130,6 +126,10 @@
         clock.last_sent_at = sent_at
         if alive_at < not_before or now - alive_at > timeout:
             return False
+        if peer.incarnation != self.peer.incarnation:
+            if self.is_alive(now, timeout) and not self._is_successor(peer, sent_at):
+                return False
+            self.replace(peer)
         self._candidate = None
         self.alive_at = max(self.alive_at, alive_at)
         return True
