--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -82,3 +82,21 @@
         refused = decisions[-1]
         self.assertIsInstance(refused, LimitRefusal)
         self.assertEqual(LimitReason.CONCURRENCY, refused.reason)
+
+    def test_slots_of_running_work_are_not_leased_again(self) -> None:
+        """Guards against a fair share that counts slots which are still in use."""
+        account = make_account(requests_per_second=1000.0, concurrency=30)
+        network = make_limits_zone(make_sheet(accounts=[account]))
+        network.run(SETTLED_SECONDS)
+        running = 0
+        for names in (["regina-0"], ["regina-0", "regina-1", "regina-2"]):
+            for _ in range(40):
+                for name in names:
+                    process = network.process_by_instance[name]
+                    decision = process.limits.admit("acme", 10, network.now)
+                    if isinstance(decision, LimitWait):
+                        network.deliver(process.peer, decision.actions)
+                    running += isinstance(decision, LimitPermit)
+                network.run(0.25)
+        self.assertGreaterEqual(running, 28)
+        self.assertLessEqual(running, 30)
