Give back leased shares with the demand instead of at the lease's end

Cause: a share stayed promised for up to 2.2 s after its account had moved on. Change: an entry uses no more than its newest demand asks for, and the home entry lowers its promises by the same rule; stale demands are not answered.

--- a/lacewingcleat/account_limits.py
+++ b/lacewingcleat/account_limits.py
@@ -17,7 +17,13 @@
 from lacewingcleat.identity import Peer, Role
 from lacewingcleat.lease_bucket import LeaseBucket
 from lacewingcleat.limit_home import LimitHome
-from lacewingcleat.limit_shares import NOTHING, Amounts, limit_of, zone_share
+from lacewingcleat.limit_shares import (
+    EVERYTHING,
+    NOTHING,
+    Amounts,
+    limit_of,
+    zone_share,
+)
 from lacewingcleat.messages import LimitDemand, LimitDemands, LimitLease, LimitLeases
 from lacewingcleat.rendezvous import rank_by_rendezvous
 from lacewingcleat.sheet import Sheet
@@ -94,6 +100,17 @@
 LimitDecision = LimitPermit | LimitWait | LimitRefusal
 
 
+@dataclass(slots=True)
+class _SentDemand:
+    """Remember a demand until its lease would have ended.
+
+    :param cap: what demands sent later have given back.
+    """
+
+    sent_at: float
+    cap: Amounts = EVERYTHING
+
+
 @dataclass(slots=True)
 class _Account:
     requests: LeaseBucket
@@ -102,7 +119,7 @@
     reserve: Amounts
     seen_at: float
     running: int = 0
-    leased_slots: int = 0
+    leased: Amounts = NOTHING
     lease_end: float = -inf
     lease_request_id: int = 0
     urgent_at: float = -inf
@@ -117,12 +134,33 @@
     service_seconds: float = INITIAL_SERVICE_SECONDS
     promised_slots: float = 0.0
     promised_at: float = 0.0
-    sent_at_by_request_id: dict[int, float] = field(default_factory=dict)
+    sent_by_request_id: dict[int, _SentDemand] = field(default_factory=dict)
 
     def slots(self, now: float) -> int:
         """Return the requests that may run at once."""
-        leased = self.leased_slots if now < self.lease_end else 0
-        return self.reserve.concurrency + leased
+        return self.reserve.concurrency + self.lease(now).concurrency
+
+    def lease(self, now: float) -> Amounts:
+        """Return what is leased now."""
+        return self.leased if now < self.lease_end else NOTHING
+
+    def set_lease(self, amounts: Amounts, end: float, now: float) -> None:
+        """Use a lease, or a part of the present one, until its end."""
+        self.leased = amounts
+        self.lease_end = end
+        self.requests.set_lease(amounts.requests_per_second, end, now)
+        self.tokens.set_lease(amounts.tokens_per_second, end, now)
+
+    def give_back(self, asked: Amounts, now: float) -> None:
+        """Use no more than a new demand asks for, whatever lease is under way.
+
+        The home entry lowers its promises by the same rule when the demand arrives, so
+        the share is free for others at once instead of at the end of the lease.
+        """
+        for sent in self.sent_by_request_id.values():
+            sent.cap = sent.cap.lower(asked)
+        if now < self.lease_end:
+            self.set_lease(self.leased.lower(asked), self.lease_end, now)
 
     @property
     def answered(self) -> bool:
@@ -457,9 +495,8 @@
 
     def _demand_of(self, name: str, account: _Account, now: float) -> LimitDemand:
         self._next_request_id += 1
-        sent = account.sent_at_by_request_id
-        sent[self._next_request_id] = now
-        while next(iter(sent.values())) <= now - LEASE_SECONDS:
+        sent = account.sent_by_request_id
+        while sent and next(iter(sent.values())).sent_at <= now - LEASE_SECONDS:
             del sent[next(iter(sent))]
         waiting = Amounts(
             account.offered, account.refused_slots, account.offered_tokens
@@ -475,13 +512,16 @@
             ceil(wanted.concurrency * DEMAND_HEADROOM) + 1,
             wanted.tokens_per_second * DEMAND_HEADROOM,
         )
-        beyond = with_headroom - account.reserve
+        needed = with_headroom - account.reserve
+        asked = needed.or_keep(account.lease(now))
+        account.give_back(asked, now)
+        sent[self._next_request_id] = _SentDemand(now)
         return LimitDemand(
             name,
             self._next_request_id,
-            beyond.requests_per_second,
-            beyond.concurrency,
-            beyond.tokens_per_second,
+            asked.requests_per_second,
+            asked.concurrency,
+            asked.tokens_per_second,
             held=max(0, account.running - account.reserve.concurrency),
         )
 
@@ -489,14 +529,16 @@
         account = self._account_by_name.get(lease.account)
         if account is None or lease.request_id <= account.lease_request_id:
             return
-        sent_at = account.sent_at_by_request_id.get(lease.request_id)
-        if sent_at is None:
+        sent = account.sent_by_request_id.get(lease.request_id)
+        if sent is None:
             return
-        end = sent_at + lease.term_seconds
+        end = sent.sent_at + lease.term_seconds
         if end <= now:
             return
+        amounts = Amounts(
+            lease.requests_per_second,
+            lease.concurrency,
+            lease.tokens_per_second,
+        )
         account.lease_request_id = lease.request_id
-        account.lease_end = end
-        account.leased_slots = lease.concurrency
-        account.requests.set_lease(lease.requests_per_second, end, now)
-        account.tokens.set_lease(lease.tokens_per_second, end, now)
+        account.set_lease(amounts.lower(sent.cap), end, now)
--- a/lacewingcleat/limit_home.py
+++ b/lacewingcleat/limit_home.py
@@ -261,8 +261,14 @@
             demand.concurrency,
             demand.tokens_per_second,
         )
-        if not demand.loan:
-            self._note_demand(account, sender, demand, wanted, now)
+        if not demand.loan and not self._note_demand(
+            account,
+            sender,
+            demand,
+            wanted,
+            now,
+        ):
+            return None
         if not self._authority.may_grant(demand.account, now):
             return None
         if demand.loan:
@@ -293,16 +299,26 @@
         demand: LimitDemand,
         wanted: Amounts,
         now: float,
-    ) -> None:
+    ) -> bool:
+        """Take over a demand unless a later one has arrived.
+
+        The sender uses no more than its newest demand asks for, whatever it was granted
+        before.
+        """
         old = account.demand_by_holder.get(sender)
         if old is not None and old.request_id > demand.request_id:
-            return
+            return False
+        account.lease_by_holder[sender] = [
+            _Promise(promise.amounts.lower(wanted), promise.end)
+            for promise in account.lease_by_holder.get(sender, ())
+        ]
         account.demand_by_holder[sender] = _Demand(
             wanted,
             demand.held,
             demand.request_id,
             now + DEMAND_SECONDS,
         )
+        return True
 
     def _pool(self, name: str) -> Amounts:
         assert self._sheet is not None
--- a/lacewingcleat/limit_shares.py
+++ b/lacewingcleat/limit_shares.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from math import inf
 
 from lacewingcleat.rendezvous import rank_by_rendezvous
 from lacewingcleat.sheet import ClientAccount, Sheet
@@ -63,6 +64,17 @@
             self.tokens_per_second * factor,
         )
 
+    def or_keep(self, held: "Amounts") -> "Amounts":
+        """Return the needed amounts, but keep what is held unless half is enough.
+
+        Small changes of demand would otherwise give back what the next second needs.
+        """
+        return Amounts(
+            _or_keep(self.requests_per_second, held.requests_per_second),
+            int(_or_keep(self.concurrency, held.concurrency)),
+            _or_keep(self.tokens_per_second, held.tokens_per_second),
+        )
+
     @property
     def empty(self) -> bool:
         """Return whether no resource is left."""
@@ -73,7 +85,12 @@
         )
 
 
+def _or_keep(needed: float, held: float) -> float:
+    return held if held / 2 <= needed < held else needed
+
+
 NOTHING = Amounts()
+EVERYTHING = Amounts(inf, 2**62, inf)
 
 
 @dataclass(frozen=True, slots=True)
