--- a/tests/test_limits_scenarios.py
+++ b/tests/test_limits_scenarios.py
@@ -7,12 +7,15 @@
 from lacewingcleat.account_limits import LimitWait
 from lacewingcleat.actions import Send
 from lacewingcleat.home_authority import (
+    DRIFT_MARGIN,
     HOME_WAIT_SECONDS,
+    LEASE_SECONDS,
     NEW_HOME_SECONDS,
     VOTE_SECONDS,
     HomeAuthority,
 )
 from lacewingcleat.lease_bucket import LeaseBucket
+from lacewingcleat.messages import LimitDemand, LimitDemands
 from lacewingcleat.rendezvous import rank_by_rendezvous
 from tests.builders import make_peer
 from tests.builders_limits import LimitsProcess
@@ -118,6 +121,30 @@
             machine.network.deaf = set()
             machine.heal()
 
+    def test_lease_ends_before_the_loan_that_backs_it(self) -> None:
+        """Guards against a full term on a loan that is about to end."""
+        machine = DrivenMachine()
+        machine.flooded = set(REGINA)
+        machine.run_flooded(16.0)
+        machine.partition(set(REGINA))
+        home = rank_by_rendezvous("rate", REGINA)[0]
+        network = machine.network
+        server = network.process_by_instance[home]
+        peer = make_peer("regina-9", "ff", "regina")
+        terms = []
+        for number in range(60):
+            machine.run_finely(0.12)
+            clock = server.clock(network.now)
+            account = server.limits.home._account_by_name["rate"]
+            loans = [loan.end - clock for loan in account.loan_by_zone.values()]
+            demand = LimitDemand("rate", number, 0.1, 0, 0.0)
+            answers = server.limits.receive(peer, LimitDemands((demand,)), clock)
+            term = answers[0].message.leases[0].term_seconds
+            if loans and min(loans) >= term:
+                terms.append(term)
+                self.assertLessEqual(term * (1 + DRIFT_MARGIN), min(loans) + 1e-9)
+        self.assertLess(min(terms), LEASE_SECONDS)
+
     def test_late_loan_counts_from_its_demand(self) -> None:
         """Guards against a loan that ends later at the borrower than at the lender."""
         machine = DrivenMachine()
