Split the account limits by what they know and what they decide

Change: account_use and limit_promises hold the records; shares are recomputed only for changed accounts. Behaviour is unchanged.

--- a/lacewingcleat/account_limits.py
+++ b/lacewingcleat/account_limits.py
@@ -7,18 +7,18 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from hashlib import blake2b
-from math import ceil, inf
+from math import inf
 
+from lacewingcleat.account_use import LEASE_WAIT_SECONDS, AccountUse, SentDemand
 from lacewingcleat.actions import Action, Send
 from lacewingcleat.home_authority import LEASE_SECONDS, VOTE_CHANGE_SECONDS
 from lacewingcleat.identity import Peer, Role
 from lacewingcleat.lease_bucket import LeaseBucket
 from lacewingcleat.limit_home import LimitHome
 from lacewingcleat.limit_shares import (
-    EVERYTHING,
     NOTHING,
     Amounts,
     limit_of,
@@ -29,23 +29,14 @@
 from lacewingcleat.sheet import Sheet
 
 DEMAND_SECONDS = 1.0
-# A request that no lease covers waits this long for the answer to an urgent demand. The
-# answer takes one round trip inside the zone.
-LEASE_WAIT_SECONDS = 0.25
 # Interval between urgent demands of an account.
 URGENT_SECONDS = 0.5
 # Interval while the home entry does not answer.
 UNANSWERED_SECONDS = 2.0
-# Demand is asked for with this headroom, so that a lease covers a rise until the next.
-DEMAND_HEADROOM = 1.25
-# Weight of the newest period in the demand estimate. A rise beyond it is covered by
-# urgent demands.
-DEMAND_WEIGHT = 0.5
 # An account without requests for this long asks for no leases.
 ACTIVE_SECONDS = 2.0
 # An idle account is forgotten after this time, if its buckets hold no debt.
 FORGET_SECONDS = 60.0
-INITIAL_SERVICE_SECONDS = 1.0
 SERVICE_WEIGHT = 0.1
 MIN_RETRY_AFTER_SECONDS = 0.05
 MAX_RETRY_AFTER_SECONDS = 60.0
@@ -100,79 +91,6 @@
 LimitDecision = LimitPermit | LimitWait | LimitRefusal
 
 
-@dataclass(slots=True)
-class _SentDemand:
-    """Remember a demand until its lease would have ended.
-
-    :param cap: what demands sent later have given back.
-    """
-
-    sent_at: float
-    cap: Amounts = EVERYTHING
-
-
-@dataclass(slots=True)
-class _Account:
-    requests: LeaseBucket
-    tokens: LeaseBucket
-    limit: Amounts
-    reserve: Amounts
-    seen_at: float
-    running: int = 0
-    leased: Amounts = NOTHING
-    lease_end: float = -inf
-    lease_request_id: int = 0
-    urgent_at: float = -inf
-    urgent_request_id: int = 0
-    offered: int = 0
-    offered_tokens: float = 0.0
-    refused_slots: int = 0
-    peak: int = 0
-    request_rate: float = 0.0
-    token_rate: float = 0.0
-    wanted_slots: int = 0
-    service_seconds: float = INITIAL_SERVICE_SECONDS
-    promised_slots: float = 0.0
-    promised_at: float = 0.0
-    sent_by_request_id: dict[int, _SentDemand] = field(default_factory=dict)
-
-    def slots(self, now: float) -> int:
-        """Return the requests that may run at once."""
-        return self.reserve.concurrency + self.lease(now).concurrency
-
-    def lease(self, now: float) -> Amounts:
-        """Return what is leased now."""
-        return self.leased if now < self.lease_end else NOTHING
-
-    def set_lease(self, amounts: Amounts, end: float, now: float) -> None:
-        """Use a lease, or a part of the present one, until its end."""
-        self.leased = amounts
-        self.lease_end = end
-        self.requests.set_lease(amounts.requests_per_second, end, now)
-        self.tokens.set_lease(amounts.tokens_per_second, end, now)
-
-    def give_back(self, asked: Amounts, now: float) -> None:
-        """Use no more than a new demand asks for, whatever lease is under way.
-
-        The home entry lowers its promises by the same rule when the demand arrives, so
-        the share is free for others at once instead of at the end of the lease.
-        """
-        for sent in self.sent_by_request_id.values():
-            sent.cap = sent.cap.lower(asked)
-        if now < self.lease_end:
-            self.set_lease(self.leased.lower(asked), self.lease_end, now)
-
-    @property
-    def answered(self) -> bool:
-        """Return whether a lease has come since the last urgent demand."""
-        return self.lease_request_id >= self.urgent_request_id
-
-    def unanswered(self, now: float) -> bool:
-        """Return whether there is no lease and the home entry did not answer."""
-        waited = now >= self.urgent_at + LEASE_WAIT_SECONDS
-        return now >= self.lease_end and not self.answered and waited
-
-
 class AccountLimits:
     """Admit or refuse requests by the limits of their accounts.
 
@@ -199,7 +117,7 @@
         self._sheet: Sheet | None = None
         self._live: tuple[str, ...] = (me.instance,)
         self._digest = ""
-        self._account_by_name: dict[str, _Account] = {}
+        self._account_by_name: dict[str, AccountUse] = {}
         self._challenge_by_instance: dict[str, int] = {}
         # Request ids of an earlier incarnation must not match those of this one: its
         # lease would be counted from the wrong moment.
@@ -217,6 +135,7 @@
 
     def apply_sheet(self, sheet: Sheet, now: float) -> None:
         """Put a revision in force."""
+        old = self._sheet
         self._sheet = sheet
         self._home.apply_sheet(sheet, now)
         for name, account in list(self._account_by_name.items()):
@@ -225,6 +144,13 @@
                     del self._account_by_name[name]
                 continue
             record = sheet.account_by_name[name]
+            if (
+                old is not None
+                and old.account_by_name.get(name) == record
+                and old.zone_by_name == sheet.zone_by_name
+            ):
+                # A new sheet arrives every two seconds and changes few accounts.
+                continue
             account.limit = limit_of(record)
             account.reserve = zone_share(sheet, record, self._me.zone).reserve
             account.requests.set_reserve(account.reserve.requests_per_second, now)
@@ -337,9 +263,9 @@
         period = min(now - self._demanded_at, 2.0 * DEMAND_SECONDS)
         self._demanded_at = now
         for name, account in list(self._account_by_name.items()):
-            self._estimate(account, period)
+            account.estimate(period)
             idle = now - account.seen_at > FORGET_SECONDS and account.running == 0
-            if idle and not self._in_debt(account, now):
+            if idle and not account.in_debt(now):
                 del self._account_by_name[name]
         return actions + self._demand(now, self._vote(now))
 
@@ -364,7 +290,7 @@
                         self._take_lease(lease, now)
                 return []
 
-    def _account(self, name: str, now: float) -> _Account | None:
+    def _account(self, name: str, now: float) -> AccountUse | None:
         record = self._sheet.account_by_name.get(name) if self._sheet else None
         if record is None or self._sheet is None:
             return None
@@ -372,7 +298,7 @@
         if known is not None:
             return known
         reserve = zone_share(self._sheet, record, self._me.zone).reserve
-        account = _Account(
+        account = AccountUse(
             LeaseBucket(reserve.requests_per_second, now),
             LeaseBucket(reserve.tokens_per_second, now),
             limit_of(record),
@@ -382,7 +308,7 @@
         self._account_by_name[name] = account
         return account
 
-    def _refusal(self, account: _Account, now: float) -> LimitReason | None:
+    def _refusal(self, account: AccountUse, now: float) -> LimitReason | None:
         slots = account.slots(now)
         if slots == 0 and account.unanswered(now):
             # The limit is too small for a slot in each reserve. One request may run
@@ -399,7 +325,7 @@
 
     def _retry_after(
         self,
-        account: _Account,
+        account: AccountUse,
         reason: LimitReason,
         estimated_tokens: int,
         now: float,
@@ -416,32 +342,10 @@
                 account.promised_at = now
                 return account.promised_slots * account.service_seconds / slots
 
-    def _in_debt(self, account: _Account, now: float) -> bool:
-        return account.requests.level(now) < 0.0 or account.tokens.level(now) < 0.0
-
-    def _estimate(self, account: _Account, period: float) -> None:
-        # Without any request the demand ends at once, so that the share is free for the
-        # entry to which the account has moved.
-        weight = DEMAND_WEIGHT if account.offered else 1.0
-        account.request_rate += weight * (
-            account.offered / period - account.request_rate
-        )
-        account.token_rate += weight * (
-            account.offered_tokens / period - account.token_rate
-        )
-        account.wanted_slots = max(
-            account.peak + account.refused_slots,
-            int(account.wanted_slots * DEMAND_WEIGHT),
-        )
-        account.offered = 0
-        account.offered_tokens = 0.0
-        account.refused_slots = 0
-        account.peak = account.running
-
     def _demand_urgently(
         self,
         name: str,
-        account: _Account,
+        account: AccountUse,
         now: float,
     ) -> list[Action]:
         interval = URGENT_SECONDS if account.answered else UNANSWERED_SECONDS
@@ -493,29 +397,15 @@
             self.receive(self._me, reply, now)
         return []
 
-    def _demand_of(self, name: str, account: _Account, now: float) -> LimitDemand:
+    def _demand_of(self, name: str, account: AccountUse, now: float) -> LimitDemand:
         self._next_request_id += 1
         sent = account.sent_by_request_id
         while sent and next(iter(sent.values())).sent_at <= now - LEASE_SECONDS:
             del sent[next(iter(sent))]
-        waiting = Amounts(
-            account.offered, account.refused_slots, account.offered_tokens
-        )
-        expected = Amounts(
-            account.request_rate,
-            max(account.wanted_slots, account.running),
-            account.token_rate,
-        )
-        wanted = expected.higher(waiting).lower(account.limit)
-        with_headroom = Amounts(
-            wanted.requests_per_second * DEMAND_HEADROOM,
-            ceil(wanted.concurrency * DEMAND_HEADROOM) + 1,
-            wanted.tokens_per_second * DEMAND_HEADROOM,
-        )
-        needed = with_headroom - account.reserve
+        needed = account.needed()
         asked = needed.or_keep(account.lease(now))
         account.give_back(asked, now)
-        sent[self._next_request_id] = _SentDemand(now)
+        sent[self._next_request_id] = SentDemand(now)
         return LimitDemand(
             name,
             self._next_request_id,
--- a/lacewingcleat/limit_home.py
+++ b/lacewingcleat/limit_home.py
@@ -6,8 +6,7 @@
 promise is counted until it has certainly ended on the holder's clock.
 """
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Mapping
 
 from lacewingcleat.actions import Send
 from lacewingcleat.home_authority import (
@@ -17,6 +16,16 @@
     HomeAuthority,
 )
 from lacewingcleat.identity import Peer
+from lacewingcleat.limit_promises import (
+    HomeAccount,
+    Loan,
+    NotedDemand,
+    Promise,
+    fair_share,
+    highest,
+    outstanding,
+    prune,
+)
 from lacewingcleat.limit_shares import NOTHING, Amounts, zone_share
 from lacewingcleat.messages import LimitDemand, LimitDemands, LimitLease, LimitLeases
 from lacewingcleat.rendezvous import rank_by_rendezvous
@@ -39,77 +48,6 @@
 KEPT_SHARE = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class _Promise:
-    amounts: Amounts
-    end: float
-
-
-@dataclass(frozen=True, slots=True)
-class _Demand:
-    amounts: Amounts
-    held: int
-    request_id: int
-    end: float
-
-
-@dataclass(frozen=True, slots=True)
-class _Loan:
-    amounts: Amounts
-    request_id: int
-    end: float
-
-
-@dataclass(slots=True)
-class _Account:
-    lease_by_holder: dict[Peer, list[_Promise]] = field(default_factory=dict)
-    lent_by_holder: dict[Peer, list[_Promise]] = field(default_factory=dict)
-    demand_by_holder: dict[Peer, _Demand] = field(default_factory=dict)
-    loan_by_zone: dict[str, _Loan] = field(default_factory=dict)
-    asked_at_by_zone: dict[str, float] = field(default_factory=dict)
-
-
-def _outstanding(promises: Mapping[Peer, list[_Promise]], but: Peer) -> Amounts:
-    """Add up what others than one holder may still use."""
-    total = NOTHING
-    for holder, held in promises.items():
-        if holder != but:
-            total += _highest(held)
-    return total
-
-
-def _highest(promises: Iterable[_Promise]) -> Amounts:
-    """Return what a holder of several promises may use, which is the largest one."""
-    highest = NOTHING
-    for promise in promises:
-        highest = highest.higher(promise.amounts)
-    return highest
-
-
-def _prune(promises: dict[Peer, list[_Promise]], now: float) -> None:
-    for holder in list(promises):
-        promises[holder] = [item for item in promises[holder] if item.end > now]
-        if not promises[holder]:
-            del promises[holder]
-
-
-def fair_share(capacity: float, wanted: float, others: Iterable[float]) -> float:
-    """Return the max-min fair part of one claimant.
-
-    :param others: what the other claimants want.
-    """
-    smaller_first = sorted([wanted, *others])
-    left = capacity
-    for index, amount in enumerate(smaller_first):
-        level = left / (len(smaller_first) - index)
-        if amount >= level:
-            return min(wanted, level)
-        left -= amount
-        if amount == wanted:
-            return wanted
-    return wanted
-
-
 class LimitHome:
     """Grant leases and loans of the accounts that an entry is the home entry of.
 
@@ -125,6 +63,7 @@
         "_me",
         "_names_by_zone",
         "_next_request_id",
+        "_pool_by_account",
         "_sent_at_by_request_id",
         "_sheet",
         "_zones",
@@ -135,9 +74,10 @@
         self._authority = HomeAuthority(me)
         self._sheet: Sheet | None = None
         self._zones: list[str] = []
+        self._pool_by_account: dict[str, Amounts] = {}
         self._digest = ""
         self._names_by_zone: Mapping[str, tuple[str, ...]] = {}
-        self._account_by_name: dict[str, _Account] = {}
+        self._account_by_name: dict[str, HomeAccount] = {}
         self._next_request_id = (int(me.incarnation[:10] or "0", 16) << 23) + (1 << 22)
         self._sent_at_by_request_id: dict[int, float] = {}
         self._ask_budget = 0.0
@@ -151,6 +91,7 @@
     def apply_sheet(self, sheet: Sheet, now: float) -> None:
         """Put a revision in force."""
         self._sheet = sheet
+        self._pool_by_account.clear()
         own = sheet.zone_by_name.get(self._me.zone)
         region = own.region if own else ""
         others = [z for z in sheet.zone_by_name.values() if z.name != self._me.zone]
@@ -225,7 +166,7 @@
             account.loan_by_zone.pop(sender.zone, None)
             return
         end = sent_at + lease.term_seconds
-        account.loan_by_zone[sender.zone] = _Loan(amounts, lease.request_id, end)
+        account.loan_by_zone[sender.zone] = Loan(amounts, lease.request_id, end)
 
     def tick(self, now: float) -> list[Send]:
         """Ask other zones for loans; call it every 0.25 s."""
@@ -253,9 +194,9 @@
             return None
         if demand.loan == (sender.zone == self._me.zone):
             return None
-        account = self._account_by_name.setdefault(demand.account, _Account())
-        _prune(account.lease_by_holder, now)
-        _prune(account.lent_by_holder, now)
+        account = self._account_by_name.setdefault(demand.account, HomeAccount())
+        prune(account.lease_by_holder, now)
+        prune(account.lent_by_holder, now)
         wanted = Amounts(
             demand.requests_per_second,
             demand.concurrency,
@@ -294,7 +235,7 @@
 
     def _note_demand(
         self,
-        account: _Account,
+        account: HomeAccount,
         sender: Peer,
         demand: LimitDemand,
         wanted: Amounts,
@@ -309,10 +250,10 @@
         if old is not None and old.request_id > demand.request_id:
             return False
         account.lease_by_holder[sender] = [
-            _Promise(promise.amounts.lower(wanted), promise.end)
+            Promise(promise.amounts.lower(wanted), promise.end)
             for promise in account.lease_by_holder.get(sender, ())
         ]
-        account.demand_by_holder[sender] = _Demand(
+        account.demand_by_holder[sender] = NotedDemand(
             wanted,
             demand.held,
             demand.request_id,
@@ -322,12 +263,16 @@
 
     def _pool(self, name: str) -> Amounts:
         assert self._sheet is not None
-        account = self._sheet.account_by_name[name]
-        return zone_share(self._sheet, account, self._me.zone).pool
+        pool = self._pool_by_account.get(name)
+        if pool is None:
+            account = self._sheet.account_by_name[name]
+            pool = zone_share(self._sheet, account, self._me.zone).pool
+            self._pool_by_account[name] = pool
+        return pool
 
     def _grant(
         self,
-        account: _Account,
+        account: HomeAccount,
         demand: LimitDemand,
         sender: Peer,
         wanted: Amounts,
@@ -341,8 +286,8 @@
         capacity = self._pool(demand.account)
         for loan in backing:
             capacity += loan.amounts
-        capacity -= _outstanding(account.lent_by_holder, sender)
-        free = capacity - _outstanding(account.lease_by_holder, sender)
+        capacity -= outstanding(account.lent_by_holder, sender)
+        free = capacity - outstanding(account.lease_by_holder, sender)
         others = self._others(account, sender, now)
         free -= Amounts(0.0, self._held_beyond_leases(account, sender, now), 0.0)
         fair = Amounts(
@@ -371,10 +316,12 @@
         longest = min((loan.end - now for loan in backing), default=LEASE_HOLD_SECONDS)
         hold = min(longest, LEASE_HOLD_SECONDS)
         held = account.lease_by_holder.setdefault(sender, [])
-        held.append(_Promise(amounts, now + hold))
+        held.append(Promise(amounts, now + hold))
         return amounts, hold / (1.0 + DRIFT_MARGIN)
 
-    def _others(self, account: _Account, sender: Peer, now: float) -> list[_Demand]:
+    def _others(
+        self, account: HomeAccount, sender: Peer, now: float
+    ) -> list[NotedDemand]:
         return [
             item
             for holder, item in account.demand_by_holder.items()
@@ -383,7 +330,7 @@
 
     def _held_beyond_leases(
         self,
-        account: _Account,
+        account: HomeAccount,
         sender: Peer,
         now: float,
     ) -> int:
@@ -391,13 +338,13 @@
         beyond = 0
         for holder, item in account.demand_by_holder.items():
             if holder != sender and item.end > now:
-                leased = _highest(account.lease_by_holder.get(holder, ()))
+                leased = highest(account.lease_by_holder.get(holder, ()))
                 beyond += max(0, item.held - leased.concurrency)
         return beyond
 
     def _lend(
         self,
-        account: _Account,
+        account: HomeAccount,
         name: str,
         sender: Peer,
         wanted: Amounts,
@@ -408,8 +355,8 @@
         needed = NOTHING
         for item in self._others(account, sender, now):
             needed += item.amounts.higher(Amounts(0.0, item.held, 0.0))
-        leased = _outstanding(account.lease_by_holder, sender)
-        lent = _outstanding(account.lent_by_holder, sender)
+        leased = outstanding(account.lease_by_holder, sender)
+        lent = outstanding(account.lent_by_holder, sender)
         unpromised = pool - lent - leased
         free = pool - lent - leased.higher(needed).higher(pool.scaled(KEPT_SHARE))
         # Slots that run borrowed work stay lent, so that the sum of running work does
@@ -418,13 +365,13 @@
         amounts = wanted.lower(free).higher(kept)
         if not amounts.empty:
             held = account.lent_by_holder.setdefault(sender, [])
-            held.append(_Promise(amounts, now + LOAN_HOLD_SECONDS))
+            held.append(Promise(amounts, now + LOAN_HOLD_SECONDS))
         return amounts, LOAN_SECONDS
 
     def _ask_for_loans(
         self,
         name: str,
-        account: _Account,
+        account: HomeAccount,
         demands_by_instance: dict[str, list[LimitDemand]],
         now: float,
     ) -> None:
@@ -464,7 +411,7 @@
                 missing -= loan.amounts
                 held -= loan.amounts.concurrency
 
-    def _held_slots(self, account: _Account, now: float) -> int:
+    def _held_slots(self, account: HomeAccount, now: float) -> int:
         return sum(
             item.held for item in account.demand_by_holder.values() if item.end > now
         )
@@ -475,8 +422,8 @@
         while sent and next(iter(sent.values())) <= now - LOAN_SECONDS:
             del sent[next(iter(sent))]
         for name, account in list(self._account_by_name.items()):
-            _prune(account.lease_by_holder, now)
-            _prune(account.lent_by_holder, now)
+            prune(account.lease_by_holder, now)
+            prune(account.lent_by_holder, now)
             for holder, item in list(account.demand_by_holder.items()):
                 if item.end <= now:
                     del account.demand_by_holder[holder]
