Deal out work by shares instead of drawing two candidates

Cause: with reports that lag 1 s or 5 s, the better of two sampled candidates is worse than round robin, because entries herd on groups that were idle and because random draws leave the load uneven.

Change: the work that all entries will probably send until the reports are renewed is poured over the targets, least loaded first, to a common level; an old report is trusted less. Each target gets its share in turn, by credit; targets with a cached prefix are charged for what they take, so affinity stays bounded.

--- a/lacewingcleat/group_routing.py
+++ b/lacewingcleat/group_routing.py
@@ -1,8 +1,8 @@
 """coordination: choose the group or plain-service server for a request.
 
-The router draws two candidates and takes the one with the lower expected time, so that
-many entries with the same outdated report do not all choose the same target. Groups
-that hold the prompt's prefix or the session's KV cache are further candidates.
+Each target gets a share of the work that tends to even out the load, and the target
+whose turn it is takes the request. Targets that hold the prompt's prefix, the session's
+KV cache or the adapter take it instead if their expected time is lower.
 """
 
 from collections.abc import Set
@@ -130,7 +130,7 @@
         pool = self._pools.get(_pool_key(request))
         if pool is None or not pool.members:
             return Err(NoRoute(NoRouteReason.UNKNOWN_POOL, None, 0))
-        pool.refresh(self.zone, self.loads, self.ejection, now)
+        pool.refresh(self.zone, self.loads, self.ejection, now, rng)
         probe = self._finder.pick_probe(pool, request, now, rng)
         if probe is not None:
             return Ok(self._make_choice(pool, request, [probe], ChoiceRule.PROBE, now))
@@ -140,13 +140,16 @@
         if not candidates:
             return Err(self._explain_no_route(pool, request, now))
         return Ok(
-            self._make_choice(pool, request, candidates, ChoiceRule.SAMPLED, now),
+            self._make_choice(pool, request, candidates, ChoiceRule.SHARE, now),
         )
 
     def record_send(self, choice: Choice, request: RouteRequest, now: float) -> Routed:
         """Count a request that this entry has just sent to its target."""
         sent = self.loads.record_send(choice.target, choice.cost, now)
         routed = Routed(choice, request, sent)
+        pool = self._pools.get(_pool_key(request))
+        if pool is not None:
+            pool.record_send(choice.target, choice.cost.total_seconds, now)
         self._in_flight[id(routed)] = routed
         if choice.rule is ChoiceRule.PROBE:
             self.ejection.record_probe(choice.target, now)
@@ -296,8 +299,8 @@
         )
         best = scores[0]
         member = member_by_target[best.target]
-        if rule is ChoiceRule.SAMPLED:
-            rule = _sampled_rule(best, len(scores), request)
+        if rule is ChoiceRule.SHARE:
+            rule = _share_rule(best, len(scores), request)
         load = self.loads.estimate(best.target, now)
         return Choice(
             target=best.target,
@@ -380,7 +383,7 @@
             return service_key(request.service)
 
 
-def _sampled_rule(best: Score, candidates: int, request: RouteRequest) -> ChoiceRule:
+def _share_rule(best: Score, candidates: int, request: RouteRequest) -> ChoiceRule:
     if candidates == 1:
         return ChoiceRule.ONLY
     if isinstance(request, ModelRequest):
@@ -388,4 +391,4 @@
             return ChoiceRule.RESUMED
         if best.cached_tokens > 0:
             return ChoiceRule.PREFIX
-    return ChoiceRule.SAMPLED
+    return ChoiceRule.SHARE
--- a/lacewingcleat/routing_candidates.py
+++ b/lacewingcleat/routing_candidates.py
@@ -1,7 +1,7 @@
 """coordination: which targets of a pool are compared for a request.
 
-Two are drawn by weight. Those that hold the prompt's prefix, the session's KV cache or
-the adapter are added, and those of other zones when the own zone is busy.
+One is due by its share of the work. Those that hold the prompt's prefix, the session's
+KV cache or the adapter are added, and one of other zones when the own zone is busy.
 """
 
 from random import Random
@@ -17,7 +17,7 @@
 )
 from lacewingcleat.routing_pools import Member, Pool
 
-CANDIDATES = 2
+MAX_LOADED_CANDIDATES = 2
 MAX_PREFIX_CANDIDATES = 2
 
 SPILL_WAIT_SECONDS = 0.1
@@ -82,13 +82,13 @@
         def accepts_member(member: Member) -> bool:
             return accepts(member, request)
 
-        near = pool.near.draw(accepts_member, CANDIDATES, rng)
+        near = pool.near.draw(accepts_member)
         if not isinstance(request, ModelRequest):
-            return near + self._spill(pool, near, request, now, rng)
+            return near + self._spill(pool, near, request, now)
         drawn = near + self._find_cached(pool, request, now)
         if request.adapter or request.version:
             drawn += self._find_loaded(pool, request, now, rng)
-        return drawn + self._spill(pool, drawn, request, now, rng)
+        return drawn + self._spill(pool, drawn, request, now)
 
     def _spill(
         self,
@@ -96,7 +96,6 @@
         near: list[Member],
         request: RouteRequest,
         now: float,
-        rng: Random,
     ) -> list[Member]:
         """Draw from other zones if every near candidate is busy."""
         for member in near:
@@ -106,11 +105,7 @@
                 load.known and full and load.capacity
             ):
                 return []
-        return pool.far.draw(
-            lambda member: accepts(member, request),
-            CANDIDATES,
-            rng,
-        )
+        return pool.far.draw(lambda member: accepts(member, request))
 
     def _find_cached(
         self,
@@ -157,7 +152,7 @@
             if request.version and request.version not in load.versions:
                 continue
             ready.append(member)
-        return rng.sample(ready, min(CANDIDATES, len(ready)))
+        return rng.sample(ready, min(MAX_LOADED_CANDIDATES, len(ready)))
 
 
 def accepts(member: Member, request: RouteRequest) -> bool:
--- a/lacewingcleat/routing_choice.py
+++ b/lacewingcleat/routing_choice.py
@@ -58,7 +58,7 @@
 class ChoiceRule(Enum):
     """Say which rule decided a choice."""
 
-    SAMPLED = "better of two sampled candidates"
+    SHARE = "due by its share of the work"
     PREFIX = "holds the longest cached prefix"
     RESUMED = "holds the KV cache of the session"
     ALONE = "the zone's server for requests that run alone"
--- a/lacewingcleat/routing_pools.py
+++ b/lacewingcleat/routing_pools.py
@@ -1,22 +1,29 @@
-"""coordination: the targets of a model or service and how candidates are drawn.
+"""coordination: the targets of a model or service and whose turn it is.
 
-Drawing must stay cheap as pools grow, so the usable targets and their weights are kept
+Drawing must stay cheap as pools grow, so the usable targets and their shares are kept
 per pool and renewed a few times a second, not at each request.
 """
 
-from bisect import bisect
 from collections.abc import Callable, Set
 from dataclasses import dataclass, field
-from itertools import accumulate
+from math import exp
 from random import Random
 
 from lacewingcleat.load_view import LoadView, Target
 from lacewingcleat.outlier_ejection import OutlierEjection, TargetState
+from lacewingcleat.routing_weights import TargetLoad, share_out
 from lacewingcleat.sheet import ModelGroup, ServerState, Sheet
 
 REFRESH_SECONDS = 0.25
-MAX_DRAWS = 6
-"""Draws that may hit an excluded target before the pool is scanned."""
+RATE_SECONDS = 5.0
+"""Time over which the rate of own sends is averaged."""
+
+CREDIT_SECONDS = 5.0
+"""Time over which credit fades: the requests behind it have ended by then."""
+
+DEFAULT_CAPACITY = 32
+FIRST_MEAN_WORK = 0.1
+MEAN_WORK_SHARE = 0.02
 
 UNKNOWN_LOAD_WEIGHT = 0.25
 """Share of its weight for a target without a recent report, while others have one."""
@@ -38,33 +45,38 @@
 
 @dataclass(slots=True)
 class Side:
-    """Hold the usable members of one side, own zone or other zones."""
+    """Hold the usable members of one side, own zone or other zones.
 
-    members: list[Member] = field(default_factory=list)
-    cumulative_weights: list[float] = field(default_factory=list)
+    Work is dealt out by credit, not by chance, because a random draw by the same shares
+    leaves the load less even.
 
-    def draw(
-        self,
-        accepts: Callable[[Member], bool],
-        count: int,
-        rng: Random,
-    ) -> list[Member]:
-        """Return up to `count` distinct members by weight that are accepted."""
-        drawn: list[Member] = []
-        if not self.members:
-            return drawn
-        total = self.cumulative_weights[-1]
-        last = len(self.members) - 1
-        for _ in range(MAX_DRAWS):
-            index = min(last, bisect(self.cumulative_weights, rng.random() * total))
-            member = self.members[index]
-            if member not in drawn and accepts(member):
-                drawn.append(member)
-            if len(drawn) == min(count, len(self.members)):
-                return drawn
-        rest = [m for m in self.members if m not in drawn and accepts(m)]
-        rng.shuffle(rest)
-        return drawn + rest[: count - len(drawn)]
+    :param shares: shares of the next work, by member.
+    :param credits: share of the work that a member should have had, less what it got.
+    """
+
+    members: list[Member] = field(default_factory=list)
+    shares: list[float] = field(default_factory=list)
+    credits: list[float] = field(default_factory=list)
+    index_by_target: dict[Target, int] = field(default_factory=dict)
+
+    def draw(self, accepts: Callable[[Member], bool]) -> list[Member]:
+        """Return the accepted member with the most credit, none if none is accepted."""
+        best = -1
+        for index, member in enumerate(self.members):
+            if best >= 0 and self.credits[index] <= self.credits[best]:
+                continue
+            if self.shares[index] > 0.0 and accepts(member):
+                best = index
+        return [self.members[best]] if best >= 0 else []
+
+    def charge(self, target: Target, work: float) -> None:
+        """Credit all members with their share of a request and charge its taker."""
+        taker = self.index_by_target.get(target)
+        if taker is None:
+            return
+        for index, share in enumerate(self.shares):
+            self.credits[index] += share * work
+        self.credits[taker] -= work
 
 
 @dataclass(slots=True)
@@ -73,6 +85,8 @@
 
     :param usable: members whose servers are available and not leaving.
     :param probing: members that wait for a probe, own zone first.
+    :param rate: own sends per second.
+    :param mean_work: mean cost of own requests, in seconds of group time.
     :param mean_running_share: mean use of slots over the own zone's targets with a
         recent report.
     """
@@ -84,6 +98,19 @@
     probing: list[Member] = field(default_factory=list)
     mean_running_share: float = 0.0
     refreshed_at: float = float("-inf")
+    rate: float = 0.0
+    rate_at: float = 0.0
+    mean_work: float = FIRST_MEAN_WORK
+    credit_by_target: dict[Target, float] = field(default_factory=dict)
+
+    def record_send(self, target: Target, work: float, now: float) -> None:
+        """Count a request that was sent to a target."""
+        elapsed = max(0.0, now - self.rate_at)
+        self.rate = self.rate * exp(-elapsed / RATE_SECONDS) + 1.0 / RATE_SECONDS
+        self.rate_at = now
+        self.mean_work += MEAN_WORK_SHARE * (work - self.mean_work)
+        self.near.charge(target, work)
+        self.far.charge(target, work)
 
     def refresh(
         self,
@@ -91,33 +118,71 @@
         loads: LoadView,
         ejection: OutlierEjection,
         now: float,
+        rng: Random,
     ) -> None:
         """Renew weights and means if they are older than `REFRESH_SECONDS`."""
-        if 0.0 <= now - self.refreshed_at < REFRESH_SECONDS:
+        elapsed = now - self.refreshed_at
+        if 0.0 <= elapsed < REFRESH_SECONDS:
             return
         self.refreshed_at = now
-        near: list[tuple[Member, float]] = []
-        far: list[tuple[Member, float]] = []
-        shares: list[float] = []
+        fade = exp(-elapsed / CREDIT_SECONDS)
+        for side in (self.near, self.far):
+            for member, credit in zip(side.members, side.credits, strict=True):
+                self.credit_by_target[member.target] = credit * fade
         self.probing = []
+        near: list[Member] = []
+        far: list[Member] = []
         for member in self.usable:
             state = ejection.state(member.target, now)
             if state is TargetState.PROBING:
                 self.probing.append(member)
             if state in (TargetState.PROBING, TargetState.EJECTED):
                 continue
+            (near if member.zone == zone else far).append(member)
+        self.probing.sort(key=lambda member: member.zone != zone)
+        rate = self.rate * exp(-max(0.0, now - self.rate_at) / RATE_SECONDS)
+        rate *= loads.entries
+        self.near = self._make_side(near, loads, ejection, rate, now, rng)
+        self.far = self._make_side(far, loads, ejection, rate, now, rng)
+        shares = []
+        for member in near:
+            load = loads.estimate(member.target, now)
+            if load.known and load.capacity:
+                shares.append(load.running / load.capacity)
+        self.mean_running_share = sum(shares) / len(shares) if shares else 0.0
+
+    def _make_side(
+        self,
+        members: list[Member],
+        loads: LoadView,
+        ejection: OutlierEjection,
+        rate: float,
+        now: float,
+        rng: Random,
+    ) -> Side:
+        target_loads = []
+        for member in members:
             load = loads.estimate(member.target, now)
             weight = member.weight * ejection.weight(member.target, now)
             if not load.known:
                 weight *= UNKNOWN_LOAD_WEIGHT
-            side = near if member.zone == zone else far
-            side.append((member, weight))
-            if load.known and load.capacity and member.zone == zone:
-                shares.append(load.running / load.capacity)
-        self.probing.sort(key=lambda member: member.zone != zone)
-        self.near = _make_side(near)
-        self.far = _make_side(far)
-        self.mean_running_share = sum(shares) / len(shares) if shares else 0.0
+            target_loads.append(
+                TargetLoad(
+                    weight * (load.capacity or DEFAULT_CAPACITY),
+                    load.reported_running + load.queued_seconds / self.mean_work,
+                    load.running - load.reported_running,
+                    load.age,
+                ),
+            )
+        return Side(
+            members,
+            share_out(target_loads, rate),
+            [
+                self.credit_by_target.get(member.target, rng.random() * self.mean_work)
+                for member in members
+            ],
+            {member.target: index for index, member in enumerate(members)},
+        )
 
 
 def make_pools(sheet: Sheet) -> dict[str, Pool]:
@@ -173,15 +238,6 @@
     return True
 
 
-def _make_side(weighted: list[tuple[Member, float]]) -> Side:
-    if sum(weight for _, weight in weighted) <= 0.0:
-        weighted = [(member, 1.0) for member, _ in weighted]
-    return Side(
-        [member for member, _ in weighted],
-        list(accumulate(weight for _, weight in weighted)),
-    )
-
-
 def _group_member(sheet: Sheet, group: ModelGroup) -> Member:
     zone = sheet.server_by_name[group.front_server].zone
     target = Target(group.name, group.front_server)
