Bound the cost of routing; allow for report age in ejections

Change: shares of other zones are renewed only when a request spills over; shares of large pools are renewed less often; tick judges at most 512 targets; the prefix index holds 50,000 pairs; per-target lists replace deques. Expected first-token times allow for the age of the report. One prefix holder is compared instead of two. A target without a share of the next work is still chosen if it is the only one accepted.

--- a/lacewingcleat/group_routing.py
+++ b/lacewingcleat/group_routing.py
@@ -10,7 +10,13 @@
 
 from result import Err, Ok, Result
 
-from lacewingcleat.load_view import LoadEstimate, LoadView, RequestCost, Target
+from lacewingcleat.load_view import (
+    STALE_SECONDS,
+    LoadEstimate,
+    LoadView,
+    RequestCost,
+    Target,
+)
 from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent, TargetState
 from lacewingcleat.prefix_affinity import BLOCK_TOKENS, PrefixIndex
 from lacewingcleat.rendezvous import rank_by_rendezvous
@@ -48,6 +54,12 @@
 RETRY_SECONDS = 1.0
 """Wait before asking again for a pool without servers: one heartbeat."""
 
+MAX_JUDGED = 512
+"""Targets judged in one tick, a few milliseconds of work."""
+
+FAR_USED_SECONDS = 30.0
+"""Time for which other zones' targets are judged after the last spill-over."""
+
 OVERDUE_SECONDS = 2.0
 OVERDUE_RATIO = 5.0
 """A first token that is this late, absolutely and by ratio, counts as a failure."""
@@ -80,6 +92,7 @@
         self._unavailable: Set[str] = frozenset()
         self._usable_targets: set[Target] | None = None
         self._in_flight: dict[int, Routed] = {}
+        self._to_judge: list[Pool] = []
 
     def set_sheet(self, sheet: Sheet, now: float) -> None:
         """Take over the groups and services of an accepted sheet."""
@@ -87,6 +100,7 @@
         region = sheet.zone_by_name.get(self.zone)
         self._scorer.region = self.zone if region is None else region.region
         self._pools = make_pools(sheet)
+        self._to_judge = list(self._pools.values())
         targets = [
             member.target for pool in self._pools.values() for member in pool.members
         ]
@@ -118,7 +132,7 @@
         for routed in self._in_flight.values():
             routed.overdue = True
         for pool in self._pools.values():
-            pool.refreshed_at = float("-inf")
+            pool.expire()
 
     def choose(
         self,
@@ -130,12 +144,12 @@
         pool = self._pools.get(_pool_key(request))
         if pool is None or not pool.members:
             return Err(NoRoute(NoRouteReason.UNKNOWN_POOL, None, 0))
-        pool.refresh(self.zone, self.loads, self.ejection, now, rng)
+        pool.refresh_near(self.loads, self.ejection, now, rng)
         probe = self._finder.pick_probe(pool, request, now, rng)
         if probe is not None:
             return Ok(self._make_choice(pool, request, [probe], ChoiceRule.PROBE, now))
         if request.alone:
-            return self._choose_alone(pool, request, now)
+            return self._choose_alone(pool, request, now, rng)
         candidates = self._finder.draw(pool, request, now, rng)
         if not candidates:
             return Err(self._explain_no_route(pool, request, now))
@@ -159,14 +173,18 @@
         return routed
 
     def record_first_token(self, routed: Routed, now: float) -> None:
-        """Count the first token of a stream or the first byte of another answer."""
+        """Count the first token of a stream or the first byte of another answer.
+
+        The expected time allows for the age of the report, in which a healthy target's
+        queue may have grown unseen. Without this, lags of 5 s cause false ejections.
+        """
         if routed.first_token_seen or routed.overdue:
             return
         routed.first_token_seen = True
         self.ejection.record_first_token(
             routed.choice.target,
             now - routed.sent.at,
-            routed.choice.first_token_seconds,
+            _allowed_seconds(routed.choice),
             now,
         )
 
@@ -199,21 +217,38 @@
             self._correct_prefix(routed, cached_tokens, now)
 
     def tick(self, now: float) -> list[OutlierEvent]:
-        """Judge all pools, about once a second, and return ejections and returns."""
+        """Judge targets, about once a second, and return ejections and returns.
+
+        The own zone's targets are compared with each other, and so are those of other
+        zones while they are in use, so the cap holds for each side. Large sheets take
+        several ticks, so that one call does not hold up the loop.
+        """
         self._count_overdue(now)
         events: list[OutlierEvent] = []
-        for pool in self._pools.values():
-            targets = [member.target for member in pool.usable]
-            for target in targets:
-                load = self.loads.estimate(target, now)
-                step_seconds = load.step_seconds if load.known else 0.0
-                self.ejection.record_step_time(target, step_seconds, now)
-            found = self.ejection.judge(targets, now)
-            if found:
-                pool.refreshed_at = float("-inf")
-            events += found
+        judged = 0
+        while self._to_judge and judged < MAX_JUDGED:
+            pool = self._to_judge.pop()
+            sides = [pool.usable_near]
+            if now - pool.far_used_at < FAR_USED_SECONDS:
+                sides.append(pool.usable_far)
+            for members in sides:
+                judged += len(members)
+                found = self._judge(members, now)
+                if found:
+                    pool.expire()
+                events += found
+        if not self._to_judge:
+            self._to_judge = list(self._pools.values())
         return events
 
+    def _judge(self, members: list[Member], now: float) -> list[OutlierEvent]:
+        targets = [member.target for member in members]
+        for target in targets:
+            load = self.loads.estimate(target, now)
+            step_seconds = load.step_seconds if load.known else 0.0
+            self.ejection.record_step_time(target, step_seconds, now)
+        return self.ejection.judge(targets, now)
+
     def explain(self, request: RouteRequest, now: float) -> list[Verdict]:
         """Return how each target of the request's pool would be considered."""
         pool = self._pools.get(_pool_key(request))
@@ -235,12 +270,12 @@
             return
         targets: set[Target] = set()
         for pool in self._pools.values():
-            pool.usable = [
+            usable = [
                 member
                 for member in pool.members
                 if is_usable(member, sheet, self._available, self._unavailable)
             ]
-            pool.refreshed_at = float("-inf")
+            pool.set_usable(usable, self.zone)
             targets.update(member.target for member in pool.usable)
         before = self._usable_targets
         if before:
@@ -270,8 +305,11 @@
         pool: Pool,
         request: RouteRequest,
         now: float,
+        rng: Random,
     ) -> Result[Choice, NoRoute]:
         """Choose the zone's one server for suspects, the same at every entry."""
+        if not pool.near.members:
+            pool.refresh_far(self.loads, self.ejection, now, rng)
         accepted = [
             member
             for member in pool.near.members or pool.far.members
@@ -344,7 +382,7 @@
                 continue
             limit = max(
                 OVERDUE_SECONDS,
-                OVERDUE_RATIO * routed.choice.first_token_seconds,
+                OVERDUE_RATIO * _allowed_seconds(routed.choice),
             )
             sent_at = routed.sent.at
             if now - sent_at > limit:
@@ -375,6 +413,11 @@
         return NoRoute(NoRouteReason.NOT_ALLOWED, None, size, counts)
 
 
+def _allowed_seconds(choice: Choice) -> float:
+    age = min(choice.scores[0].information_age, STALE_SECONDS)
+    return choice.first_token_seconds + age
+
+
 def _pool_key(request: RouteRequest) -> str:
     match request:
         case ModelRequest():
--- a/lacewingcleat/load_view.py
+++ b/lacewingcleat/load_view.py
@@ -6,7 +6,6 @@
 has been replaced.
 """
 
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
@@ -106,8 +105,8 @@
     own_work_at_report: float = 0.0
     own_rate: float = 0.0
     own_rate_at: float = 0.0
-    recent: deque[Sent] = field(default_factory=lambda: deque(maxlen=MAX_RECENT_SENDS))
-    ended: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_RECENT_SENDS))
+    recent: list[Sent] = field(default_factory=list)
+    ended: list[float] = field(default_factory=list)
     sequence_by_incarnation: dict[str, int] = field(default_factory=dict)
 
 
@@ -179,6 +178,7 @@
         work = _queued_work(load, cost)
         sent = Sent(target, now, work)
         load.recent.append(sent)
+        del load.recent[:-MAX_RECENT_SENDS]
         load.running += 1
         load.backlog = _drained(load, now) + work
         load.backlog_at = now
@@ -202,6 +202,7 @@
         load.running = max(0, load.running - 1)
         if sent.at <= load.taken_at:
             load.ended.append(now)
+            del load.ended[:-MAX_RECENT_SENDS]
 
     def estimate(self, target: Target, now: float) -> LoadEstimate:
         """Return the load of a target now."""
@@ -320,10 +321,8 @@
 
 def _replay_sends(load: _TargetLoad, report: GroupReport, taken_at: float) -> None:
     """Start from the report and add the sends that it cannot contain."""
-    while load.recent and load.recent[0].at <= taken_at:
-        load.recent.popleft()
-    while load.ended and load.ended[0] <= taken_at:
-        load.ended.popleft()
+    load.recent = [sent for sent in load.recent if sent.at > taken_at]
+    load.ended = [ended_at for ended_at in load.ended if ended_at > taken_at]
     load.backlog = max(0.0, report.queued_seconds)
     load.backlog_at = taken_at
     load.running = max(0, report.running - len(load.ended))
--- a/lacewingcleat/prefix_affinity.py
+++ b/lacewingcleat/prefix_affinity.py
@@ -18,8 +18,8 @@
 MAX_BLOCKS = 128
 """Blocks per prompt that are considered; the rest is taken as not cached."""
 
-MAX_ENTRIES = 100_000
-"""Pairs of block and group that are kept, about 30 MB."""
+MAX_ENTRIES = 50_000
+"""Pairs of block and group that are kept, about 20 MB."""
 
 MAX_HOLDERS = 8
 """Groups remembered per block; a router needs a few to choose from."""
--- a/lacewingcleat/routing_candidates.py
+++ b/lacewingcleat/routing_candidates.py
@@ -18,7 +18,9 @@
 from lacewingcleat.routing_pools import Member, Pool
 
 MAX_LOADED_CANDIDATES = 2
-MAX_PREFIX_CANDIDATES = 2
+MAX_PREFIX_CANDIDATES = 1
+"""More holders raise the cached share a little, and the unevenness more."""
+
 
 SPILL_WAIT_SECONDS = 0.1
 """Wait in the own zone above which other zones are considered."""
@@ -58,13 +60,14 @@
         rng: Random,
     ) -> Member | None:
         """Return a target to probe; a call that must not be repeated is no probe."""
-        if not pool.probing or request.alone:
+        probing = pool.near.probing + pool.far.probing
+        if not probing or request.alone:
             return None
         if isinstance(request, ServiceRequest) and not request.idempotent:
             return None
         if rng.random() >= PROBE_SHARE:
             return None
-        for member in pool.probing:
+        for member in probing:
             admitted = self._ejection.admits_probe(member.target, now)
             if admitted and accepts(member, request):
                 return member
@@ -84,11 +87,11 @@
 
         near = pool.near.draw(accepts_member)
         if not isinstance(request, ModelRequest):
-            return near + self._spill(pool, near, request, now)
+            return near + self._spill(pool, near, request, now, rng)
         drawn = near + self._find_cached(pool, request, now)
         if request.adapter or request.version:
             drawn += self._find_loaded(pool, request, now, rng)
-        return drawn + self._spill(pool, drawn, request, now)
+        return drawn + self._spill(pool, drawn, request, now, rng)
 
     def _spill(
         self,
@@ -96,6 +99,7 @@
         near: list[Member],
         request: RouteRequest,
         now: float,
+        rng: Random,
     ) -> list[Member]:
         """Draw from other zones if every near candidate is busy."""
         for member in near:
@@ -105,6 +109,7 @@
                 load.known and full and load.capacity
             ):
                 return []
+        pool.refresh_far(self._loads, self._ejection, now, rng)
         return pool.far.draw(lambda member: accepts(member, request))
 
     def _find_cached(
--- a/lacewingcleat/routing_pools.py
+++ b/lacewingcleat/routing_pools.py
@@ -15,6 +15,9 @@
 from lacewingcleat.sheet import ModelGroup, ServerState, Sheet
 
 REFRESH_SECONDS = 0.25
+REFRESH_SECONDS_PER_MEMBER = 0.004
+"""Bounds the work at large pools: 64 members are renewed four times a second."""
+
 RATE_SECONDS = 5.0
 """Time over which the rate of own sends is averaged."""
 
@@ -51,6 +54,7 @@
     leaves the load less even.
 
     :param shares: shares of the next work, by member.
+    :param probing: members that are ejected and wait for a probe.
     :param credits: share of the work that a member should have had, less what it got.
     """
 
@@ -58,17 +62,25 @@
     shares: list[float] = field(default_factory=list)
     credits: list[float] = field(default_factory=list)
     index_by_target: dict[Target, int] = field(default_factory=dict)
+    probing: list[Member] = field(default_factory=list)
+    made_at: float = float("-inf")
 
     def draw(self, accepts: Callable[[Member], bool]) -> list[Member]:
-        """Return the accepted member with the most credit, none if none is accepted."""
+        """Return the accepted member with the most credit, none if none is accepted.
+
+        Members without a share come last: they are full, but may be the only ones.
+        """
         best = -1
         for index, member in enumerate(self.members):
-            if best >= 0 and self.credits[index] <= self.credits[best]:
+            if best >= 0 and self._rank(index) <= self._rank(best):
                 continue
-            if self.shares[index] > 0.0 and accepts(member):
+            if accepts(member):
                 best = index
         return [self.members[best]] if best >= 0 else []
 
+    def _rank(self, index: int) -> tuple[bool, float]:
+        return self.shares[index] > 0.0, self.credits[index]
+
     def charge(self, target: Target, work: float) -> None:
         """Credit all members with their share of a request and charge its taker."""
         taker = self.index_by_target.get(target)
@@ -84,7 +96,6 @@
     """Hold the targets of a model or service.
 
     :param usable: members whose servers are available and not leaving.
-    :param probing: members that wait for a probe, own zone first.
     :param rate: own sends per second.
     :param mean_work: mean cost of own requests, in seconds of group time.
     :param mean_running_share: mean use of slots over the own zone's targets with a
@@ -95,13 +106,15 @@
     usable: list[Member] = field(default_factory=list)
     near: Side = field(default_factory=Side)
     far: Side = field(default_factory=Side)
-    probing: list[Member] = field(default_factory=list)
+    usable_near: list[Member] = field(default_factory=list)
+    usable_far: list[Member] = field(default_factory=list)
     mean_running_share: float = 0.0
-    refreshed_at: float = float("-inf")
+    near_refreshed_at: float = float("-inf")
+    far_refreshed_at: float = float("-inf")
+    far_used_at: float = float("-inf")
     rate: float = 0.0
     rate_at: float = 0.0
     mean_work: float = FIRST_MEAN_WORK
-    credit_by_target: dict[Target, float] = field(default_factory=dict)
 
     def record_send(self, target: Target, work: float, now: float) -> None:
         """Count a request that was sent to a target."""
@@ -112,61 +125,83 @@
         self.near.charge(target, work)
         self.far.charge(target, work)
 
-    def refresh(
+    def set_usable(self, members: list[Member], zone: str) -> None:
+        """Take over which members take work; shares are renewed at the next choice."""
+        self.usable = members
+        self.usable_near = [member for member in members if member.zone == zone]
+        self.usable_far = [member for member in members if member.zone != zone]
+        self.expire()
+
+    def expire(self) -> None:
+        """Renew all shares at the next choice."""
+        self.near_refreshed_at = float("-inf")
+        self.far_refreshed_at = float("-inf")
+
+    def refresh_near(
         self,
-        zone: str,
         loads: LoadView,
         ejection: OutlierEjection,
         now: float,
         rng: Random,
     ) -> None:
-        """Renew weights and means if they are older than `REFRESH_SECONDS`."""
-        elapsed = now - self.refreshed_at
-        if 0.0 <= elapsed < REFRESH_SECONDS:
+        """Renew the shares of the own zone if they are outdated."""
+        elapsed = now - self.near_refreshed_at
+        if 0.0 <= elapsed < _refresh_seconds(self.usable_near):
             return
-        self.refreshed_at = now
-        fade = exp(-elapsed / CREDIT_SECONDS)
-        for side in (self.near, self.far):
-            for member, credit in zip(side.members, side.credits, strict=True):
-                self.credit_by_target[member.target] = credit * fade
-        self.probing = []
-        near: list[Member] = []
-        far: list[Member] = []
-        for member in self.usable:
-            state = ejection.state(member.target, now)
-            if state is TargetState.PROBING:
-                self.probing.append(member)
-            if state in (TargetState.PROBING, TargetState.EJECTED):
-                continue
-            (near if member.zone == zone else far).append(member)
-        self.probing.sort(key=lambda member: member.zone != zone)
-        rate = self.rate * exp(-max(0.0, now - self.rate_at) / RATE_SECONDS)
-        rate *= loads.entries
-        self.near = self._make_side(near, loads, ejection, rate, now, rng)
-        self.far = self._make_side(far, loads, ejection, rate, now, rng)
+        self.near_refreshed_at = now
+        members = self.usable_near
+        self.near = self._make_side(members, self.near, loads, ejection, now, rng)
         shares = []
-        for member in near:
+        for member in members:
             load = loads.estimate(member.target, now)
             if load.known and load.capacity:
                 shares.append(load.running / load.capacity)
         self.mean_running_share = sum(shares) / len(shares) if shares else 0.0
 
+    def refresh_far(
+        self,
+        loads: LoadView,
+        ejection: OutlierEjection,
+        now: float,
+        rng: Random,
+    ) -> None:
+        """Renew the shares of other zones if they are outdated.
+
+        Only a choice that spills over needs them: at the target size, other zones have
+        thirty times as many targets as the own zone.
+        """
+        self.far_used_at = now
+        elapsed = now - self.far_refreshed_at
+        if 0.0 <= elapsed < _refresh_seconds(self.usable_far):
+            return
+        self.far_refreshed_at = now
+        members = self.usable_far
+        self.far = self._make_side(members, self.far, loads, ejection, now, rng)
+
     def _make_side(
         self,
-        members: list[Member],
+        usable: list[Member],
+        before: Side,
         loads: LoadView,
         ejection: OutlierEjection,
-        rate: float,
         now: float,
         rng: Random,
     ) -> Side:
-        target_loads = []
-        for member in members:
+        rate = self.rate * exp(-max(0.0, now - self.rate_at) / RATE_SECONDS)
+        fade = exp(-max(0.0, now - before.made_at) / CREDIT_SECONDS)
+        side = Side(made_at=now)
+        loads_by_index = []
+        for member in usable:
+            state = ejection.state(member.target, now)
+            if state is TargetState.PROBING:
+                side.probing.append(member)
+            if state in (TargetState.PROBING, TargetState.EJECTED):
+                continue
             load = loads.estimate(member.target, now)
             weight = member.weight * ejection.weight(member.target, now)
             if not load.known:
                 weight *= UNKNOWN_LOAD_WEIGHT
-            target_loads.append(
+            loads_by_index.append(
                 TargetLoad(
                     weight * (load.capacity or DEFAULT_CAPACITY),
                     load.reported_running + load.queued_seconds / self.mean_work,
@@ -174,15 +209,21 @@
                     load.age,
                 ),
             )
-        return Side(
-            members,
-            share_out(target_loads, rate),
-            [
-                self.credit_by_target.get(member.target, rng.random() * self.mean_work)
-                for member in members
-            ],
-            {member.target: index for index, member in enumerate(members)},
-        )
+            index = before.index_by_target.get(member.target)
+            if index is None:
+                # Entries start at different targets, so that they do not move in step.
+                credit = rng.random() * self.mean_work
+            else:
+                credit = before.credits[index] * fade
+            side.index_by_target[member.target] = len(side.members)
+            side.members.append(member)
+            side.credits.append(credit)
+        side.shares = share_out(loads_by_index, rate * loads.entries)
+        return side
+
+
+def _refresh_seconds(members: list[Member]) -> float:
+    return max(REFRESH_SECONDS, REFRESH_SECONDS_PER_MEMBER * len(members))
 
 
 def make_pools(sheet: Sheet) -> dict[str, Pool]:
