Keep shares over sheet changes; report no-route reasons precisely

Cause: at the target size the sheet changes every 2 s, and each change rebuilt all pools and lost their shares. A group of another firm that was also down led to a retry that could never succeed. Without any report, an overdue first token was allowed 10 s per second of expected time more than with a fresh one.

Change: set_sheet returns at once if the routing digest is unchanged, and otherwise carries shares and rates over. Firm, version and adapter come before availability in exclusions; NoRoute.retry_after is None when no change of servers can help. An unknown report age counts as 2 s. ChoiceRule.ONLY is gone, since one candidate is now the usual case; its test compares the scored targets instead.

--- a/lacewingcleat/group_routing.py
+++ b/lacewingcleat/group_routing.py
@@ -64,6 +64,9 @@
 OVERDUE_RATIO = 5.0
 """A first token that is this late, absolutely and by ratio, counts as a failure."""
 
+UNKNOWN_AGE_SECONDS = 2.0
+"""Age that is assumed where there is no report."""
+
 
 class GroupRouter:
     """Choose targets from the sheet, the available servers and the load.
@@ -95,11 +98,21 @@
         self._to_judge: list[Pool] = []
 
     def set_sheet(self, sheet: Sheet, now: float) -> None:
-        """Take over the groups and services of an accepted sheet."""
+        """Take over the groups and services of an accepted sheet.
+
+        Most changes concern accounts only and cost nothing here. Shares and rates of
+        pools that remain are kept.
+        """
+        before = self._sheet
         self._sheet = sheet
+        if before is not None and before.routing_digest == sheet.routing_digest:
+            return
         region = sheet.zone_by_name.get(self.zone)
         self._scorer.region = self.zone if region is None else region.region
-        self._pools = make_pools(sheet)
+        old_pools, self._pools = self._pools, make_pools(sheet)
+        for key, pool in self._pools.items():
+            if key in old_pools:
+                pool.continue_from(old_pools[key])
         self._to_judge = list(self._pools.values())
         targets = [
             member.target for pool in self._pools.values() for member in pool.members
@@ -184,7 +197,7 @@
         self.ejection.record_first_token(
             routed.choice.target,
             now - routed.sent.at,
-            _allowed_seconds(routed.choice),
+            routed.choice.first_token_seconds + _unseen_seconds(routed.choice),
             now,
         )
 
@@ -290,9 +303,11 @@
         request: RouteRequest,
         now: float,
     ) -> Exclusion | None:
+        mismatch = find_mismatch(member, request)
+        if mismatch not in (None, Exclusion.FAILED):
+            return mismatch
         if member not in pool.usable:
             return Exclusion.UNAVAILABLE
-        mismatch = find_mismatch(member, request)
         if mismatch is not None:
             return mismatch
         state = self.ejection.state(member.target, now)
@@ -338,7 +353,7 @@
         best = scores[0]
         member = member_by_target[best.target]
         if rule is ChoiceRule.SHARE:
-            rule = _share_rule(best, len(scores), request)
+            rule = _share_rule(best, request)
         load = self.loads.estimate(best.target, now)
         return Choice(
             target=best.target,
@@ -380,10 +395,9 @@
         for routed in self._in_flight.values():
             if routed.first_token_seen or routed.overdue:
                 continue
-            limit = max(
-                OVERDUE_SECONDS,
-                OVERDUE_RATIO * _allowed_seconds(routed.choice),
-            )
+            expected = routed.choice.first_token_seconds
+            limit = max(OVERDUE_SECONDS, OVERDUE_RATIO * expected)
+            limit += _unseen_seconds(routed.choice)
             sent_at = routed.sent.at
             if now - sent_at > limit:
                 routed.overdue = True
@@ -406,16 +420,18 @@
             targets = [member.target for member in pool.usable]
             wait = max(RETRY_SECONDS, self.ejection.retry_after(targets, now))
             return NoRoute(NoRouteReason.ALL_EJECTED, wait, size, counts)
+        retry_after = RETRY_SECONDS if Exclusion.UNAVAILABLE in counts else None
         if Exclusion.FAILED in counts:
-            return NoRoute(NoRouteReason.ALL_FAILED, None, size, counts)
+            return NoRoute(NoRouteReason.ALL_FAILED, retry_after, size, counts)
         if Exclusion.UNAVAILABLE in counts:
-            return NoRoute(NoRouteReason.ALL_UNAVAILABLE, RETRY_SECONDS, size, counts)
+            return NoRoute(NoRouteReason.ALL_UNAVAILABLE, retry_after, size, counts)
         return NoRoute(NoRouteReason.NOT_ALLOWED, None, size, counts)
 
 
-def _allowed_seconds(choice: Choice) -> float:
-    age = min(choice.scores[0].information_age, STALE_SECONDS)
-    return choice.first_token_seconds + age
+def _unseen_seconds(choice: Choice) -> float:
+    """Return the time in which a queue may have grown unseen."""
+    age = choice.scores[0].information_age
+    return age if age <= STALE_SECONDS else UNKNOWN_AGE_SECONDS
 
 
 def _pool_key(request: RouteRequest) -> str:
@@ -426,9 +442,7 @@
             return service_key(request.service)
 
 
-def _share_rule(best: Score, candidates: int, request: RouteRequest) -> ChoiceRule:
-    if candidates == 1:
-        return ChoiceRule.ONLY
+def _share_rule(best: Score, request: RouteRequest) -> ChoiceRule:
     if isinstance(request, ModelRequest):
         if request.resume_group and best.target.group == request.resume_group:
             return ChoiceRule.RESUMED
--- a/lacewingcleat/routing_candidates.py
+++ b/lacewingcleat/routing_candidates.py
@@ -167,15 +167,14 @@
 
 def find_mismatch(member: Member, request: RouteRequest) -> Exclusion | None:
     """Return why a request cannot go to a target, whatever the target's state."""
-    if member.target in request.excluded:
-        return Exclusion.FAILED
+    failed = Exclusion.FAILED if member.target in request.excluded else None
     group = member.group
     if group is None or not isinstance(request, ModelRequest):
-        return None
+        return failed
     if group.firm not in ("", request.firm):
         return Exclusion.OTHER_FIRM
     if request.version and request.version not in group.versions:
         return Exclusion.VERSION
     if request.adapter and request.adapter not in group.adapters:
         return Exclusion.ADAPTER
-    return None
+    return failed
--- a/lacewingcleat/routing_choice.py
+++ b/lacewingcleat/routing_choice.py
@@ -63,7 +63,6 @@
     RESUMED = "holds the KV cache of the session"
     ALONE = "the zone's server for requests that run alone"
     PROBE = "probe of an ejected target"
-    ONLY = "only candidate"
 
 
 class Exclusion(Enum):
--- a/lacewingcleat/routing_pools.py
+++ b/lacewingcleat/routing_pools.py
@@ -116,6 +116,15 @@
     rate_at: float = 0.0
     mean_work: float = FIRST_MEAN_WORK
 
+    def continue_from(self, before: "Pool") -> None:
+        """Take over shares and rates from the pool of the previous sheet."""
+        self.near = before.near
+        self.far = before.far
+        self.far_used_at = before.far_used_at
+        self.rate = before.rate
+        self.rate_at = before.rate_at
+        self.mean_work = before.mean_work
+
     def record_send(self, target: Target, work: float, now: float) -> None:
         """Count a request that was sent to a target."""
         elapsed = max(0.0, now - self.rate_at)
--- a/tests/builders_routing.py
+++ b/tests/builders_routing.py
@@ -1,11 +1,13 @@
 """Builders of requests, reports and routers."""
 
 from collections.abc import Iterable
+from random import Random
 
 from lacewingcleat.group_routing import GroupRouter
 from lacewingcleat.load_view import Target
 from lacewingcleat.messages import GroupReport
-from lacewingcleat.routing_choice import ModelRequest
+from lacewingcleat.routing_choice import ModelRequest, Routed, RouteRequest
+from lacewingcleat.sheet import Service
 from tests.builders import make_group, make_server, make_sheet
 
 
@@ -70,6 +72,12 @@
     )
 
 
+def send(router: GroupRouter, request: RouteRequest, now: float, seed: int) -> Routed:
+    """Choose a target and record the send."""
+    choice = router.choose(request, now, Random(seed)).unwrap()
+    return router.record_send(choice, request, now)
+
+
 def make_router(zones: Iterable[str] = ("regina",) * 4) -> GroupRouter:
     """Build a router with one single-rank group per named zone, all available."""
     servers = [
@@ -80,7 +88,9 @@
         make_group(f"group-{number}", ranks=(f"server-{number}",))
         for number in range(1, len(servers) + 1)
     ]
+    service = Service("desk", tuple(server.name for server in servers), ())
     router = GroupRouter("regina")
-    router.set_sheet(make_sheet(servers=servers, groups=groups), 0.0)
+    sheet = make_sheet(servers=servers, groups=groups, services=[service])
+    router.set_sheet(sheet, 0.0)
     router.set_servers({server.name for server in servers}, set(), 0.0)
     return router
