--- a/lacewingcleat/group_routing.py
+++ b/lacewingcleat/group_routing.py
@@ -1,8 +1,8 @@
 """coordination: choose the group or plain-service server for a request.
 
-The router draws two candidates and takes the one with the lower expected time, so that
-many entries with the same outdated report do not all choose the same target. Groups
-that hold the prompt's prefix or the session's KV cache are further candidates.
+Each target gets a share of the work that tends to even out the load, and the target
+whose turn it is takes the request. Targets that hold the prompt's prefix, the session's
+KV cache or the adapter take it instead if their expected time is lower.
 """
 
 from collections.abc import Set
@@ -10,7 +10,13 @@
 
 from result import Err, Ok, Result
 
-from lacewingcleat.load_view import LoadEstimate, LoadView, RequestCost, Target
+from lacewingcleat.load_view import (
+    STALE_SECONDS,
+    LoadEstimate,
+    LoadView,
+    RequestCost,
+    Target,
+)
 from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent, TargetState
 from lacewingcleat.prefix_affinity import BLOCK_TOKENS, PrefixIndex
 from lacewingcleat.rendezvous import rank_by_rendezvous
@@ -48,10 +54,19 @@
 RETRY_SECONDS = 1.0
 """Wait before asking again for a pool without servers: one heartbeat."""
 
+MAX_JUDGED = 512
+"""Targets judged in one tick, a few milliseconds of work."""
+
+FAR_USED_SECONDS = 30.0
+"""Time for which other zones' targets are judged after the last spill-over."""
+
 OVERDUE_SECONDS = 2.0
 OVERDUE_RATIO = 5.0
 """A first token that is this late, absolutely and by ratio, counts as a failure."""
 
+UNKNOWN_AGE_SECONDS = 2.0
+"""Age that is assumed where there is no report."""
+
 
 class GroupRouter:
     """Choose targets from the sheet, the available servers and the load.
@@ -80,13 +95,25 @@
         self._unavailable: Set[str] = frozenset()
         self._usable_targets: set[Target] | None = None
         self._in_flight: dict[int, Routed] = {}
+        self._to_judge: list[Pool] = []
 
     def set_sheet(self, sheet: Sheet, now: float) -> None:
-        """Take over the groups and services of an accepted sheet."""
+        """Take over the groups and services of an accepted sheet.
+
+        Most changes concern accounts only and cost nothing here. Shares and rates of
+        pools that remain are kept.
+        """
+        before = self._sheet
         self._sheet = sheet
+        if before is not None and before.routing_digest == sheet.routing_digest:
+            return
         region = sheet.zone_by_name.get(self.zone)
         self._scorer.region = self.zone if region is None else region.region
-        self._pools = make_pools(sheet)
+        old_pools, self._pools = self._pools, make_pools(sheet)
+        for key, pool in self._pools.items():
+            if key in old_pools:
+                pool.continue_from(old_pools[key])
+        self._to_judge = list(self._pools.values())
         targets = [
             member.target for pool in self._pools.values() for member in pool.members
         ]
@@ -118,7 +145,7 @@
         for routed in self._in_flight.values():
             routed.overdue = True
         for pool in self._pools.values():
-            pool.refreshed_at = float("-inf")
+            pool.expire()
 
     def choose(
         self,
@@ -130,23 +157,26 @@
         pool = self._pools.get(_pool_key(request))
         if pool is None or not pool.members:
             return Err(NoRoute(NoRouteReason.UNKNOWN_POOL, None, 0))
-        pool.refresh(self.zone, self.loads, self.ejection, now)
+        pool.refresh_near(self.loads, self.ejection, now, rng)
         probe = self._finder.pick_probe(pool, request, now, rng)
         if probe is not None:
             return Ok(self._make_choice(pool, request, [probe], ChoiceRule.PROBE, now))
         if request.alone:
-            return self._choose_alone(pool, request, now)
+            return self._choose_alone(pool, request, now, rng)
         candidates = self._finder.draw(pool, request, now, rng)
         if not candidates:
             return Err(self._explain_no_route(pool, request, now))
         return Ok(
-            self._make_choice(pool, request, candidates, ChoiceRule.SAMPLED, now),
+            self._make_choice(pool, request, candidates, ChoiceRule.SHARE, now),
         )
 
     def record_send(self, choice: Choice, request: RouteRequest, now: float) -> Routed:
         """Count a request that this entry has just sent to its target."""
         sent = self.loads.record_send(choice.target, choice.cost, now)
         routed = Routed(choice, request, sent)
+        pool = self._pools.get(_pool_key(request))
+        if pool is not None:
+            pool.record_send(choice.target, choice.cost.total_seconds, now)
         self._in_flight[id(routed)] = routed
         if choice.rule is ChoiceRule.PROBE:
             self.ejection.record_probe(choice.target, now)
@@ -156,14 +186,18 @@
         return routed
 
     def record_first_token(self, routed: Routed, now: float) -> None:
-        """Count the first token of a stream or the first byte of another answer."""
+        """Count the first token of a stream or the first byte of another answer.
+
+        The expected time allows for the age of the report, in which a healthy target's
+        queue may have grown unseen. Without this, lags of 5 s cause false ejections.
+        """
         if routed.first_token_seen or routed.overdue:
             return
         routed.first_token_seen = True
         self.ejection.record_first_token(
             routed.choice.target,
             now - routed.sent.at,
-            routed.choice.first_token_seconds,
+            routed.choice.first_token_seconds + _unseen_seconds(routed.choice),
             now,
         )
 
@@ -196,21 +230,38 @@
             self._correct_prefix(routed, cached_tokens, now)
 
     def tick(self, now: float) -> list[OutlierEvent]:
-        """Judge all pools, about once a second, and return ejections and returns."""
+        """Judge targets, about once a second, and return ejections and returns.
+
+        The own zone's targets are compared with each other, and so are those of other
+        zones while they are in use, so the cap holds for each side. Large sheets take
+        several ticks, so that one call does not hold up the loop.
+        """
         self._count_overdue(now)
         events: list[OutlierEvent] = []
-        for pool in self._pools.values():
-            targets = [member.target for member in pool.usable]
-            for target in targets:
-                load = self.loads.estimate(target, now)
-                step_seconds = load.step_seconds if load.known else 0.0
-                self.ejection.record_step_time(target, step_seconds, now)
-            found = self.ejection.judge(targets, now)
-            if found:
-                pool.refreshed_at = float("-inf")
-            events += found
+        judged = 0
+        while self._to_judge and judged < MAX_JUDGED:
+            pool = self._to_judge.pop()
+            sides = [pool.usable_near]
+            if now - pool.far_used_at < FAR_USED_SECONDS:
+                sides.append(pool.usable_far)
+            for members in sides:
+                judged += len(members)
+                found = self._judge(members, now)
+                if found:
+                    pool.expire()
+                events += found
+        if not self._to_judge:
+            self._to_judge = list(self._pools.values())
         return events
 
+    def _judge(self, members: list[Member], now: float) -> list[OutlierEvent]:
+        targets = [member.target for member in members]
+        for target in targets:
+            load = self.loads.estimate(target, now)
+            step_seconds = load.step_seconds if load.known else 0.0
+            self.ejection.record_step_time(target, step_seconds, now)
+        return self.ejection.judge(targets, now)
+
     def explain(self, request: RouteRequest, now: float) -> list[Verdict]:
         """Return how each target of the request's pool would be considered."""
         pool = self._pools.get(_pool_key(request))
@@ -232,12 +283,12 @@
             return
         targets: set[Target] = set()
         for pool in self._pools.values():
-            pool.usable = [
+            usable = [
                 member
                 for member in pool.members
                 if is_usable(member, sheet, self._available, self._unavailable)
             ]
-            pool.refreshed_at = float("-inf")
+            pool.set_usable(usable, self.zone)
             targets.update(member.target for member in pool.usable)
         before = self._usable_targets
         if before:
@@ -252,9 +303,11 @@
         request: RouteRequest,
         now: float,
     ) -> Exclusion | None:
+        mismatch = find_mismatch(member, request)
+        if mismatch not in (None, Exclusion.FAILED):
+            return mismatch
         if member not in pool.usable:
             return Exclusion.UNAVAILABLE
-        mismatch = find_mismatch(member, request)
         if mismatch is not None:
             return mismatch
         state = self.ejection.state(member.target, now)
@@ -267,8 +320,11 @@
         pool: Pool,
         request: RouteRequest,
         now: float,
+        rng: Random,
     ) -> Result[Choice, NoRoute]:
         """Choose the zone's one server for suspects, the same at every entry."""
+        if not pool.near.members:
+            pool.refresh_far(self.loads, self.ejection, now, rng)
         accepted = [
             member
             for member in pool.near.members or pool.far.members
@@ -296,8 +352,8 @@
         )
         best = scores[0]
         member = member_by_target[best.target]
-        if rule is ChoiceRule.SAMPLED:
-            rule = _sampled_rule(best, len(scores), request)
+        if rule is ChoiceRule.SHARE:
+            rule = _share_rule(best, request)
         load = self.loads.estimate(best.target, now)
         return Choice(
             target=best.target,
@@ -339,10 +395,9 @@
         for routed in self._in_flight.values():
             if routed.first_token_seen or routed.overdue:
                 continue
-            limit = max(
-                OVERDUE_SECONDS,
-                OVERDUE_RATIO * routed.choice.first_token_seconds,
-            )
+            expected = routed.choice.first_token_seconds
+            limit = max(OVERDUE_SECONDS, OVERDUE_RATIO * expected)
+            limit += _unseen_seconds(routed.choice)
             sent_at = routed.sent.at
             if now - sent_at > limit:
                 routed.overdue = True
@@ -365,13 +420,20 @@
             targets = [member.target for member in pool.usable]
             wait = max(RETRY_SECONDS, self.ejection.retry_after(targets, now))
             return NoRoute(NoRouteReason.ALL_EJECTED, wait, size, counts)
+        retry_after = RETRY_SECONDS if Exclusion.UNAVAILABLE in counts else None
         if Exclusion.FAILED in counts:
-            return NoRoute(NoRouteReason.ALL_FAILED, None, size, counts)
+            return NoRoute(NoRouteReason.ALL_FAILED, retry_after, size, counts)
         if Exclusion.UNAVAILABLE in counts:
-            return NoRoute(NoRouteReason.ALL_UNAVAILABLE, RETRY_SECONDS, size, counts)
+            return NoRoute(NoRouteReason.ALL_UNAVAILABLE, retry_after, size, counts)
         return NoRoute(NoRouteReason.NOT_ALLOWED, None, size, counts)
 
 
+def _unseen_seconds(choice: Choice) -> float:
+    """Return the time in which a queue may have grown unseen."""
+    age = choice.scores[0].information_age
+    return age if age <= STALE_SECONDS else UNKNOWN_AGE_SECONDS
+
+
 def _pool_key(request: RouteRequest) -> str:
     match request:
         case ModelRequest():
@@ -380,12 +442,10 @@
             return service_key(request.service)
 
 
-def _sampled_rule(best: Score, candidates: int, request: RouteRequest) -> ChoiceRule:
-    if candidates == 1:
-        return ChoiceRule.ONLY
+def _share_rule(best: Score, request: RouteRequest) -> ChoiceRule:
     if isinstance(request, ModelRequest):
         if request.resume_group and best.target.group == request.resume_group:
             return ChoiceRule.RESUMED
         if best.cached_tokens > 0:
             return ChoiceRule.PREFIX
-    return ChoiceRule.SAMPLED
+    return ChoiceRule.SHARE
--- a/lacewingcleat/routing_candidates.py
+++ b/lacewingcleat/routing_candidates.py
@@ -1,7 +1,7 @@
 """coordination: which targets of a pool are compared for a request.
 
-Two are drawn by weight. Those that hold the prompt's prefix, the session's KV cache or
-the adapter are added, and those of other zones when the own zone is busy.
+One is due by its share of the work. Those that hold the prompt's prefix, the session's
+KV cache or the adapter are added, and one of other zones when the own zone is busy.
 """
 
 from random import Random
@@ -17,8 +17,10 @@
 )
 from lacewingcleat.routing_pools import Member, Pool
 
-CANDIDATES = 2
-MAX_PREFIX_CANDIDATES = 2
+MAX_LOADED_CANDIDATES = 2
+MAX_PREFIX_CANDIDATES = 1
+"""More holders raise the cached share a little, and the unevenness more."""
+
 
 SPILL_WAIT_SECONDS = 0.1
 """Wait in the own zone above which other zones are considered."""
@@ -58,13 +60,14 @@
         rng: Random,
     ) -> Member | None:
         """Return a target to probe; a call that must not be repeated is no probe."""
-        if not pool.probing or request.alone:
+        probing = pool.near.probing + pool.far.probing
+        if not probing or request.alone:
             return None
         if isinstance(request, ServiceRequest) and not request.idempotent:
             return None
         if rng.random() >= PROBE_SHARE:
             return None
-        for member in pool.probing:
+        for member in probing:
             admitted = self._ejection.admits_probe(member.target, now)
             if admitted and accepts(member, request):
                 return member
@@ -82,7 +85,7 @@
         def accepts_member(member: Member) -> bool:
             return accepts(member, request)
 
-        near = pool.near.draw(accepts_member, CANDIDATES, rng)
+        near = pool.near.draw(accepts_member)
         if not isinstance(request, ModelRequest):
             return near + self._spill(pool, near, request, now, rng)
         drawn = near + self._find_cached(pool, request, now)
@@ -106,11 +109,8 @@
                 load.known and full and load.capacity
             ):
                 return []
-        return pool.far.draw(
-            lambda member: accepts(member, request),
-            CANDIDATES,
-            rng,
-        )
+        pool.refresh_far(self._loads, self._ejection, now, rng)
+        return pool.far.draw(lambda member: accepts(member, request))
 
     def _find_cached(
         self,
@@ -157,7 +157,7 @@
             if request.version and request.version not in load.versions:
                 continue
             ready.append(member)
-        return rng.sample(ready, min(CANDIDATES, len(ready)))
+        return rng.sample(ready, min(MAX_LOADED_CANDIDATES, len(ready)))
 
 
 def accepts(member: Member, request: RouteRequest) -> bool:
@@ -167,15 +167,14 @@
 
 def find_mismatch(member: Member, request: RouteRequest) -> Exclusion | None:
     """Return why a request cannot go to a target, whatever the target's state."""
-    if member.target in request.excluded:
-        return Exclusion.FAILED
+    failed = Exclusion.FAILED if member.target in request.excluded else None
     group = member.group
     if group is None or not isinstance(request, ModelRequest):
-        return None
+        return failed
     if group.firm not in ("", request.firm):
         return Exclusion.OTHER_FIRM
     if request.version and request.version not in group.versions:
         return Exclusion.VERSION
     if request.adapter and request.adapter not in group.adapters:
         return Exclusion.ADAPTER
-    return None
+    return failed
--- a/lacewingcleat/routing_choice.py
+++ b/lacewingcleat/routing_choice.py
@@ -58,12 +58,11 @@
 class ChoiceRule(Enum):
     """Say which rule decided a choice."""
 
-    SAMPLED = "better of two sampled candidates"
+    SHARE = "due by its share of the work"
     PREFIX = "holds the longest cached prefix"
     RESUMED = "holds the KV cache of the session"
     ALONE = "the zone's server for requests that run alone"
     PROBE = "probe of an ejected target"
-    ONLY = "only candidate"
 
 
 class Exclusion(Enum):
