--- /dev/null
+++ b/lacewingcleat/expert_load.py
@@ -0,0 +1,147 @@
+"""coordination: estimate the load of experts and find slow ranks.
+
+Reports are late and name only the heaviest experts. An expert that is not named had at
+most the load of the lightest one that is, so its estimate decays towards the lower of
+its own value and that limit instead of to zero.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import numpy as np
+import numpy.typing as npt
+
+from lacewingcleat.messages import RankReport
+
+Loads = npt.NDArray[np.float64]
+
+ESTIMATE_SECONDS = 60.0
+SLOW_RATIO = 1.25
+NORMAL_RATIO = 1.10
+SLOW_REPORTS = 3
+DRAIN_REPORTS = 30
+RANK_ESTIMATE_SHARE = 0.5
+
+
+class RankCondition(Enum):
+    """Say how a rank does under the load that it has."""
+
+    NORMAL = "normal"
+    SLOW = "slow"
+    DRAIN = "drain"
+
+
+@dataclass(frozen=True, slots=True)
+class RankFinding:
+    """Describe a rank that is slower than its load explains.
+
+    :param slowness: its time over the time that its load explains.
+    """
+
+    rank: int
+    condition: RankCondition
+    slowness: float
+
+
+class ExpertLoad:
+    """Keep the drifting load per layer and expert, and each rank's slowness."""
+
+    def __init__(self, layers: int, experts: int, ranks: int) -> None:
+        self.loads: Loads = np.full((layers, experts), 1.0 / experts)
+        self.slowness: Loads = np.ones(ranks)
+        self._seen_at = np.full(layers, np.nan)
+        self._sequence = 0
+        self._slow_reports = np.zeros(ranks, dtype=np.int64)
+        self._quick_reports = np.zeros(ranks, dtype=np.int64)
+
+    def observe(self, report: RankReport, loads_by_rank: Loads, now: float) -> None:
+        """Take the group's aggregated report.
+
+        :param loads_by_rank: share of the load that each rank had under the map of the
+            report, so that a rank with more load is not taken for a slow one.
+        """
+        if report.sequence <= self._sequence:
+            return
+        self._sequence = report.sequence
+        self._observe_experts(report, now)
+        self._observe_ranks(report, loads_by_rank)
+
+    def rank_findings(self) -> list[RankFinding]:
+        """Return the ranks that are slow by themselves.
+
+        A slow rank is first relieved through `speeds`; one that stays slow is to be
+        drained and reported.
+        """
+        findings = []
+        for rank, count in enumerate(self._slow_reports):
+            if count < SLOW_REPORTS:
+                continue
+            drain = count >= DRAIN_REPORTS
+            condition = RankCondition.DRAIN if drain else RankCondition.SLOW
+            findings.append(RankFinding(rank, condition, float(self.slowness[rank])))
+        return findings
+
+    def speeds(self) -> Loads:
+        """Return each rank's relative speed; 1 for all that are not found slow."""
+        slow = self._slow_reports >= SLOW_REPORTS
+        return np.where(slow, 1.0 / np.maximum(self.slowness, 1.0), 1.0)
+
+    def _observe_experts(self, report: RankReport, now: float) -> None:
+        if not report.load_by_expert:
+            return
+        keys = np.array(list(report.load_by_expert), dtype=np.int64)
+        values = np.array(list(report.load_by_expert.values()), dtype=np.float64)
+        for layer in np.unique(keys[:, 0]):
+            if 0 <= layer < len(self.loads):
+                chosen = keys[:, 0] == layer
+                gain = self._gain(int(layer), now)
+                self._observe_layer(layer, keys[chosen, 1], values[chosen], gain)
+
+    def _gain(self, layer: int, now: float) -> float:
+        elapsed = now - self._seen_at[layer]
+        self._seen_at[layer] = now
+        if np.isnan(elapsed):
+            return 1.0
+        return float(1.0 - np.exp(-max(0.0, elapsed) / ESTIMATE_SECONDS))
+
+    def _observe_layer(
+        self,
+        layer: int,
+        experts: npt.NDArray[np.int64],
+        values: Loads,
+        gain: float,
+    ) -> None:
+        row = self.loads[layer]
+        named = np.zeros(len(row), dtype=bool)
+        named[experts] = True
+        seen = np.zeros(len(row))
+        seen[experts] = values
+        # Scales the old estimate to the units of the report by the experts named.
+        known = row[named].sum()
+        scale = values.sum() / known if known > 0 else 1.0
+        seen[~named] = np.minimum(row[~named] * scale, values.min())
+        total = seen.sum()
+        if total > 0:
+            row += gain * (seen / total - row)
+
+    def _observe_ranks(self, report: RankReport, loads_by_rank: Loads) -> None:
+        ranks = np.array(sorted(report.step_seconds_by_rank), dtype=np.int64)
+        ranks = ranks[(ranks >= 0) & (ranks < len(self.slowness))]
+        if len(ranks) < 2:
+            return
+        seconds = np.array([report.step_seconds_by_rank[int(r)] for r in ranks])
+        explained = np.maximum(loads_by_rank[ranks], 1e-12)
+        ratio = seconds / explained
+        ratio /= max(float(np.median(ratio)), 1e-12)
+        known = self.slowness[ranks]
+        known += RANK_ESTIMATE_SHARE * (ratio - known)
+        self.slowness[ranks] = known
+        slow = np.zeros(len(self.slowness), dtype=bool)
+        normal = slow.copy()
+        slow[ranks] = ratio > SLOW_RATIO
+        normal[ranks] = ratio < NORMAL_RATIO
+        self._slow_reports[slow] += 1
+        self._quick_reports[slow] = 0
+        self._quick_reports[normal] += 1
+        recovered = self._quick_reports >= SLOW_REPORTS
+        self._slow_reports[recovered] = 0
--- a/lacewingcleat/group_leader.py
+++ b/lacewingcleat/group_leader.py
@@ -14,7 +14,18 @@
 FAN_IN = 16
 REPORT_SECONDS = 1.0
 STALE_REPORT_SECONDS = 3.5
-KEPT_EXPERTS = 1024
+# 16 children with 192 entries of about 9 bytes each stay under 29 KB/s.
+KEPT_EXPERTS = 192
+STEPS_PER_LAYER = 32
+
+
+def reported_layer(step: int, layers: int) -> int:
+    """Return the layer whose loads all ranks report at a step.
+
+    Reports name one layer at a time, chosen by the common step number, because the
+    loads of all layers would exceed the limit for control traffic.
+    """
+    return step // STEPS_PER_LAYER % layers
 
 
 def tree_parent(rank: int, live_ranks: tuple[int, ...]) -> int | None:
--- a/lacewingcleat/map_switch.py
+++ b/lacewingcleat/map_switch.py
@@ -112,6 +112,8 @@
         self._hold_step = 0
         self._first_step = 0
         self._first_step_at = now
+        self._latest_step = 0
+        self._latest_step_at = now
         self._hold_lead = HOLD_LEAD_SECONDS
         self._since = now
         self._sent_at = float("-inf")
@@ -160,7 +162,8 @@
         if status.group != self.group or not 0 <= status.rank < len(self._instances):
             return []
         self._highest_term = max(self._highest_term, status.promised.term)
-        self._note_grant(status.rank, status.grant)
+        if not self._note_grant(status.rank, status.grant):
+            return []
         if self._watch.observe(now) and self.leading:
             return self._start_epoch(now)
         if not self.leading or self.phase is LeaderPhase.BACKING_OFF:
@@ -176,6 +179,8 @@
         if status.promised < self.epoch:
             return []
         self._status_by_rank[status.rank] = status
+        if status.step > self._latest_step:
+            self._latest_step, self._latest_step_at = status.step, now
         return self._advance(now)
 
     def tick(self, now: float) -> list[Action]:
@@ -225,10 +230,14 @@
         self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
         return []
 
-    def _note_grant(self, rank: int, grant: Grant) -> None:
+    def _note_grant(self, rank: int, grant: Grant) -> bool:
+        """Keep the newest grant; return False for a status that was overtaken."""
         known = self._grant_by_rank.get(rank, Grant())
-        if grant.incarnation != known.incarnation or grant.number > known.number:
-            self._grant_by_rank[rank] = grant
+        same = grant.incarnation == known.incarnation
+        if same and grant.number <= known.number:
+            return False
+        self._grant_by_rank[rank] = grant
+        return True
 
     def _all(self, condition: Callable[[SwitchStatus], bool]) -> bool:
         statuses = self._status_by_rank.values()
@@ -259,6 +268,7 @@
     def _decide(self, now: float) -> list[Action]:
         steps = [status.step for status in self._status_by_rank.values()]
         self._first_step, self._first_step_at = max(steps), now
+        self._latest_step, self._latest_step_at = max(steps), now
         versions = [status.map_version for status in self._status_by_rank.values()]
         self._target = max(versions)
         self.map_version = self._target
@@ -275,11 +285,12 @@
         return self._enter(LeaderPhase.PREPARING, now)
 
     def _hold(self, now: float) -> list[Action]:
-        steps = [status.step for status in self._status_by_rank.values()]
-        elapsed = now - self._first_step_at
-        steps_per_second = (max(steps) - self._first_step) / elapsed if elapsed else 0.0
-        lead = max(1, ceil(steps_per_second * self._hold_lead))
-        self._hold_step = max(steps) + lead
+        elapsed = self._latest_step_at - self._first_step_at
+        steps = self._latest_step - self._first_step
+        steps_per_second = steps / elapsed if elapsed else 0.0
+        ahead = now - self._latest_step_at + self._hold_lead
+        lead = max(1, ceil(steps_per_second * ahead))
+        self._hold_step = self._latest_step + lead
         return self._enter(LeaderPhase.HOLDING, now)
 
     def _abort(self, now: float) -> list[Action]:
--- a/lacewingcleat/order_fence.py
+++ b/lacewingcleat/order_fence.py
@@ -107,6 +107,7 @@
     """Say why the fence refused an order."""
 
     OLD_EPOCH = "old-epoch"
+    UNPROMISED = "unpromised"
     OLD_SEQUENCE = "old-sequence"
     NO_AUTHORITY = "no-authority"
     BUSY = "busy"
@@ -167,7 +168,11 @@
         return self._outstanding is None and self.state is not None
 
     def observe_epoch(self, epoch: Epoch) -> None:
-        """Refuse orders of lower epochs from now on."""
+        """Accept orders of this epoch and refuse those of lower ones from now on.
+
+        Only a promise to a leader that reads all ranks calls this. An agent that has
+        just started therefore obeys nobody, since it cannot know who led before.
+        """
         self.highest = max(self.highest, epoch)
 
     def grant(self, now: float) -> Grant:
@@ -223,6 +228,8 @@
         has_authority = self.has_authority(grant, now)
         if fence.epoch < self.highest:
             return Err(Refusal.OLD_EPOCH)
+        if fence.epoch > self.highest:
+            return Err(Refusal.UNPROMISED)
         if fence <= self._last:
             return Err(Refusal.OLD_SEQUENCE)
         if not has_authority:
@@ -231,9 +238,12 @@
             return Err(Refusal.BUSY)
         if self.state is None:
             return Err(Refusal.UNREAD)
-        self.observe_epoch(fence.epoch)
         self._last = fence
         self._last_order = order
+        if is_applied(order, self.state):
+            # Its effect could not be told from the present state, so that it would
+            # seem to be done while it is still inside the engine.
+            return Ok([])
         self._usable_read = self._reads + 1
         self._outstanding = _Outstanding(
             fence,
@@ -273,7 +283,9 @@
             self._take(read_id, state)
             return []
         is_after_answer = waiting.answered and read_id >= waiting.answered_read
-        if is_after_answer or (not waiting.answered and _is_settled(waiting, state)):
+        if is_after_answer or (
+            not waiting.answered and self._is_settled(waiting, state)
+        ):
             self._outstanding = None
             self._usable_read = self._reads
             self._take(read_id, state)
@@ -299,8 +311,7 @@
         if waiting is None:
             return actions
         if self.engine_checks and now - waiting.issued_at > REISSUE_SECONDS:
-            waiting.issued_at = now
-            actions.append(IssueOrder(waiting.fence, waiting.order))
+            actions.append(self._issue_again(waiting, now))
         if waiting.alarmed:
             return actions
         if now - waiting.since > UNSETTLED_ALARM_SECONDS:
@@ -309,11 +320,29 @@
             actions.append(Alarm("order-unsettled", text))
         return actions
 
+    def _issue_again(self, waiting: _Outstanding, now: float) -> IssueOrder:
+        """Repeat an order, or make it void if its leader was replaced."""
+        waiting.issued_at = now
+        if waiting.fence.epoch < self.highest:
+            self._last = FenceNumber(self.highest, self.next_sequence(self.highest))
+            self._last_order = Order(OrderKind.BARRIER)
+            self._usable_read = self._reads + 1
+            waiting.fence = self._last
+            waiting.order = self._last_order
+        return IssueOrder(waiting.fence, waiting.order)
+
     def refresh(self, now: float) -> list[FenceAction]:
         """Read the state again, for example after a step."""
         self._observe(now)
         return [self._read(now)]
 
+    def _is_settled(self, waiting: _Outstanding, state: EngineState) -> bool:
+        # A copy may be inside a restarted engine if the order was sent again.
+        restarted = state.incarnation != waiting.engine_incarnation
+        if restarted and not self.engine_checks:
+            return True
+        return is_applied(waiting.order, state)
+
     def _take(self, read_id: int, state: EngineState) -> None:
         self.taken_read_id = read_id
         self.state = state
@@ -328,12 +357,6 @@
             self._issued_at_by_grant.clear()
 
 
-def _is_settled(waiting: _Outstanding, state: EngineState) -> bool:
-    if state.incarnation != waiting.engine_incarnation:
-        return True
-    return is_applied(waiting.order, state)
-
-
 def is_applied(order: Order, state: EngineState) -> bool:
     """Return whether a state shows the effect of an order."""
     match order.kind:
--- a/lacewingcleat/rank_switch.py
+++ b/lacewingcleat/rank_switch.py
@@ -172,7 +172,7 @@
     def _promise(self, query: SwitchQuery, now: float) -> list[RankAction]:
         if not self._fence.is_own(query.grant) or query.epoch < self.promised:
             return []
-        if query.epoch > self.promised:
+        if query.epoch != self.promised:
             self.promised = query.epoch
             self._fence.observe_epoch(query.epoch)
             self._reading = 0
--- a/tests/test_map_switch.py
+++ b/tests/test_map_switch.py
@@ -71,3 +71,23 @@
         group.run(4.0)
         self.assertEqual(1, group.agents[0].leader.finished)
         self.assertLess(group.messages, 8 * 40)
+
+    def test_no_rank_resumes_before_all_have_switched(self) -> None:
+        """Guards against a step with two maps when a Commit is late."""
+        group = GroupSimulation(3, False)
+        leader = group.agents[0].leader
+        group.lead(0)
+        group.run(4.0)
+        group.propose(0)
+        while leader.phase is not LeaderPhase.SETTLING:
+            group.run(0.01)
+        group.cut.add(2)
+        group.run(1.0)
+        states = [engine.state for engine in group.engines]
+        self.assertEqual([2, 2, 1], [state.map_version for state in states])
+        self.assertEqual([True] * 3, [state.held for state in states])
+        group.cut.clear()
+        group.run(8.0)
+        states = [engine.state for engine in group.engines]
+        self.assertEqual([2] * 3, [state.map_version for state in states])
+        self.assertEqual([False] * 3, [state.held for state in states])
--- /dev/null
+++ b/tests/test_order_fence.py
@@ -0,0 +1,272 @@
+"""Orders that are late, doubled or from a past leader have no effect."""
+
+from collections import Counter
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from result import Err, Ok
+from testtools import TestCase
+
+from lacewingcleat.messages import Epoch, Grant, OrderKind, ServerOrder
+from lacewingcleat.order_fence import (
+    AUTHORITY_SECONDS,
+    SETTLE_SECONDS,
+    EngineState,
+    FenceNumber,
+    IssueOrder,
+    Order,
+    OrderFence,
+    ReadState,
+    Refusal,
+    receive_order,
+)
+from lacewingcleat.pause_watch import PAUSE_GAP_SECONDS
+from tests.builders_experts import StandInEngine
+
+FIRST = Epoch(1, "server-0")
+SECOND = Epoch(2, "server-1")
+LOAD = Order(OrderKind.LOAD, name="adapter")
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Send orders by several leaders through agents that pause, die and restart."""
+
+    checks = True
+
+    @initialize()
+    def begin(self) -> None:
+        self.now = 100.0
+        self.engine = StandInEngine(self.checks)
+        self.inside: list[tuple[OrderFence, IssueOrder]] = []
+        self.effects: list[FenceNumber] = []
+        self.sent: list[ServerOrder] = []
+        self.granted_at: dict[Grant, float] = {}
+        self.term = 0
+        self.starts = 0
+        self.paused_at = 0.0
+        self.start_agent()
+        self.new_leader()
+
+    def start_agent(self) -> None:
+        self.starts += 1
+        self.fence = OrderFence(f"start-{self.starts}", self.checks, self.now)
+        self.started = self.now
+        self.promised = Epoch(0, "")
+
+    def carry_out(self, actions: list) -> None:
+        for action in actions:
+            match action:
+                case IssueOrder(fence, _):
+                    # An engine that checks refuses copies that are still inside it
+                    # when a higher number has been run, so only its order counts.
+                    unanswered = {
+                        call.fence for by, call in self.inside if by is self.fence
+                    }
+                    once = unanswered <= {fence}
+                    assert self.checks or once, "two orders are outstanding"
+                    assert fence.epoch == self.promised, "order of a past leader"
+                    self.inside.append((self.fence, action))
+                case ReadState(read_id):
+                    self.end_dead_orders()
+                    state = self.engine.state
+                    self.carry_out(self.fence.state_read(read_id, state, self.now))
+
+    def end_dead_orders(self) -> None:
+        """End what a dead agent left in an engine that ignores numbers, if in time."""
+        if self.checks or self.now - self.started < SETTLE_SECONDS:
+            return
+        for entry in [each for each in self.inside if each[0] is not self.fence]:
+            self.inside.remove(entry)
+            self.run(entry[1])
+
+    def run(self, call: IssueOrder) -> None:
+        if self.engine.run(call.fence, call.order):
+            self.effects.append(call.fence)
+
+    def tell(self, order: ServerOrder) -> None:
+        receipt = receive_order(self.fence, order, self.now)
+        self.granted_at[receipt.status.grant] = self.now
+        if any(isinstance(action, IssueOrder) for action in receipt.actions):
+            issued_at = self.granted_at[order.grant]
+            assert self.now - issued_at <= AUTHORITY_SECONDS, "authority has expired"
+            assert issued_at >= self.paused_at, "authority is from before a pause"
+        self.carry_out(list(receipt.actions))
+
+    @rule()
+    def new_leader(self) -> None:
+        self.term += 1
+        self.sequence = 0
+        self.promised = Epoch(self.term, f"server-{self.term % 3}")
+        self.fence.observe_epoch(self.promised)
+
+    @rule(fresh=st.booleans(), name=st.sampled_from("ab"), load=st.booleans())
+    def order(self, fresh: bool, name: str, load: bool) -> None:
+        self.sequence += 1
+        kind = OrderKind.LOAD if load else OrderKind.UNLOAD
+        epoch = Epoch(self.term, f"server-{self.term % 3}")
+        grants = list(self.granted_at)
+        if fresh or not grants:
+            grant = self.fence.grant(self.now)
+            self.granted_at[grant] = self.now
+        else:
+            grant = grants[-1]
+        message = ServerOrder("group-1", epoch, self.sequence, kind, name, grant)
+        self.sent.append(message)
+        self.tell(message)
+
+    @rule(data=st.data())
+    def order_again_or_late(self, data: st.DataObject) -> None:
+        if self.sent:
+            self.tell(data.draw(st.sampled_from(self.sent[-8:])))
+
+    @rule(answer=st.booleans(), last=st.booleans())
+    def engine_runs(self, answer: bool, last: bool) -> None:
+        if not self.inside:
+            return
+        by, call = self.inside.pop(-1 if last and self.checks else 0)
+        self.run(call)
+        if answer and by is self.fence:
+            self.carry_out(self.fence.order_answered(call.fence, self.now))
+
+    @rule(seconds=st.sampled_from([0.25, 0.25, 0.5, 0.9]), times=st.integers(1, 8))
+    def wait(self, seconds: float, times: int) -> None:
+        for _ in range(times):
+            self.now += seconds
+            self.carry_out(self.fence.tick(self.now))
+
+    @rule(seconds=st.sampled_from([1.5, 4.0]))
+    def pause(self, seconds: float) -> None:
+        assert seconds > PAUSE_GAP_SECONDS
+        self.now += seconds
+        self.paused_at = self.now
+
+    @rule()
+    def restart_agent(self) -> None:
+        self.start_agent()
+
+    @rule()
+    def restart_engine(self) -> None:
+        self.inside.clear()
+        self.effects.clear()
+        self.engine.restart(0)
+
+    @invariant()
+    def each_order_takes_effect_once_and_in_order(self) -> None:
+        if not hasattr(self, "effects"):
+            return
+        doubled = [fence for fence, count in Counter(self.effects).items() if count > 1]
+        assert not doubled, f"orders took effect twice: {doubled}"
+        assert self.effects == sorted(self.effects), "an old order took effect late"
+
+
+class IgnoringOrderMachine(OrderMachine):
+    """The same with an engine that ignores fencing numbers."""
+
+    checks = False
+
+
+def run_machine(machine: type[OrderMachine]) -> None:
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=250,
+            stateful_step_count=40,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def make_fence(checks: bool) -> OrderFence:
+    fence = OrderFence("aa", checks, 0.0)
+    fence.tick(0.5)
+    fence.tick(1.0)
+    fence.tick(1.5)
+    fence.tick(2.0)
+    fence.state_read(fence.last_read_id, EngineState("engine"), 2.0)
+    fence.observe_epoch(FIRST)
+    return fence
+
+
+class OrderFenceTest(TestCase):
+    def test_orders_with_an_engine_that_checks(self) -> None:
+        """Guards against orders that are late, doubled or from a past leader."""
+        run_machine(OrderMachine)
+
+    def test_orders_with_an_engine_that_ignores(self) -> None:
+        """Guards against the same where only the agent refuses."""
+        run_machine(IgnoringOrderMachine)
+
+    def test_order_of_a_past_leader_is_refused(self) -> None:
+        """Guards against a leader that does not know that it was replaced."""
+        fence = make_fence(False)
+        fence.observe_epoch(SECOND)
+        number = FenceNumber(FIRST, 1)
+        refused = fence.submit(number, fence.grant(2.0), LOAD, 2.0)
+        self.assertEqual(Err(Refusal.OLD_EPOCH), refused)
+
+    def test_repeated_order_is_refused_after_it_was_done(self) -> None:
+        """Guards against an order that takes effect twice."""
+        fence = make_fence(False)
+        number = FenceNumber(FIRST, 1)
+        self.assertIsInstance(fence.submit(number, fence.grant(2.0), LOAD, 2.0), Ok)
+        read = fence.order_answered(number, 2.1)[0]
+        loaded = EngineState("engine", loaded=frozenset({"adapter"}))
+        fence.state_read(read.read_id, loaded, 2.2)
+        refused = fence.submit(number, fence.grant(2.3), LOAD, 2.3)
+        self.assertEqual(Err(Refusal.OLD_SEQUENCE), refused)
+
+    def test_authority_ends_after_5_seconds(self) -> None:
+        """Guards against an order that was long under way."""
+        fence = make_fence(False)
+        grant = fence.grant(2.0)
+        for quarter in range(1, 22):
+            fence.tick(2.0 + quarter / 4)
+        refused = fence.submit(FenceNumber(FIRST, 1), grant, LOAD, 7.3)
+        self.assertEqual(Err(Refusal.NO_AUTHORITY), refused)
+
+    def test_authority_ends_at_a_pause(self) -> None:
+        """Guards against orders that were waiting in a socket during a pause."""
+        fence = make_fence(False)
+        grant = fence.grant(2.0)
+        refused = fence.submit(FenceNumber(FIRST, 1), grant, LOAD, 3.2)
+        self.assertEqual(Err(Refusal.NO_AUTHORITY), refused)
+
+    def test_unanswered_order_is_not_sent_again_to_an_engine_that_ignores(self) -> None:
+        """Guards against a second effect of an order whose answer is late."""
+        for checks in (True, False):
+            fence = make_fence(checks)
+            number = FenceNumber(FIRST, 1)
+            fence.submit(number, fence.grant(2.0), LOAD, 2.0)
+            later = [a for n in range(9) for a in fence.tick(2.25 + n / 4)]
+            again = [each for each in later if isinstance(each, IssueOrder)]
+            self.assertEqual(checks, bool(again))
+
+    def test_agent_waits_before_its_first_reading(self) -> None:
+        """Guards against a state that a dead agent's order changes afterwards."""
+        fence = OrderFence("aa", False, 0.0)
+        self.assertEqual([], fence.tick(SETTLE_SECONDS - 0.1))
+        self.assertEqual([ReadState(1)], fence.tick(SETTLE_SECONDS))
+
+    def test_order_without_known_state_is_refused(self) -> None:
+        """Guards against an order on top of one that a dead agent has sent."""
+        fence = OrderFence("aa", True, 0.0)
+        fence.observe_epoch(FIRST)
+        refused = fence.submit(FenceNumber(FIRST, 1), fence.grant(0.0), LOAD, 0.0)
+        self.assertEqual(Err(Refusal.UNREAD), refused)
+
+    def test_order_without_visible_effect_is_not_issued(self) -> None:
+        """Guards against an order that seems done while the engine still holds it."""
+        fence = make_fence(False)
+        unload = Order(OrderKind.UNLOAD, name="adapter")
+        number = FenceNumber(FIRST, 1)
+        self.assertEqual(Ok([]), fence.submit(number, fence.grant(2.0), unload, 2.0))
