Run ranks, leaders and balancers in the agents

Cause: map switches, order fencing and expert balancing existed as state machines that no program ran.

--- a/bench/relay_program.py
+++ b/bench/relay_program.py
@@ -14,6 +14,7 @@
 from twisted.web.server import NOT_DONE_YET, Site
 
 IDLE_CONNECTIONS = 256
+HOP_HEADERS = (b"connection", b"content-length", b"host")
 REACTOR: Any = reactor
 
 
@@ -42,10 +43,13 @@
 
     async def _send(self, request: Any) -> None:
         body = request.content.read()
+        headers = request.requestHeaders
+        for name in HOP_HEADERS:
+            headers.removeHeader(name)
         response = await self._agent.request(
             request.method,
             f"http://{self._target}".encode() + request.uri,
-            request.requestHeaders,
+            headers,
             FileBodyProducer(BytesIO(body)) if body else None,
         )
         request.setResponseCode(response.code)
--- a/lacewingcleat/agent_node.py
+++ b/lacewingcleat/agent_node.py
@@ -16,13 +16,14 @@
 from lacewingcleat.agent_gate import AgentGate, GateEvent
 from lacewingcleat.clock import read_now, read_wall
 from lacewingcleat.crash_suspects import Convicted, RunAlone
-from lacewingcleat.group_leader import FrontState, GroupLeader
+from lacewingcleat.group_leader import FrontState
 from lacewingcleat.hours import claim_share
 from lacewingcleat.identity import Role
-from lacewingcleat.messages import CrashReport, Envelope, GroupReport, RankReport
+from lacewingcleat.messages import CrashReport, Envelope, GroupReport
 from lacewingcleat.metrics import AgentMetrics
 from lacewingcleat.node import Node
 from lacewingcleat.problems import Problem, not_run
+from lacewingcleat.rank_agent import RankAgent
 from lacewingcleat.settings import AgentSettings
 from lacewingcleat.sheet import ModelGroup, Service, Sheet
 from lacewingcleat.tickets import TicketBook
@@ -67,7 +68,7 @@
         self.on_gate_events: Callable[[list[GateEvent]], None] = lambda events: None
         self.group: ModelGroup | None = None
         self.service: Service | None = None
-        self.leader: GroupLeader | None = None
+        self.rank_agent: RankAgent | None = None
         self._run_by_id: dict[str, _Run] = {}
         self._backend_incarnation = ""
         self._backend_up = True
@@ -105,13 +106,14 @@
 
     def _apply_group(self, now: float) -> None:
         group = self.group
-        if group is None:
-            self.leader = None
+        agent = self.rank_agent
+        if agent is not None and agent.group != group:
+            agent.stop()
+            self.rank_agent = None
+        if group is None or self.rank_agent is not None or self.sheet is None:
             return
-        if self.leader is not None and self.leader.group == group.name:
-            return
-        rank = group.ranks.index(self.settings.server)
-        self.leader = GroupLeader(group.name, rank, group.ranks)
+        server = self.sheet.server_by_name[self.settings.server]
+        self.rank_agent = RankAgent(self, group, server.checks_fencing)
 
     def _apply_shares(self, now: float) -> None:
         if self.sheet is None or self.group is None:
@@ -126,8 +128,8 @@
     def on_message(self, envelope: Envelope, now: float) -> None:
         """Handle messages of the group."""
         match envelope.body:
-            case RankReport() as report if self.leader is not None:
-                self.leader.receive(envelope.sender.instance, report, now)
+            case _ if self.rank_agent is not None:
+                self.rank_agent.receive(envelope, now)
 
     def on_tick(self, now: float) -> None:
         """Advance the gate and send reports when they are due."""
@@ -137,6 +139,8 @@
         self.on_gate_events(self.gate.tick(now))
         self.book.forget_expired(now)
         self.membership.in_flight = self.gate.running
+        if self.rank_agent is not None and self.group is not None:
+            self.rank_agent.tick(self._live_ranks(self.group, now), now)
         if now >= self._next_report:
             self._next_report = now + REPORT_SECONDS
             defer.ensureDeferred(self._report(now))
@@ -309,12 +313,16 @@
     def _make_report(self, now: float) -> GroupReport | None:
         if self.service is not None:
             return self._service_report(self.service)
-        if self.leader is None or self.group is None:
+        if self.rank_agent is None or self.group is None:
             return None
         load = self._load
-        self.leader.observe_own(float(load.get("step_seconds", 0.0)), {}, 1)
-        self.leader.set_live(self._live_ranks(self.group, now))
-        self.perform(self.leader.tick(now))
+        reports = self.rank_agent.reports
+        reports.observe_own(
+            float(load.get("step_seconds", 0.0)),
+            _expert_loads(load),
+            self.rank_agent.map_version,
+        )
+        self.perform(reports.tick(now))
         if self.settings.server != self.group.front_server:
             return None
         front = FrontState(
@@ -326,7 +334,7 @@
             self.group.versions,
             float(load.get("kv_free_share", 0.0)),
         )
-        return self.leader.group_report(front, now)
+        return reports.group_report(front, now)
 
     def _live_ranks(self, group: ModelGroup, now: float) -> set[str]:
         return {
@@ -378,6 +386,8 @@
             "backend_up": self._backend_up,
             "suspects": len(self.suspects),
         }
+        if self.rank_agent is not None:
+            status["rank"] = self.rank_agent.status()
         return status
 
     def ready_reason(self) -> str:
@@ -389,3 +399,15 @@
         if not self._backend_up:
             return "the backend server does not answer"
         return ""
+
+
+def _expert_loads(load: dict[str, Any]) -> dict[tuple[int, int], int]:
+    """Return the engine's tokens by layer and expert; malformed rows are dropped."""
+    rows = load.get("load_by_expert", [])
+    return {
+        (row[0], row[1]): row[2]
+        for row in rows
+        if isinstance(row, list)
+        and len(row) == 3
+        and all(isinstance(item, int) for item in row)
+    }
--- a/lacewingcleat/engine_stand_in.py
+++ b/lacewingcleat/engine_stand_in.py
@@ -22,6 +22,7 @@
 DEFAULT_TOKEN_SECONDS = 0.01
 DEFAULT_SLOTS = 8
 MAX_KV_EXPORTS = 64
+MAX_MAPS = 4
 MAX_CACHE_EVENTS = 1024
 PREFIX_BLOCK_CHARS = 64
 # A prompt with this text ends the engine, as some real requests do.
@@ -91,6 +92,8 @@
         self.cancelled = 0
         self.orders: list[_OrderBody] = []
         self.loaded: set[str] = set()
+        self.maps: dict[int, bytes] = {}
+        self.load_by_expert: dict[tuple[int, int], int] = {}
         self.role = "mixed"
         self.map_version = 1
         self.next_map_version = 0
@@ -139,6 +142,8 @@
                 self._order(request)
             case (b"GET", "/state"):
                 self._respond(request, self._state())
+            case (b"PUT", _) if path.startswith("/maps/"):
+                self._take_map(request, path.removeprefix("/maps/"))
             case (b"GET" | b"PUT", _) if path.startswith("/kv/"):
                 self._kv(request, path.removeprefix("/kv/"))
             case _:
@@ -235,7 +240,10 @@
             "prefill_tokens_per_second": 20_000.0,
             "kv_free_share": 1.0 - running / self.slots,
             "adapters": sorted(self.loaded),
-            "load_by_expert": [],
+            "load_by_expert": [
+                [layer, expert, tokens]
+                for (layer, expert), tokens in self.load_by_expert.items()
+            ],
         }
 
     def _state(self) -> dict[str, Any]:
@@ -287,6 +295,16 @@
             case "set-role":
                 self.role = order.name
 
+    def _take_map(self, request: BoundedRequest, version: str) -> None:
+        """Keep a map; a real engine answers when it has loaded the weights."""
+        if not version.isdigit():
+            request.respond(400, JSON, b'{"error":"malformed version"}')
+            return
+        self.maps[int(version)] = request.body.getvalue()
+        while len(self.maps) > MAX_MAPS:
+            del self.maps[min(self.maps)]
+        request.respond(204, JSON, b"")
+
     def _kv(self, request: BoundedRequest, key: str) -> None:
         if request.method == b"PUT":
             if len(self._kv_by_key) < MAX_KV_EXPORTS:
--- /dev/null
+++ b/lacewingcleat/rank_agent.py
@@ -0,0 +1,299 @@
+"""transport: a rank's part in its group, at the agent of its engine.
+
+It carries orders to the engine and reads its state back, passes switch messages on and,
+at the lowest live rank, runs the leader and the balancer of the group.
+"""
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from result import Err
+from twisted.internet import defer, task
+from twisted.web.http_headers import Headers
+
+from lacewingcleat.actions import Alarm, Send
+from lacewingcleat.clock import read_now
+from lacewingcleat.expert_load import RankCondition
+from lacewingcleat.group_balancer import GroupBalancer, weights_of
+from lacewingcleat.group_leader import GroupLeader
+from lacewingcleat.map_switch import SwitchLeader
+from lacewingcleat.messages import (
+    Envelope,
+    RankPhase,
+    RankReport,
+    ServerOrder,
+    SwitchAbort,
+    SwitchCommit,
+    SwitchHold,
+    SwitchPrepare,
+    SwitchQuery,
+    SwitchResume,
+    SwitchStatus,
+)
+from lacewingcleat.order_fence import (
+    EngineState,
+    IssueOrder,
+    OrderFence,
+    ReadState,
+    receive_order,
+)
+from lacewingcleat.rank_switch import FetchMap, RankSwitch
+from lacewingcleat.rebalance import MoveCosts
+from lacewingcleat.sheet import ModelGroup, Sheet
+
+if TYPE_CHECKING:
+    from lacewingcleat.agent_node import AgentNode
+
+ORDER_TIMEOUT_SECONDS = 2.0
+FETCH_TIMEOUT_SECONDS = 600.0
+MAX_STATE_BYTES = 1 << 16
+# Ticks while the rank does not simply run; the hold of a switch is bounded to 300 ms.
+SWITCH_TICK_SECONDS = 0.01
+
+
+class RankAgent:
+    """Run the state machines of one rank.
+
+    :param node: the agent's control plane.
+    """
+
+    def __init__(self, node: "AgentNode", group: ModelGroup, checks: bool) -> None:
+        now = read_now()
+        name = node.settings.server
+        self.group = group
+        self.rank = group.ranks.index(name)
+        self._node = node
+        self._fence = OrderFence(node.peer.incarnation, checks, now)
+        self._switch = RankSwitch(group.name, self.rank, self._fence)
+        self._leader = SwitchLeader(group.name, name, group.ranks, now)
+        self.reports = GroupLeader(group.name, self.rank, group.ranks)
+        self._balancer: GroupBalancer | None = None
+        self._reported_slow: set[int] = set()
+        self._loop = task.LoopingCall(self._fast_tick)
+        self._loop.clock = node.reactor
+        self._reading = False
+
+    @property
+    def phase(self) -> RankPhase:
+        """Return how far the rank is in a switch."""
+        return self._switch.phase
+
+    @property
+    def map_version(self) -> int:
+        """Return the expert map of the engine, 0 if unknown."""
+        state = self._fence.state
+        return state.map_version if state is not None else 0
+
+    @property
+    def leads(self) -> bool:
+        """Return whether this agent leads the group."""
+        return self.reports.leads
+
+    def status(self) -> dict[str, Any]:
+        """Return the part of the status document about the group."""
+        return {
+            "rank": self.rank,
+            "phase": self.phase.value,
+            "map_version": self.map_version,
+            "leads": self.leads,
+            "leader_phase": self._leader.phase.value,
+            "switches": self._leader.finished,
+            "aborted_switches": self._leader.aborted,
+            "skew": self._balancer.skew if self._balancer is not None else None,
+        }
+
+    # Messages and time
+
+    def receive(self, envelope: Envelope, now: float) -> bool:
+        """Handle a message of the group; return whether it was one."""
+        sender = envelope.sender.instance
+        match envelope.body:
+            case RankReport() as report:
+                self.reports.receive(sender, report, now)
+            case (
+                SwitchPrepare()
+                | SwitchHold()
+                | SwitchCommit()
+                | SwitchResume()
+                | SwitchAbort()
+                | SwitchQuery()
+            ) as message:
+                self._perform(self._switch.receive(sender, message, now))
+            case SwitchStatus() as status:
+                self._perform(self._leader.receive(status, now))
+            case ServerOrder() as order:
+                receipt = receive_order(self._fence, order, now)
+                self._perform(receipt.actions)
+                self._node.send(sender, receipt.status)
+            case _:
+                return False
+        self._adjust_ticks()
+        return True
+
+    def tick(self, live: Iterable[str], now: float) -> None:
+        """Run the periodic part, four times a second."""
+        self.reports.set_live(live)
+        self._switch.set_leader(self.reports.leader_instance)
+        if self.leads:
+            self._lead(now)
+        elif self._leader.leading:
+            self._leader.stop()
+            self._balancer = None
+        self._advance(now)
+        self._adjust_ticks()
+
+    def stop(self) -> None:
+        """Stop the ticks."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def _fast_tick(self) -> None:
+        self._advance(read_now())
+        self._adjust_ticks()
+
+    def _advance(self, now: float) -> None:
+        self._perform(self._switch.tick(now))
+        self._perform(self._leader.tick(now))
+        self._perform(self._leader.alarms(now))
+
+    def _adjust_ticks(self) -> None:
+        """Tick fast while a switch is under way."""
+        quiet = self.phase is RankPhase.RUNNING and not self._leader.busy
+        if quiet and self._loop.running:
+            self._loop.stop()
+        elif not quiet and not self._loop.running and not self._node.stopping:
+            running: defer.Deferred[Any] = self._loop.start(SWITCH_TICK_SECONDS)
+            running.addErrback(
+                lambda failure: self._node.log.error(failure.getTraceback()),
+            )
+
+    # Leading
+
+    def _lead(self, now: float) -> None:
+        sheet = self._node.sheet
+        if sheet is None:
+            return
+        if not self._leader.leading:
+            self._perform(self._leader.lead(now))
+        if self._balancer is None:
+            self._balancer = self._make_balancer(sheet)
+            self._leader.learn_map(self._balancer.known_map())
+        report = self.reports.aggregate(now)
+        if report is not None:
+            self._balancer.observe(report, now)
+        self._balance(self._balancer, now)
+
+    def _make_balancer(self, sheet: Sheet) -> GroupBalancer:
+        firm = weights_of(self.group, sheet.firm_by_name)
+        return GroupBalancer(self.group, firm, MoveCosts())
+
+    def _balance(self, balancer: GroupBalancer, now: float) -> None:
+        proposal = balancer.tick(now)
+        if proposal is not None and not self._leader.propose(proposal, now):
+            balancer.abandoned()
+        if not self._leader.busy:
+            if self._leader.map_version > balancer.map_version:
+                balancer.switched(self._leader.map_version, now)
+            else:
+                balancer.abandoned()
+        for finding in balancer.rank_findings():
+            slow = finding.condition is RankCondition.DRAIN
+            if slow and finding.rank not in self._reported_slow:
+                self._reported_slow.add(finding.rank)
+                server = self.group.ranks[finding.rank]
+                self._node.alarm(
+                    "slow-rank",
+                    f"{server} takes {finding.slowness:.2f} times its share; drain it",
+                )
+
+    # Actions
+
+    def _perform(self, actions: Iterable[Any]) -> None:
+        for action in actions:
+            match action:
+                case Send(instance, message) if instance == self._node.settings.server:
+                    self._deliver_to_self(message)
+                case Send() | Alarm():
+                    self._node.perform([action])
+                case IssueOrder():
+                    defer.ensureDeferred(self._issue(action))
+                case ReadState(read_id):
+                    defer.ensureDeferred(self._read(read_id))
+                case FetchMap():
+                    defer.ensureDeferred(self._fetch(action))
+
+    def _deliver_to_self(self, message: Any) -> None:
+        """Deliver the leader's message to its own rank, on the next turn."""
+        envelope = Envelope(self._node.peer, 0, "", message)
+        self._node.reactor.callLater(0, lambda: self.receive(envelope, read_now()))
+
+    async def _issue(self, action: IssueOrder) -> None:
+        fence, order = action.fence, action.order
+        document = {
+            "kind": order.kind.value,
+            "fence_term": fence.epoch.term,
+            "fence_instance": fence.epoch.instance,
+            "fence_sequence": fence.sequence,
+            "map_version": order.map_version,
+            "step": order.step,
+            "name": order.name,
+        }
+        fetched = await self._node.client.fetch(
+            "POST",
+            self._node.settings.backend_address,
+            "/orders",
+            Headers({"Content-Type": ["application/json"]}),
+            msgspec.json.encode(document),
+            ORDER_TIMEOUT_SECONDS,
+            MAX_STATE_BYTES,
+        )
+        if isinstance(fetched, Err):
+            return
+        self._perform(self._fence.order_answered(fence, read_now()))
+
+    async def _read(self, read_id: int) -> None:
+        fetched = await self._node.client.fetch(
+            "GET",
+            self._node.settings.backend_address,
+            "/state",
+            Headers(),
+            b"",
+            ORDER_TIMEOUT_SECONDS,
+            MAX_STATE_BYTES,
+        )
+        if isinstance(fetched, Err):
+            return
+        try:
+            state = msgspec.json.decode(fetched.ok_value[1], type=EngineState)
+        except msgspec.MsgspecError as error:
+            self._node.alarm(
+                "engine-state", f"the engine's state is malformed: {error}"
+            )
+            return
+        now = read_now()
+        self._perform(self._fence.state_read(read_id, state, now))
+        self._perform(self._switch.engine_read(now))
+
+    async def _fetch(self, action: FetchMap) -> None:
+        """Give the engine a map; it answers when it has the weights."""
+        fetched = await self._node.client.fetch(
+            "PUT",
+            self._node.settings.backend_address,
+            f"/maps/{action.map_version}",
+            Headers(
+                {
+                    "Lacewing-Map-Digest": [action.map_digest],
+                    "Lacewing-Map-Base": [str(action.base_version)],
+                },
+            ),
+            action.encoded_changes,
+            FETCH_TIMEOUT_SECONDS,
+            MAX_STATE_BYTES,
+        )
+        if isinstance(fetched, Err) or fetched.ok_value[0].code >= 300:
+            self._node.alarm(
+                "map-refused", f"the engine did not take map {action.map_version}"
+            )
+            return
+        self._perform(self._switch.weights_ready(action.map_version, read_now()))
