Pace reads of parts below the limit in any second

Cause: a burst of 32 reads plus 16 reads/s made up to 48 reads in the first second of a large change. 62 readers would have made 2,976, and the service allows about 2,000 reads/s.

Change: 22 reads/s with bursts of 8, which is at most 30 in any second. A test checks the constants against the limit.

--- a/lacewingcleat/config_reader.py
+++ b/lacewingcleat/config_reader.py
@@ -11,10 +11,10 @@
 from lacewingcleat.rendezvous import rank_by_rendezvous
 
 READERS_PER_ZONE = 2
-# 62 readers of 31 zones with 16 reads/s make 992 reads/s, half of what is allowed, and
-# bursts of 32 reads at once make 1,984.
-PART_READS_PER_SECOND = 16.0
-PART_READ_BURST = 32.0
+# 62 readers of 31 zones must stay below 2,000 reads in any second. Each makes at most
+# 30 reads of parts (rate and burst) and one watch, so all make 1,922.
+PART_READS_PER_SECOND = 22.0
+PART_READ_BURST = 8.0
 MAX_OPEN_PART_READS = 8
 PART_READ_TIMEOUT_SECONDS = 2.0
 # The service answers a watch without news after 25 s.
--- a/tests/test_sheet_relay.py
+++ b/tests/test_sheet_relay.py
@@ -3,6 +3,11 @@
 from testtools import TestCase
 
 from lacewingcleat.actions import Alarm, Send
+from lacewingcleat.config_reader import (
+    PART_READ_BURST,
+    PART_READS_PER_SECOND,
+    READERS_PER_ZONE,
+)
 from lacewingcleat.identity import Peer, Role
 from lacewingcleat.messages import (
     Envelope,
@@ -442,4 +447,6 @@
                     part = split.part_by_digest[action.digest]
                     actions += relay.part_read(action.digest, part, tick / 4)
             actions = relay.tick(tick / 4)
-        self.assertLessEqual(reads, 32 + 16)
+        limit = PART_READ_BURST + PART_READS_PER_SECOND
+        self.assertLessEqual(reads, limit)
+        self.assertLessEqual(31 * READERS_PER_ZONE * (limit + 1), 2_000)
