Bound the control traffic of loans

Cause: 40 demands for loans a second could by themselves use the 29 KB/s that a process may use for control traffic.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -9,8 +9,16 @@
 
 import numpy as np
 
-from bench.limits_model import STEP_SECONDS, LimitsModel, make_account, make_sheet
+from bench.limits_model import (
+    STEP_SECONDS,
+    LimitsModel,
+    make_account,
+    make_sheet,
+    message_size,
+)
 from bench.measure import Direction, Measure
+from lacewingcleat.limit_home import LOAN_DEMANDS_PER_SECOND
+from lacewingcleat.messages import LimitDemand, LimitDemands, LimitLease, LimitLeases
 
 SEED = 1
 LIMIT = 120.0
@@ -226,6 +234,13 @@
         ]
     messages = float(messages_fit @ target)
     size = float(bytes_fit @ target)
+    # As borrower and as lender, each demand for a loan has one answer.
+    loans = 2 * LOAN_DEMANDS_PER_SECOND
+    demand = LimitDemand("account-0000", 2**60, 1.5, 3, 100.5, True, 2)
+    lease = LimitLease("account-0000", 2**60, 1.5, 3, 100.5, 6.0, True)
+    loan_size = message_size(LimitDemands((demand,))) + message_size(
+        LimitLeases((lease,)),
+    )
     whole = traffic_at(11, TARGET_ACCOUNTS, float(target[2]), TARGET_ZONES)
     return [
         *measures,
@@ -243,6 +258,20 @@
             MAX_BYTES_PER_SECOND,
             Direction.AT_MOST,
         ),
+        Measure(
+            "limits: messages received at the target with all loans",
+            messages + loans,
+            "1/s",
+            MAX_MESSAGES_PER_SECOND,
+            Direction.AT_MOST,
+        ),
+        Measure(
+            "limits: bytes at the target with all loans",
+            size + loans * loan_size,
+            "B/s",
+            MAX_BYTES_PER_SECOND,
+            Direction.AT_MOST,
+        ),
         Measure("limits: messages in one zone of the target", whole.messages, "1/s"),
         Measure("limits: bytes in one zone of the target", whole.size, "B/s"),
     ]
--- a/bench/limits_model.py
+++ b/bench/limits_model.py
@@ -56,6 +56,11 @@
     )
 
 
+def message_size(message: LimitDemands | LimitLeases) -> int:
+    """Return the bytes of a message on the wire."""
+    return len(msgpack.packb(astuple(message))) + ENVELOPE_BYTES
+
+
 @dataclass(slots=True)
 class Traffic:
     """Count what one process sends and receives."""
@@ -129,7 +134,7 @@
                 continue
             message = action.message
             assert isinstance(message, LimitDemands | LimitLeases)
-            size = len(msgpack.packb(astuple(message))) + ENVELOPE_BYTES
+            size = message_size(message)
             sender.traffic.sent += 1
             sender.traffic.sent_bytes += size
             if not self._reaches(sender.peer.instance, action.instance):
--- a/lacewingcleat/limit_home.py
+++ b/lacewingcleat/limit_home.py
@@ -36,11 +36,12 @@
 # A loan that ends sooner than this backs no new lease, because the lease would lapse
 # before the entry's next demand.
 MIN_BACKING_SECONDS = 1.5
-LOAN_RENEW_SECONDS = 2.0
+LOAN_RENEW_SECONDS = 3.0
 # Pause before a zone that lent nothing is asked again.
 LOAN_BACKOFF_SECONDS = 8.0
-# Bound on the demands for loans per second of one process, over all accounts.
-LOAN_DEMANDS_PER_SECOND = 40
+# Bound on the demands for loans per second of one process, over all accounts. At 40 the
+# loans alone could use the 29 KB/s that all control traffic of a process may use.
+LOAN_DEMANDS_PER_SECOND = 10
 # A demand counts as present for this long.
 DEMAND_SECONDS = 3.0
 # Part of the pool that is never lent beyond, so that the first requests in an idle zone
