--- a/bench/limits.py
+++ b/bench/limits.py
@@ -227,7 +227,7 @@
     ]
     for zones in (2, 4, 8):
         loan_messages, loan_bytes = loan_traffic(zones)
-        label = f"limits: loans, {zones} zones"
+        label = f"limits: skewed over idle demand, {zones} zones"
         measures += [
             Measure(f"{label}, messages", loan_messages, "1/s"),
             Measure(f"{label}, bytes", loan_bytes, "B/s"),
