Move the watching of sent requests out of the router

Change: routing_health follows requests in flight and judges targets; group_routing keeps the choice.

Conclusion: a test of the probes failed when the refill of the judging queue was moved to the end of a call, as the first call after a new sheet then judged nothing; it now refills at the beginning.

--- a/bench/routing_cost.py
+++ b/bench/routing_cost.py
@@ -98,6 +98,16 @@
     return count_operations(report) / REPEATS
 
 
+def operations_per_sheet(targets: int) -> tuple[int, int]:
+    """Return the operations of taking over a sheet, and one with other accounts."""
+    router = GroupRouter("a")
+    zones = [f"z{number % 31}" for number in range(targets)]
+    sheet = make_sheet(zones)
+    router.set_servers(set(sheet.server_by_name), set(), 0.0)
+    full = count_operations(lambda: router.set_sheet(sheet, 0.0))
+    return full, count_operations(lambda: router.set_sheet(sheet, 1.0))
+
+
 def view_megabytes(targets: int) -> float:
     """Return what the views of all targets and a full prefix index hold in memory."""
     sheet = make_sheet(["a"] * targets)
@@ -127,6 +137,9 @@
     entries = operations_per_choice(make_router(SMALL_GROUPS, entries=350))
     report = operations_per_report(make_router(SMALL_GROUPS))
     large_report = operations_per_report(make_router(LARGE_GROUPS))
+    sheet, account_sheet = operations_per_sheet(FULL_SIZE_TARGETS)
+    full_router = make_router(FULL_SIZE_TARGETS)
+    tick = count_operations(lambda: full_router.tick(1.0))
     at_most = Direction.AT_MOST
     return [
         Measure("choice, 16 groups", small, "bytecodes"),
@@ -148,6 +161,9 @@
             REPORT_RATIO_BOUND,
             at_most,
         ),
+        Measure("sheet, 12,000 targets", sheet, "bytecodes"),
+        Measure("sheet with other accounts only", account_sheet, "bytecodes"),
+        Measure("tick, 12,000 targets of one model", tick, "bytecodes"),
         Measure(
             "routing views of 12,000 targets",
             view_megabytes(FULL_SIZE_TARGETS),
--- a/lacewingcleat/group_routing.py
+++ b/lacewingcleat/group_routing.py
@@ -11,7 +11,6 @@
 from result import Err, Ok, Result
 
 from lacewingcleat.load_view import (
-    STALE_SECONDS,
     LoadEstimate,
     LoadView,
     RequestCost,
@@ -40,6 +39,7 @@
     ServiceRequest,
     Verdict,
 )
+from lacewingcleat.routing_health import RoutingHealth
 from lacewingcleat.routing_pools import (
     Member,
     Pool,
@@ -54,19 +54,6 @@
 RETRY_SECONDS = 1.0
 """Wait before asking again for a pool without servers: one heartbeat."""
 
-MAX_JUDGED = 512
-"""Targets judged in one tick, a few milliseconds of work."""
-
-FAR_USED_SECONDS = 30.0
-"""Time for which other zones' targets are judged after the last spill-over."""
-
-OVERDUE_SECONDS = 2.0
-OVERDUE_RATIO = 5.0
-"""A first token that is this late, absolutely and by ratio, counts as a failure."""
-
-UNKNOWN_AGE_SECONDS = 2.0
-"""Age that is assumed where there is no report."""
-
 
 class GroupRouter:
     """Choose targets from the sheet, the available servers and the load.
@@ -94,8 +81,7 @@
         self._available: Set[str] = frozenset()
         self._unavailable: Set[str] = frozenset()
         self._usable_targets: set[Target] | None = None
-        self._in_flight: dict[int, Routed] = {}
-        self._to_judge: list[Pool] = []
+        self._health = RoutingHealth(self.loads, self.ejection)
 
     def set_sheet(self, sheet: Sheet, now: float) -> None:
         """Take over the groups and services of an accepted sheet.
@@ -113,7 +99,7 @@
         for key, pool in self._pools.items():
             if key in old_pools:
                 pool.continue_from(old_pools[key])
-        self._to_judge = list(self._pools.values())
+        self._health.restart()
         targets = [
             member.target for pool in self._pools.values() for member in pool.members
         ]
@@ -142,8 +128,7 @@
         self.loads.drop_older_views()
         self.prefixes.drop_all()
         self.ejection.reset_clocks(now)
-        for routed in self._in_flight.values():
-            routed.overdue = True
+        self._health.forgive_in_flight()
         for pool in self._pools.values():
             pool.expire()
 
@@ -177,7 +162,7 @@
         pool = self._pools.get(_pool_key(request))
         if pool is not None:
             pool.record_send(choice.target, choice.cost.total_seconds, now)
-        self._in_flight[id(routed)] = routed
+        self._health.add(routed)
         if choice.rule is ChoiceRule.PROBE:
             self.ejection.record_probe(choice.target, now)
         if isinstance(request, ModelRequest):
@@ -186,20 +171,8 @@
         return routed
 
     def record_first_token(self, routed: Routed, now: float) -> None:
-        """Count the first token of a stream or the first byte of another answer.
-
-        The expected time allows for the age of the report, in which a healthy target's
-        queue may have grown unseen. Without this, lags of 5 s cause false ejections.
-        """
-        if routed.first_token_seen or routed.overdue:
-            return
-        routed.first_token_seen = True
-        self.ejection.record_first_token(
-            routed.choice.target,
-            now - routed.sent.at,
-            routed.choice.first_token_seconds + _unseen_seconds(routed.choice),
-            now,
-        )
+        """Count the first token of a stream or the first byte of another answer."""
+        self._health.record_first_token(routed, now)
 
     def record_finish(
         self,
@@ -214,7 +187,7 @@
         :param output_tokens: length of a completed output.
         :param cached_tokens: what the engine says it had cached, None if it does not.
         """
-        if self._in_flight.pop(id(routed), None) is None:
+        if not self._health.remove(routed):
             return
         target = routed.choice.target
         self.loads.record_finish(routed.sent, now)
@@ -230,37 +203,8 @@
             self._correct_prefix(routed, cached_tokens, now)
 
     def tick(self, now: float) -> list[OutlierEvent]:
-        """Judge targets, about once a second, and return ejections and returns.
-
-        The own zone's targets are compared with each other, and so are those of other
-        zones while they are in use, so the cap holds for each side. Large sheets take
-        several ticks, so that one call does not hold up the loop.
-        """
-        self._count_overdue(now)
-        events: list[OutlierEvent] = []
-        judged = 0
-        while self._to_judge and judged < MAX_JUDGED:
-            pool = self._to_judge.pop()
-            sides = [pool.usable_near]
-            if now - pool.far_used_at < FAR_USED_SECONDS:
-                sides.append(pool.usable_far)
-            for members in sides:
-                judged += len(members)
-                found = self._judge(members, now)
-                if found:
-                    pool.expire()
-                events += found
-        if not self._to_judge:
-            self._to_judge = list(self._pools.values())
-        return events
-
-    def _judge(self, members: list[Member], now: float) -> list[OutlierEvent]:
-        targets = [member.target for member in members]
-        for target in targets:
-            load = self.loads.estimate(target, now)
-            step_seconds = load.step_seconds if load.known else 0.0
-            self.ejection.record_step_time(target, step_seconds, now)
-        return self.ejection.judge(targets, now)
+        """Judge targets, about once a second, and return ejections and returns."""
+        return self._health.judge(self._pools.values(), now)
 
     def explain(self, request: RouteRequest, now: float) -> list[Verdict]:
         """Return how each target of the request's pool would be considered."""
@@ -391,19 +335,6 @@
         if cached_tokens < expected / 2:
             self.prefixes.record_miss(routed.choice.target.group, now)
 
-    def _count_overdue(self, now: float) -> None:
-        for routed in self._in_flight.values():
-            if routed.first_token_seen or routed.overdue:
-                continue
-            expected = routed.choice.first_token_seconds
-            limit = max(OVERDUE_SECONDS, OVERDUE_RATIO * expected)
-            limit += _unseen_seconds(routed.choice)
-            sent_at = routed.sent.at
-            if now - sent_at > limit:
-                routed.overdue = True
-                target = routed.choice.target
-                self.ejection.record_result(target, False, sent_at, now)
-
     def _explain_no_route(
         self,
         pool: Pool,
@@ -428,12 +359,6 @@
         return NoRoute(NoRouteReason.NOT_ALLOWED, None, size, counts)
 
 
-def _unseen_seconds(choice: Choice) -> float:
-    """Return the time in which a queue may have grown unseen."""
-    age = choice.scores[0].information_age
-    return age if age <= STALE_SECONDS else UNKNOWN_AGE_SECONDS
-
-
 def _pool_key(request: RouteRequest) -> str:
     match request:
         case ModelRequest():
--- /dev/null
+++ b/lacewingcleat/routing_health.py
@@ -0,0 +1,122 @@
+"""coordination: watch sent requests for missing first tokens, and judge targets.
+
+A stalled target ends no request, so its failures show only as first tokens that stay
+out.
+"""
+
+from collections.abc import Collection
+
+from lacewingcleat.load_view import STALE_SECONDS, LoadView
+from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent
+from lacewingcleat.routing_choice import Choice, Routed
+from lacewingcleat.routing_pools import Member, Pool
+
+MAX_JUDGED = 512
+"""Targets judged in one tick, a few milliseconds of work."""
+
+FAR_USED_SECONDS = 30.0
+"""Time for which other zones' targets are judged after the last spill-over."""
+
+OVERDUE_SECONDS = 2.0
+OVERDUE_RATIO = 5.0
+"""A first token that is this late, absolutely and by ratio, counts as a failure."""
+
+UNKNOWN_AGE_SECONDS = 2.0
+"""Age that is assumed where there is no report."""
+
+
+class RoutingHealth:
+    """Follow own requests in flight and judge the targets in use."""
+
+    __slots__ = ("_ejection", "_in_flight", "_loads", "_to_judge")
+
+    def __init__(self, loads: LoadView, ejection: OutlierEjection) -> None:
+        self._loads = loads
+        self._ejection = ejection
+        self._in_flight: dict[int, Routed] = {}
+        self._to_judge: list[Pool] = []
+
+    def add(self, routed: Routed) -> None:
+        """Follow a request."""
+        self._in_flight[id(routed)] = routed
+
+    def remove(self, routed: Routed) -> bool:
+        """Stop following a request and return whether it was followed."""
+        return self._in_flight.pop(id(routed), None) is not None
+
+    def forgive_in_flight(self) -> None:
+        """Blame no target for requests that were in flight during an own pause."""
+        for routed in self._in_flight.values():
+            routed.overdue = True
+
+    def restart(self) -> None:
+        """Drop the pools that are still to be judged, because the sheet changed."""
+        self._to_judge = []
+
+    def record_first_token(self, routed: Routed, now: float) -> None:
+        """Count a first token once.
+
+        The expected time allows for the age of the report, in which a healthy target's
+        queue may have grown unseen. Without this, lags of 5 s cause false ejections.
+        """
+        if routed.first_token_seen or routed.overdue:
+            return
+        routed.first_token_seen = True
+        self._ejection.record_first_token(
+            routed.choice.target,
+            now - routed.sent.at,
+            routed.choice.first_token_seconds + _unseen_seconds(routed.choice),
+            now,
+        )
+
+    def judge(self, pools: Collection[Pool], now: float) -> list[OutlierEvent]:
+        """Judge the targets and return ejections and returns.
+
+        The own zone's targets are compared with each other, and so are those of other
+        zones while they are in use, so the cap holds for each side. Large sheets take
+        several calls, so that one call does not hold up the loop.
+        """
+        self._count_overdue(now)
+        if not self._to_judge:
+            self._to_judge = list(pools)
+        events: list[OutlierEvent] = []
+        judged = 0
+        while self._to_judge and judged < MAX_JUDGED:
+            pool = self._to_judge.pop()
+            sides = [pool.usable_near]
+            if now - pool.far_used_at < FAR_USED_SECONDS:
+                sides.append(pool.usable_far)
+            for members in sides:
+                judged += len(members)
+                found = self._judge(members, now)
+                if found:
+                    pool.expire()
+                events += found
+        return events
+
+    def _judge(self, members: list[Member], now: float) -> list[OutlierEvent]:
+        targets = [member.target for member in members]
+        for target in targets:
+            load = self._loads.estimate(target, now)
+            step_seconds = load.step_seconds if load.known else 0.0
+            self._ejection.record_step_time(target, step_seconds, now)
+        return self._ejection.judge(targets, now)
+
+    def _count_overdue(self, now: float) -> None:
+        for routed in self._in_flight.values():
+            if routed.first_token_seen or routed.overdue:
+                continue
+            expected = routed.choice.first_token_seconds
+            limit = max(OVERDUE_SECONDS, OVERDUE_RATIO * expected)
+            limit += _unseen_seconds(routed.choice)
+            sent_at = routed.sent.at
+            if now - sent_at > limit:
+                routed.overdue = True
+                target = routed.choice.target
+                self._ejection.record_result(target, False, sent_at, now)
+
+
+def _unseen_seconds(choice: Choice) -> float:
+    """Return the time in which a queue may have grown unseen."""
+    age = choice.scores[0].information_age
+    return age if age <= STALE_SECONDS else UNKNOWN_AGE_SECONDS
--- a/lacewingcleat/routing_pools.py
+++ b/lacewingcleat/routing_pools.py
@@ -70,16 +70,20 @@
 
         Members without a share come last: they are full, but may be the only ones.
         """
-        best = -1
-        for index, member in enumerate(self.members):
-            if best >= 0 and self._rank(index) <= self._rank(best):
+        best: Member | None = None
+        best_credit = float("-inf")
+        best_has_share = False
+        for member, share, credit in zip(
+            self.members, self.shares, self.credits, strict=True
+        ):
+            has_share = share > 0.0
+            if has_share < best_has_share:
+                continue
+            if has_share == best_has_share and credit <= best_credit:
                 continue
             if accepts(member):
-                best = index
-        return [self.members[best]] if best >= 0 else []
-
-    def _rank(self, index: int) -> tuple[bool, float]:
-        return self.shares[index] > 0.0, self.credits[index]
+                best, best_credit, best_has_share = member, credit, has_share
+        return [] if best is None else [best]
 
     def charge(self, target: Target, work: float) -> None:
         """Credit all members with their share of a request and charge its taker."""
