Take the number of entries from the sheet

Cause: shares depend on how much all entries send.

Change: set_sheet takes the expected entries of the own zone, and of all zones for the targets of other zones. An entry that is down makes the number too high, which is harmless.

Conclusion: callers need not set LoadView.entries. The test of a stalled target sets one entry explicitly, which was the default when its bound of 4 was set.

--- a/bench/routing_cost.py
+++ b/bench/routing_cost.py
@@ -58,8 +58,7 @@
 def make_router(groups: int, ranks: int = 1, entries: int = 8) -> GroupRouter:
     """Return a router that has a report of each group."""
     router = GroupRouter("a")
-    router.loads.entries = entries
-    sheet = make_sheet(["a"] * groups, ranks)
+    sheet = make_sheet(["a"] * groups, ranks, entries)
     router.set_sheet(sheet, 0.0)
     router.set_servers(set(sheet.server_by_name), set(), 0.0)
     for number in range(groups):
--- a/bench/routing_model.py
+++ b/bench/routing_model.py
@@ -163,7 +163,10 @@
         self.engines = [EngineModel(number) for number in range(len(zones))]
         self.policies = [
             make_policy(
-                zones, zone, Random(f"{scenario.seed} {n}"), len(scenario.entry_zones)
+                zones,
+                zone,
+                Random(f"{scenario.seed} {n}"),
+                scenario.entry_zones.count(zone),
             )
             for n, zone in enumerate(scenario.entry_zones)
         ]
--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -114,8 +114,7 @@
     def __init__(self, zones: list[str], zone: str, rng: Random, entries: int) -> None:
         super().__init__(zones, zone, rng, entries)
         self.router = GroupRouter(zone)
-        self.router.loads.entries = entries
-        self.router.set_sheet(make_sheet(zones), 0.0)
+        self.router.set_sheet(make_sheet(zones, entries=entries), 0.0)
         self.set_available(self.available, 0.0)
         self.rules: dict[ChoiceRule, int] = {}
 
@@ -175,8 +174,11 @@
         )
 
 
-def make_sheet(zones: list[str], ranks: int = 1) -> Sheet:
-    """Return a sheet with one group per named zone."""
+def make_sheet(zones: list[str], ranks: int = 1, entries: int = 8) -> Sheet:
+    """Return a sheet with one group per named zone.
+
+    :param entries: entries per zone.
+    """
     servers = {}
     groups = {}
     for number, zone in enumerate(zones):
@@ -188,5 +190,5 @@
         groups[f"g{number}"] = ModelGroup(
             f"g{number}", MODEL, ("1",), (), tuple(names), "", 8, 2
         )
-    zone_by_name = {zone: Zone(zone, "r", 3) for zone in zones}
+    zone_by_name = {zone: Zone(zone, "r", entries) for zone in zones}
     return Sheet(1, "d", "r", {}, zone_by_name, {}, servers, groups, {}, {})
--- a/lacewingcleat/group_routing.py
+++ b/lacewingcleat/group_routing.py
@@ -93,8 +93,14 @@
         self._sheet = sheet
         if before is not None and before.routing_digest == sheet.routing_digest:
             return
-        region = sheet.zone_by_name.get(self.zone)
-        self._scorer.region = self.zone if region is None else region.region
+        zone = sheet.zone_by_name.get(self.zone)
+        if zone is not None:
+            self._scorer.region = zone.region
+            self.loads.entries = max(1, zone.entries)
+        self.loads.all_entries = max(
+            self.loads.entries,
+            sum(other.entries for other in sheet.zone_by_name.values()),
+        )
         old_pools, self._pools = self._pools, make_pools(sheet)
         for key, pool in self._pools.items():
             if key in old_pools:
--- a/lacewingcleat/load_view.py
+++ b/lacewingcleat/load_view.py
@@ -113,14 +113,17 @@
 class LoadView:
     """Combine reports and sends into the present load of each target.
 
-    :param entries: entries that send to the same targets, this one included; used where
-        reports do not tell the work admitted.
+    :param entries: entries of the own zone, this one included. Too high a number does
+        little harm; with too low a number entries herd on the same targets.
+
+    `all_entries` counts those of all zones, which share the targets of other zones.
     """
 
-    __slots__ = ("_load_by_target", "entries")
+    __slots__ = ("_load_by_target", "all_entries", "entries")
 
     def __init__(self, entries: int = 1) -> None:
         self.entries = entries
+        self.all_entries = entries
         self._load_by_target: dict[Target, _TargetLoad] = {}
 
     def apply_report(self, report: GroupReport, incarnation: str, now: float) -> bool:
--- a/lacewingcleat/routing_pools.py
+++ b/lacewingcleat/routing_pools.py
@@ -163,7 +163,9 @@
             return
         self.near_refreshed_at = now
         members = self.usable_near
-        self.near = self._make_side(members, self.near, loads, ejection, now, rng)
+        self.near = self._make_side(
+            members, self.near, loads, ejection, loads.entries, now, rng
+        )
         shares = []
         for member in members:
             load = loads.estimate(member.target, now)
@@ -189,7 +191,9 @@
             return
         self.far_refreshed_at = now
         members = self.usable_far
-        self.far = self._make_side(members, self.far, loads, ejection, now, rng)
+        self.far = self._make_side(
+            members, self.far, loads, ejection, loads.all_entries, now, rng
+        )
 
     def _make_side(
         self,
@@ -197,6 +201,7 @@
         before: Side,
         loads: LoadView,
         ejection: OutlierEjection,
+        entries: int,
         now: float,
         rng: Random,
     ) -> Side:
@@ -231,7 +236,7 @@
             side.index_by_target[member.target] = len(side.members)
             side.members.append(member)
             side.credits.append(credit)
-        side.shares = share_out(loads_by_index, rate * loads.entries)
+        side.shares = share_out(loads_by_index, rate * entries)
         return side
 
 
--- a/tests/test_group_routing.py
+++ b/tests/test_group_routing.py
@@ -16,6 +16,7 @@
     Outcome,
     ServiceRequest,
 )
+from lacewingcleat.sheet import Zone
 from tests.builders import make_group, make_server, make_sheet
 from tests.builders_routing import (
     make_report,
@@ -184,6 +185,7 @@
     def test_stalled_target_gets_no_more_work(self) -> None:
         """Guards against a stalled rank that silently collects requests."""
         router = make_router()
+        router.loads.entries = 1
         sent = 0
         for step in range(60):
             now = 1.0 + step / 4
@@ -252,6 +254,13 @@
         choice = router.choose(make_request(), 60.0, Random(1)).unwrap()
         self.assertEqual(float("inf"), choice.scores[0].information_age)
 
+    def test_sheet_tells_the_number_of_entries(self) -> None:
+        """Guards against entries that herd because each believes it is alone."""
+        zones = [Zone("regina", "r", 9), Zone("brandon", "r", 4)]
+        router = GroupRouter("regina")
+        router.set_sheet(make_sheet(zones=zones), 0.0)
+        self.assertEqual((9, 13), (router.loads.entries, router.loads.all_entries))
+
     def test_account_change_keeps_shares(self) -> None:
         """Guards against uneven load after each change of the sheet."""
         router = make_router()
