Exclude targets that report no capacity; skip unchanged server sets

Cause: agents report a capacity of 0 while their backend is down, which the router took for an unknown capacity. The entry hands over the server sets at each tick of 0.25 s, which renewed all shares each time.

Change: a target with a recent report of no capacity is excluded as unavailable. set_servers returns at once if nothing changed. Ejected and Returned have a text for the log.

Conclusion: both are covered by tests that fail without the change's condition.

--- a/lacewingcleat/group_routing.py
+++ b/lacewingcleat/group_routing.py
@@ -43,6 +43,7 @@
 from lacewingcleat.routing_pools import (
     Member,
     Pool,
+    is_down,
     is_usable,
     make_pools,
     model_key,
@@ -125,8 +126,10 @@
         :param unavailable: servers known to be dead, unreachable or leaving; a group
             with any such rank takes no new work. A rank in neither set does no harm.
         """
-        self._available = available
-        self._unavailable = unavailable
+        if available == self._available and unavailable == self._unavailable:
+            return
+        self._available = frozenset(available)
+        self._unavailable = frozenset(unavailable)
         self._update_usable(now)
 
     def drop_older_views(self, now: float) -> None:
@@ -256,7 +259,9 @@
         mismatch = find_mismatch(member, request)
         if mismatch not in (None, Exclusion.FAILED):
             return mismatch
-        if member not in pool.usable:
+        if member not in pool.usable or is_down(
+            self.loads.estimate(member.target, now)
+        ):
             return Exclusion.UNAVAILABLE
         if mismatch is not None:
             return mismatch
--- a/lacewingcleat/messages.py
+++ b/lacewingcleat/messages.py
@@ -121,7 +121,7 @@
     :param server: backend server that takes the group's requests.
     :param queued_seconds: estimated work queued, in seconds of group time.
     :param running: requests running.
-    :param capacity: requests that can run at once.
+    :param capacity: requests that can run at once, 0 while the backend is down.
     :param step_seconds: time of a step, which is that of the slowest rank.
     :param slowest_rank: its number.
     :param sequence: rises with each report of one incarnation.
--- a/lacewingcleat/outlier_ejection.py
+++ b/lacewingcleat/outlier_ejection.py
@@ -73,6 +73,14 @@
     pool_value: float
     seconds: float
 
+    def __str__(self) -> str:
+        """Format the ejection for the log."""
+        return (
+            f"ejected {self.target.group} at {self.target.server} for "
+            f"{self.cause.value} {self.value:.3g}, pool {self.pool_value:.3g}, "
+            f"probe in {self.seconds:.0f} s"
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Returned:
@@ -84,6 +92,13 @@
     target: Target
     over_cap: bool = False
 
+    def __str__(self) -> str:
+        """Format the return for the log."""
+        reason = (
+            "too much of its pool was ejected" if self.over_cap else "probes passed"
+        )
+        return f"{self.target.group} at {self.target.server} is in use, {reason}"
+
 
 OutlierEvent = Ejected | Returned
 
--- a/lacewingcleat/routing_pools.py
+++ b/lacewingcleat/routing_pools.py
@@ -9,7 +9,7 @@
 from math import exp
 from random import Random
 
-from lacewingcleat.load_view import LoadView, Target
+from lacewingcleat.load_view import LoadEstimate, LoadView, Target
 from lacewingcleat.outlier_ejection import OutlierEjection, TargetState
 from lacewingcleat.routing_weights import TargetLoad, share_out
 from lacewingcleat.sheet import ModelGroup, ServerState, Sheet
@@ -216,6 +216,8 @@
             if state in (TargetState.PROBING, TargetState.EJECTED):
                 continue
             load = loads.estimate(member.target, now)
+            if is_down(load):
+                continue
             weight = member.weight * ejection.weight(member.target, now)
             if not load.known:
                 weight *= UNKNOWN_LOAD_WEIGHT
@@ -275,6 +277,11 @@
     return f"service/{service}"
 
 
+def is_down(load: LoadEstimate) -> bool:
+    """Return whether a target reports that it can run nothing now."""
+    return load.known and load.capacity <= 0
+
+
 def is_usable(
     member: Member,
     sheet: Sheet,
--- a/tests/builders_routing.py
+++ b/tests/builders_routing.py
@@ -26,6 +26,7 @@
     admitted_seconds: float = 0.0,
     versions: tuple[str, ...] = ("1",),
     adapters: tuple[str, ...] = (),
+    capacity: int = 8,
 ) -> GroupReport:
     """Build a report of the target with this number."""
     return GroupReport(
@@ -33,7 +34,7 @@
         server=f"server-{number}",
         queued_seconds=queued_seconds,
         running=running,
-        capacity=8,
+        capacity=capacity,
         step_seconds=step_seconds,
         slowest_rank=0,
         prefill_tokens_per_second=10_000.0,
--- a/tests/test_group_routing.py
+++ b/tests/test_group_routing.py
@@ -111,6 +111,29 @@
                 "g2", send(router, make_request(), 1.0, 1).choice.target.group
             )
 
+    def test_group_that_reports_no_capacity_gets_no_work(self) -> None:
+        """Guards against work for an agent whose backend is down."""
+        router = make_router(("regina", "regina"))
+        router.loads.apply_report(make_report(1, capacity=0), "a", 1.0)
+        for seed in range(5):
+            routed = send(router, make_request(), 1.0, seed)
+            self.assertEqual(make_target(2), routed.choice.target)
+        router.loads.apply_report(make_report(2, capacity=0), "a", 2.0)
+        no_route = router.choose(make_request(), 2.0, Random(1)).unwrap_err()
+        self.assertEqual(NoRouteReason.ALL_UNAVAILABLE, no_route.reason)
+
+    def test_same_servers_again_keep_the_shares(self) -> None:
+        """Guards against shares that are renewed at each tick of the entry."""
+        router = make_router()
+        servers = {f"server-{number}" for number in (1, 2, 3, 4)}
+        router.choose(make_request(), 1.0, Random(1)).unwrap()
+        pool = router._pools["model/drafting"]
+        router.set_servers(servers, set(), 1.1)
+        self.assertEqual(1.0, pool.near_refreshed_at)
+        servers.remove("server-1")
+        router.set_servers(servers, set(), 1.1)
+        self.assertNotEqual(1.0, pool.near_refreshed_at)
+
     def test_other_firms_group_is_never_used(self) -> None:
         """Guards against work of one firm on the other's servers."""
         groups = [make_group("group-1", ranks=("server-1",), firm="kowhai")]
