--- a/lacewingcleat/routing_pools.py
+++ b/lacewingcleat/routing_pools.py
@@ -9,7 +9,7 @@
 from math import exp
 from random import Random
 
-from lacewingcleat.load_view import LoadView, Target
+from lacewingcleat.load_view import LoadEstimate, LoadView, Target
 from lacewingcleat.outlier_ejection import OutlierEjection, TargetState
 from lacewingcleat.routing_weights import TargetLoad, share_out
 from lacewingcleat.sheet import ModelGroup, ServerState, Sheet
@@ -70,16 +70,20 @@
 
         Members without a share come last: they are full, but may be the only ones.
         """
-        best = -1
-        for index, member in enumerate(self.members):
-            if best >= 0 and self._rank(index) <= self._rank(best):
+        best: Member | None = None
+        best_credit = float("-inf")
+        best_has_share = False
+        for member, share, credit in zip(
+            self.members, self.shares, self.credits, strict=True
+        ):
+            has_share = share > 0.0
+            if has_share < best_has_share:
+                continue
+            if has_share == best_has_share and credit <= best_credit:
                 continue
             if accepts(member):
-                best = index
-        return [self.members[best]] if best >= 0 else []
-
-    def _rank(self, index: int) -> tuple[bool, float]:
-        return self.shares[index] > 0.0, self.credits[index]
+                best, best_credit, best_has_share = member, credit, has_share
+        return [] if best is None else [best]
 
     def charge(self, target: Target, work: float) -> None:
         """Credit all members with their share of a request and charge its taker."""
@@ -159,7 +163,9 @@
             return
         self.near_refreshed_at = now
         members = self.usable_near
-        self.near = self._make_side(members, self.near, loads, ejection, now, rng)
+        self.near = self._make_side(
+            members, self.near, loads, ejection, loads.entries, now, rng
+        )
         shares = []
         for member in members:
             load = loads.estimate(member.target, now)
@@ -185,7 +191,9 @@
             return
         self.far_refreshed_at = now
         members = self.usable_far
-        self.far = self._make_side(members, self.far, loads, ejection, now, rng)
+        self.far = self._make_side(
+            members, self.far, loads, ejection, loads.all_entries, now, rng
+        )
 
     def _make_side(
         self,
@@ -193,6 +201,7 @@
         before: Side,
         loads: LoadView,
         ejection: OutlierEjection,
+        entries: int,
         now: float,
         rng: Random,
     ) -> Side:
@@ -207,6 +216,8 @@
             if state in (TargetState.PROBING, TargetState.EJECTED):
                 continue
             load = loads.estimate(member.target, now)
+            if is_down(load):
+                continue
             weight = member.weight * ejection.weight(member.target, now)
             if not load.known:
                 weight *= UNKNOWN_LOAD_WEIGHT
@@ -227,7 +238,7 @@
             side.index_by_target[member.target] = len(side.members)
             side.members.append(member)
             side.credits.append(credit)
-        side.shares = share_out(loads_by_index, rate * loads.entries)
+        side.shares = share_out(loads_by_index, rate * entries)
         return side
 
 
@@ -266,6 +277,11 @@
     return f"service/{service}"
 
 
+def is_down(load: LoadEstimate) -> bool:
+    """Return whether a target reports that it can run nothing now."""
+    return load.known and load.capacity <= 0
+
+
 def is_usable(
     member: Member,
     sheet: Sheet,
--- a/tests/test_group_routing.py
+++ b/tests/test_group_routing.py
@@ -16,6 +16,7 @@
     Outcome,
     ServiceRequest,
 )
+from lacewingcleat.sheet import Zone
 from tests.builders import make_group, make_server, make_sheet
 from tests.builders_routing import (
     make_report,
@@ -110,6 +111,29 @@
                 "g2", send(router, make_request(), 1.0, 1).choice.target.group
             )
 
+    def test_group_that_reports_no_capacity_gets_no_work(self) -> None:
+        """Guards against work for an agent whose backend is down."""
+        router = make_router(("regina", "regina"))
+        router.loads.apply_report(make_report(1, capacity=0), "a", 1.0)
+        for seed in range(5):
+            routed = send(router, make_request(), 1.0, seed)
+            self.assertEqual(make_target(2), routed.choice.target)
+        router.loads.apply_report(make_report(2, capacity=0), "a", 2.0)
+        no_route = router.choose(make_request(), 2.0, Random(1)).unwrap_err()
+        self.assertEqual(NoRouteReason.ALL_UNAVAILABLE, no_route.reason)
+
+    def test_same_servers_again_keep_the_shares(self) -> None:
+        """Guards against shares that are renewed at each tick of the entry."""
+        router = make_router()
+        servers = {f"server-{number}" for number in (1, 2, 3, 4)}
+        router.choose(make_request(), 1.0, Random(1)).unwrap()
+        pool = router._pools["model/drafting"]
+        router.set_servers(servers, set(), 1.1)
+        self.assertEqual(1.0, pool.near_refreshed_at)
+        servers.remove("server-1")
+        router.set_servers(servers, set(), 1.1)
+        self.assertNotEqual(1.0, pool.near_refreshed_at)
+
     def test_other_firms_group_is_never_used(self) -> None:
         """Guards against work of one firm on the other's servers."""
         groups = [make_group("group-1", ranks=("server-1",), firm="kowhai")]
@@ -184,6 +208,7 @@
     def test_stalled_target_gets_no_more_work(self) -> None:
         """Guards against a stalled rank that silently collects requests."""
         router = make_router()
+        router.loads.entries = 1
         sent = 0
         for step in range(60):
             now = 1.0 + step / 4
@@ -252,6 +277,13 @@
         choice = router.choose(make_request(), 60.0, Random(1)).unwrap()
         self.assertEqual(float("inf"), choice.scores[0].information_age)
 
+    def test_sheet_tells_the_number_of_entries(self) -> None:
+        """Guards against entries that herd because each believes it is alone."""
+        zones = [Zone("regina", "r", 9), Zone("brandon", "r", 4)]
+        router = GroupRouter("regina")
+        router.set_sheet(make_sheet(zones=zones), 0.0)
+        self.assertEqual((9, 13), (router.loads.entries, router.loads.all_entries))
+
     def test_account_change_keeps_shares(self) -> None:
         """Guards against uneven load after each change of the sheet."""
         router = make_router()
