--- a/lacewingcleat/demo_main.py
+++ b/lacewingcleat/demo_main.py
@@ -44,6 +44,10 @@
 MAX_SENDS = 6
 # A new home entry of account limits grants leases only after this time.
 WARM_UP_SECONDS = 8.0
+# The planner confirms a skewed load over several reports before it moves weights.
+MAP_SECONDS = 60.0
+HOT_TOKENS = 1000
+COLD_TOKENS = 20
 DEMO_KEY_PREFIX = "demo-"
 
 
@@ -252,6 +256,26 @@
         """Check that other requests are answered after the crashes."""
         return await self.check_streams()
 
+    async def check_expert_map(self) -> str:
+        """Check that a skewed group changes its expert map on all ranks together."""
+        group = self._fleet.sheet["model_groups"][0]
+        servers = [self._fleet.server_by_name[name] for name in group["ranks"]]
+        engines = [server.engine for server in servers if server.engine is not None]
+        hot = range(0, 4 * len(engines), len(engines))
+        for engine in engines:
+            engine.load_by_expert = {
+                (layer, expert): HOT_TOKENS if expert in hot else COLD_TOKENS
+                for layer in range(group["layers"])
+                for expert in range(group["experts"])
+            }
+        end = read_now() + MAP_SECONDS
+        while read_now() < end:
+            versions = {engine.map_version for engine in engines}
+            if versions == {2} and not any(engine.held for engine in engines):
+                return ""
+            await task.deferLater(reactor, POLL_SECONDS, lambda: None)
+        return f"after {MAP_SECONDS:.0f} s the ranks use maps {sorted(versions)}"
+
     async def check_traces(self) -> str:
         """Check that each hop of a request has a span of the same trace."""
         hops_by_trace: dict[int, set[str]] = {}
@@ -278,6 +302,7 @@
             self.check_bare_order,
             self.check_crashing_request,
             self.check_after_crash,
+            self.check_expert_map,
             self.check_traces,
         ]
         results = []
