Wait for a server that is busy with another suspect; watch the platform's list

Cause: when an engine died with three streams in flight, all three became suspects; the second and third were refused by the only engine left and ended with an error. Change: refusals that pass by themselves (another suspect runs, a newer sheet is on its way) are waited for within the deadline and cost no retry. Readers watch the platform's list of instances. Figures of the sheet relay are exported as metrics.

--- a/lacewingcleat/config_client.py
+++ b/lacewingcleat/config_client.py
@@ -3,12 +3,15 @@
 from collections.abc import Iterable
 from typing import Any, Protocol
 
+import msgspec
 from result import Err
-from twisted.internet import defer
+from twisted.internet import defer, task
 from twisted.web.http_headers import Headers
 
 from lacewingcleat.clock import read_now
 from lacewingcleat.http_relay import RelayClient, first_header
+from lacewingcleat.membership import Membership
+from lacewingcleat.peer_table import PlatformList
 from lacewingcleat.relay_actions import RelayAction
 from lacewingcleat.sheet_relay import SheetRelay
 
@@ -17,12 +20,19 @@
 WATCH_TIMEOUT_SECONDS = 28.0
 MAX_VALUE_BYTES = 1 << 20
 VERSION_HEADER = "X-Version"
+INSTANCES_RETRY_SECONDS = 5.0
+
+
+class _Instances(msgspec.Struct):
+    live: list[str]
+    leaving: list[str] = []
 
 
 class RelayOwner(Protocol):
     """Describe the node that holds the relay."""
 
     relay: SheetRelay
+    membership: Membership
 
     def perform(self, actions: Iterable[RelayAction]) -> None:
         """Carry out actions."""
@@ -44,7 +54,10 @@
         self._client = client
         self._address = address
         self._owner = owner
+        self._reactor = reactor
         self._watch: defer.Deferred[None] | None = None
+        self._instances: defer.Deferred[None] | None = None
+        self._instances_version = ""
 
     def watch_manifest(self, after: str) -> None:
         """Watch the manifest, in place of an open watch."""
@@ -58,6 +71,37 @@
         reading = defer.ensureDeferred(self._fetch_part(digest))
         reading.addErrback(_ignore_cancel)
 
+    def watch_instances(self) -> None:
+        """Watch the platform's list of instances, unless that is under way."""
+        if self._instances is None:
+            self._instances = defer.ensureDeferred(self._watch_instances())
+            self._instances.addErrback(_ignore_cancel)
+            self._instances.addBoth(self._instances_ended)
+
+    def stop(self) -> None:
+        """Give up the open watches."""
+        for watch in (self._watch, self._instances):
+            if watch is not None:
+                watch.cancel()
+
+    def _instances_ended(self, _result: object) -> None:
+        self._instances = None
+
+    async def _watch_instances(self) -> None:
+        path = f"/v1/watch/instances?after={self._instances_version or 0}"
+        read = await self._read(path, WATCH_TIMEOUT_SECONDS)
+        if read is None:
+            # The list is optional and old by nature, so its loss is no reason to hurry.
+            await task.deferLater(self._reactor, INSTANCES_RETRY_SECONDS, lambda: None)
+            return
+        self._instances_version, content = read
+        try:
+            listed = msgspec.json.decode(content, type=_Instances)
+        except msgspec.MsgspecError:
+            return
+        platform = PlatformList(frozenset(listed.live), frozenset(listed.leaving))
+        self._owner.membership.update_platform(platform, read_now())
+
     async def _watch_manifest(self, after: str) -> None:
         path = f"/v1/watch/manifest?after={after or 0}"
         read = await self._read(path, WATCH_TIMEOUT_SECONDS)
--- a/lacewingcleat/entry_dispatch.py
+++ b/lacewingcleat/entry_dispatch.py
@@ -70,6 +70,8 @@
 MAX_ATTEMPTS = 8
 # Crash reports take two to three hops inside a zone.
 CRASH_REPORT_WAIT_SECONDS = 0.1
+# Suspects of crashes run one after the other on a server.
+MIN_ALONE_WAIT_SECONDS = 0.2
 # A revocation is worth a short wait even when the deadline is near, because it can
 # turn "unknown" into a certain answer.
 MIN_REVOKE_SECONDS = 0.1
@@ -285,7 +287,8 @@
     async def _attempts(self, work: _Work) -> None:
         node = self._node
         node.budget.count_request(read_now())
-        for _ in range(MAX_ATTEMPTS):
+        attempts = 0
+        while attempts < MAX_ATTEMPTS:
             if work.call.caller_gone:
                 return
             choice = node.choose(_excluding(work.route, work.failed, work.call.alone))
@@ -296,6 +299,9 @@
             attempt = await self._attempt(work, choice)
             if attempt is None or work.call.caller_gone:
                 return
+            if await self._wait_for_target(work, attempt):
+                continue
+            attempts += 1
             decision = self._decide(work, attempt)
             if isinstance(decision, RevokeFirst):
                 revoked = await self._revoke(work, choice.target)
@@ -311,6 +317,30 @@
             await self._prepare_retry(work, choice.target, attempt, decision)
         work.writer.refuse(_unsent(work, "attempts-exhausted", 1.0))
 
+    async def _wait_for_target(self, work: _Work, attempt: Attempt) -> bool:
+        """Wait if a refusal passes by itself; return whether to try again.
+
+        Such a refusal is no failure of the target and costs no retry. The deadline
+        bounds the waiting.
+        """
+        if attempt.said is not Said.NOT_RUN:
+            return False
+        match attempt.code:
+            case "old-revision":
+                # This entry is about to get the sheet that the agent has.
+                seconds = SHEET_WAIT_SECONDS
+            case "must-run-alone":
+                work.call.alone = True
+                seconds = SHEET_WAIT_SECONDS
+            case "alone-busy":
+                seconds = min(max(attempt.retry_after, MIN_ALONE_WAIT_SECONDS), 1.0)
+            case _:
+                return False
+        if read_now() + seconds >= work.call.deadline:
+            return False
+        await task.deferLater(self._node.reactor, seconds, lambda: None)
+        return True
+
     async def _may_run_again(self, work: _Work, attempt: Attempt) -> bool:
         """Return whether a request may be sent again after it was lost.
 
@@ -344,13 +374,6 @@
             node.metrics.stream_resumes.inc()
         else:
             work.may_have_run = decision.may_have_run
-        if attempt.code == "must-run-alone":
-            work.call.alone = True
-            return
-        if attempt.code == "old-revision":
-            # The target has not failed; this entry is about to get the newer sheet.
-            await task.deferLater(node.reactor, SHEET_WAIT_SECONDS, lambda: None)
-            return
         work.failed |= {target}
         if attempt.sent is Sent.SOME and attempt.said in (Said.NOTHING, Said.BROKEN):
             work.lost_targets += 1
@@ -509,8 +532,6 @@
         return decide_retry(attempt, facts, self._node.budget, read_now())
 
     def _has_other_target(self, work: _Work, attempt: Attempt) -> bool:
-        if attempt.code in ("old-revision", "must-run-alone"):
-            return True
         failed = work.failed | {work.target} if work.target else work.failed
         route = _excluding(work.route, failed, work.call.alone)
         return self._node.can_route(route)
--- a/lacewingcleat/entry_node.py
+++ b/lacewingcleat/entry_node.py
@@ -94,6 +94,8 @@
 
     def on_tick(self, now: float) -> None:
         """Refresh the views and send what is due."""
+        if self.config is not None and self.relay.is_reader:
+            self.config.watch_instances()
         self._refresh_servers(now)
         sheet = self.sheet
         if sheet is None:
--- a/lacewingcleat/metrics.py
+++ b/lacewingcleat/metrics.py
@@ -5,7 +5,13 @@
 would make the exposition larger than the control budget of a node.
 """
 
+from collections.abc import Callable, Iterable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from lacewingcleat.relay_figures import RelayFigure
 
 LATENCY_BUCKETS_SECONDS = (
     0.005,
@@ -24,6 +30,33 @@
 )
 
 
+class FigureCollector(Collector):
+    """Read figures from a state machine when metrics are collected.
+
+    :param read: returns the present figures.
+    """
+
+    def __init__(self, read: Callable[[], Iterable[RelayFigure]]) -> None:
+        self._read = read
+
+    def collect(self) -> Iterable[Metric]:
+        """Return the figures as metric families."""
+        family_by_name: dict[str, CounterMetricFamily | GaugeMetricFamily] = {}
+        for figure in self._read():
+            family = family_by_name.get(figure.name)
+            if family is None:
+                labels = ["stage"] if figure.stage else []
+                kind = (
+                    CounterMetricFamily
+                    if figure.name.endswith("_total")
+                    else GaugeMetricFamily
+                )
+                family = kind(figure.name, "Figure of the sheet relay.", labels=labels)
+                family_by_name[figure.name] = family
+            family.add_metric([figure.stage] if figure.stage else [], figure.value)
+        return family_by_name.values()
+
+
 class ProcessMetrics:
     """Hold the metrics that entries and agents share."""
 
@@ -35,8 +68,6 @@
         "open_requests",
         "pauses",
         "registry",
-        "sheet_revision",
-        "sheet_stage_seconds",
     )
 
     def __init__(self) -> None:
@@ -75,17 +106,6 @@
             "Times the process noticed that it had been paused.",
             registry=self.registry,
         )
-        self.sheet_revision = Gauge(
-            "lacewing_sheet_revision",
-            "Sheet revision in force.",
-            registry=self.registry,
-        )
-        self.sheet_stage_seconds = Gauge(
-            "lacewing_sheet_stage_seconds",
-            "Delay of the last change of the sheet by stage.",
-            ["stage"],
-            registry=self.registry,
-        )
 
 
 class EntryMetrics(ProcessMetrics):
--- a/lacewingcleat/node.py
+++ b/lacewingcleat/node.py
@@ -25,7 +25,7 @@
     Message,
     SuspectCleared,
 )
-from lacewingcleat.metrics import ProcessMetrics
+from lacewingcleat.metrics import FigureCollector, ProcessMetrics
 from lacewingcleat.pause_watch import TICK_SECONDS, PauseWatch
 from lacewingcleat.relay_actions import (
     FetchPart,
@@ -34,6 +34,7 @@
     RelayView,
     WatchManifest,
 )
+from lacewingcleat.relay_figures import relay_figures
 from lacewingcleat.settings import ProcessSettings
 from lacewingcleat.sheet import Sheet
 from lacewingcleat.sheet_relay import SheetRelay
@@ -93,6 +94,9 @@
             now,
         )
         self.relay = SheetRelay(self.peer, now)
+        metrics.registry.register(
+            FigureCollector(lambda: relay_figures(self.relay, read_now())),
+        )
         self.suspects = CrashSuspects()
         self.config = (
             ConfigClient(reactor, self.client, config_address, self)
@@ -227,18 +231,8 @@
         now = read_now()
         self.membership.update_sheet(sheet)
         self.on_sheet(sheet, now)
-        self.base_metrics.sheet_revision.set(sheet.revision)
         self.log.info(f"revision {sheet.revision} is in force.")
-        times = self.relay.applied(sheet.revision, now)
-        if times is not None:
-            self.record_stages(times)
-
-    def record_stages(self, times: Any) -> None:
-        """Export the delay of each stage of a change."""
-        for stage in times.__slots__:
-            value = getattr(times, stage)
-            if stage != "revision" and isinstance(value, float):
-                self.base_metrics.sheet_stage_seconds.labels(stage).set(value)
+        self.relay.applied(sheet.revision, now)
 
     def tick(self) -> None:
         """Run the periodic part of all state machines."""
@@ -295,6 +289,8 @@
         for loop in (self._tick_loop, self._export_loop):
             if loop.running:
                 loop.stop()
+        if self.config is not None:
+            self.config.stop()
         await self.tracing.export()
         self.channel.close()
         await self.client.close()
