Split the messages that membership sends into peer_messages

Change: peer_messages holds the building of heartbeats, lists, notices, suspicions and invitations. No behaviour and no public signature is changed.

--- a/lacewingcleat/membership.py
+++ b/lacewingcleat/membership.py
@@ -4,71 +4,54 @@
 message has a fixed bound, so that the list of the fleet is never sent whole.
 """
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Mapping
 
 from lacewingcleat.actions import Action, Send
 from lacewingcleat.identity import Peer, Role
 from lacewingcleat.messages import (
     Envelope,
     Heartbeat,
-    Message,
     PeerAddress,
     PeerList,
     Suspicion,
 )
+from lacewingcleat.peer_messages import (
+    FORGET_SECONDS,
+    HEARTBEAT_SECONDS,
+    LATE_GREETINGS,
+    MAX_LISTED_PEERS,
+    Notice,
+    PeerMessages,
+)
 from lacewingcleat.peer_table import (
     ENTRY_ANSWER_SECONDS,
     FAR_HEARTBEAT_SECONDS,
     SECOND_REPORT_SECONDS,
     PeerStatus,
-    PeerTable,
     PlatformList,
 )
 from lacewingcleat.peer_view import NEVER, PeerView
 from lacewingcleat.rendezvous import rank_by_rendezvous
 from lacewingcleat.sheet import Sheet
 
-__all__ = ["Membership", "PeerStatus", "PlatformList"]
+__all__ = ["MAX_LISTED_PEERS", "Membership", "PeerStatus", "PlatformList"]
 
-HEARTBEAT_SECONDS = 1.0
 SECOND_REPORT_BEATS = round(SECOND_REPORT_SECONDS / HEARTBEAT_SECONDS)
 LIST_ANSWER_SECONDS = 2.0
 PEER_LIST_SECONDS = 10.0
-MAX_LISTED_PEERS = 32
 # A peer silent for longer is tried less often, so that a healed partition is noticed.
 PROBE_AFTER_SECONDS = 60.0
 PROBE_SECONDS = 5.0
-FORGET_SECONDS = 900.0
 # Entries that an agent without a view tries at once.
 MAX_AGENT_PROBES = 4
-# Notices of leaving and returning servers are repeated, because messages may be lost.
-NOTICE_REPEATS = 3
-# Later repeats, for entries that have lost all of the first ones.
-LATE_NOTICES = 6
 # Longer than the time of all repeats, so that two entries do not renew each other's
 # notices for ever; a third of the time after which a notice is outdated.
 RENEW_NOTICE_SECONDS = 300.0
-LATE_GREETINGS = 2
-MAX_LATE_NOTICES = 8
-# An entry calls agents that should report to it and do not know it yet.
-INVITATION_SECONDS = 10.0
-MAX_INVITATIONS_PER_SECOND = 40
 MAX_FAR_LISTS = 3
 SUSPICION_SECONDS = 15.0
-SUSPICION_REPEAT_SECONDS = 5.0
-# Bounds the burst when a whole rack is lost; connection failures cover the rest.
-MAX_SUSPICIONS_PER_SECOND = 4
-
 
-@dataclass(slots=True)
-class _Notice:
-    next_at: float
-    left: int = NOTICE_REPEATS
-    late: int = LATE_NOTICES
 
-
-class Membership(PeerTable):
+class Membership(PeerMessages):
     """Keep one process's view of the others and tell them about it.
 
     :param me: this process.
@@ -85,20 +68,12 @@
         seeds: Mapping[str, str],
         now: float,
     ) -> None:
-        super().__init__(me, now)
-        self.in_flight = 0
-        self.capacity = 0
-        self._control_address = control_address
-        self._request_address = request_address
+        super().__init__(me, control_address, request_address, now)
         self._seeds = {name: at for name, at in seeds.items() if name != me.instance}
-        self._notice_by_instance: dict[str, _Notice] = {}
-        self._suspicion_sent_at: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
-        self._digest = ""
         self._sheet_changed = False
         self._next_heartbeat = now
         self._next_list = now
-        self._list_turn = 0
         self._far_turn = 0
         self._beat = 0
         self._newcomers: list[str] = []
@@ -222,10 +197,10 @@
         if heartbeat.leaving:
             self._mark_leaving(view, now)
         elif was_leaving and before != sender:
-            self._notice_by_instance[sender.instance] = _Notice(now)
+            self._notice_by_instance[sender.instance] = Notice(now)
         elif is_new and sender.role is Role.AGENT:
             # The process that knew the last incarnation to be leaving may be gone.
-            self._notice_by_instance[sender.instance] = _Notice(now, 0, LATE_GREETINGS)
+            self._notice_by_instance[sender.instance] = Notice(now, 0, LATE_GREETINGS)
         if self.me.role is Role.AGENT:
             if heartbeat.view_digest == self._digest:
                 self._confirm_entries(view, now)
@@ -344,39 +319,7 @@
             view.noted_at = now
         first_in_zone = heard_from is None or heard_from.zone != self.me.zone
         if first_in_zone or self.me.instance in self.zone_readers(self.me.zone, now):
-            self._notice_by_instance[view.peer.instance] = _Notice(now)
-
-    # Messages sent
-
-    def _heartbeat(self, now: float) -> Heartbeat:
-        # The sheet holds the addresses of agents.
-        is_entry = self.me.role is Role.ENTRY
-        return Heartbeat(
-            self._control_address if is_entry else "",
-            self._request_address if is_entry else "",
-            self._digest or self.view_digest(now),
-            self.leaving,
-            self.in_flight,
-            self.capacity,
-            now,
-        )
-
-    def _peer_list(self, now: float, reply_wanted: bool = False) -> PeerList:
-        """Return the own zone's live entries and a few of each other zone.
-
-        The list has a fixed bound. If more are known, successive lists take turns.
-        """
-        own = [self._record(peer, now) for peer in self.live_entries(self.me.zone, now)]
-        others = [
-            self._record(view.peer, now)
-            for view in self._entry_view_by_instance.values()
-            if view.peer.zone != self.me.zone and self._is_live_entry(view, now)
-        ]
-        room = max(0, MAX_LISTED_PEERS - 1 - len(own))
-        self._list_turn += 1
-        start = (self._list_turn * room) % len(others) if others else 0
-        chosen = own + (others[start:] + others[:start])[:room]
-        return PeerList(tuple(chosen[:MAX_LISTED_PEERS]), reply_wanted, now)
+            self._notice_by_instance[view.peer.instance] = Notice(now)
 
     def _periodic_lists(self, targets: list[str], now: float) -> list[Action]:
         """Repair views of the own zone that differ, and keep other zones informed."""
@@ -394,108 +337,6 @@
         start = self._far_turn % len(far) if far else 0
         return actions + self._send_all((far[start:] + far)[:MAX_FAR_LISTS], own_list)
 
-    def _record(self, peer: Peer, now: float) -> PeerAddress:
-        if peer == self.me:
-            return PeerAddress(
-                peer, self._control_address, self._request_address, self.leaving, 0.0
-            )
-        view = self._view_by_instance[peer.instance]
-        known_at = max(view.alive_at, view.noted_at, now - FORGET_SECONDS)
-        return PeerAddress(
-            peer,
-            view.control_address,
-            view.request_address,
-            view.leaving,
-            max(0.0, now - known_at),
-        )
-
-    def _notices(self, now: float) -> list[Action]:
-        """Pass on that agents are leaving or were replaced."""
-        records = []
-        for instance, notice in list(self._notice_by_instance.items()):
-            view = self._view_by_instance.get(instance)
-            is_done = notice.left + notice.late <= 0
-            if view is None or is_done or self.me.role is Role.AGENT:
-                del self._notice_by_instance[instance]
-            elif notice.left and now >= notice.next_at:
-                notice.next_at = now + HEARTBEAT_SECONDS
-                notice.left -= 1
-                records.append(self._record(view.peer, now))
-        if not records:
-            return []
-        targets = self._known_entries() | self._counterparts(now)
-        live = sorted(name for name in targets if self._is_alive(name, now))
-        return self._send_records(live, records, now)
-
-    def _send_records(
-        self,
-        targets: list[str],
-        records: list[PeerAddress],
-        now: float,
-    ) -> list[Action]:
-        actions: list[Action] = []
-        for start in range(0, len(records), MAX_LISTED_PEERS):
-            chunk = tuple(records[start : start + MAX_LISTED_PEERS])
-            actions += self._send_all(targets, PeerList(chunk, False, now))
-        return actions
-
-    def _late_notices(self, targets: Iterable[str], now: float) -> list[Action]:
-        """Repeat a few recent notices, for entries that have lost them all."""
-        due = [
-            instance
-            for instance, notice in self._notice_by_instance.items()
-            if notice.left == 0 and instance in self._view_by_instance
-        ]
-        records = []
-        for instance in due[:MAX_LATE_NOTICES]:
-            notice = self._notice_by_instance.pop(instance)
-            notice.late -= 1
-            self._notice_by_instance[instance] = notice
-            records.append(self._record(self._view_by_instance[instance].peer, now))
-        if not records:
-            return []
-        return self._send_all(targets, PeerList(tuple(records), False, now))
-
-    def _invitations(self, now: float) -> list[Action]:
-        """Call agents that should report here but have not been heard yet."""
-        due = [
-            instance
-            for instance, since in self._reporting_since.items()
-            if now - since < INVITATION_SECONDS and not self._is_alive(instance, now)
-        ]
-        if not due:
-            return []
-        chosen = due[:MAX_INVITATIONS_PER_SECOND]
-        actions = self._send_all(chosen, self._heartbeat(now))
-        return actions + self._send_all(chosen, self._peer_list(now))
-
-    def _suspicions(self, now: float) -> list[Action]:
-        """Tell the zone's entries of agents that should report here and are silent."""
-        due = [
-            instance
-            for instance in self._reporting_since
-            if now - self._suspicion_sent_at.get(instance, NEVER)
-            >= SUSPICION_REPEAT_SECONDS
-            and self._is_report_missing(instance, now)
-        ]
-        targets = [
-            peer.instance
-            for peer in self.live_entries(self.me.zone, now)
-            if peer != self.me
-        ]
-        actions: list[Action] = []
-        for instance in due[:MAX_SUSPICIONS_PER_SECOND]:
-            self._suspicion_sent_at[instance] = now
-            view = self._view_by_instance.get(instance)
-            unheard = Peer(instance, "", self.me.zone, Role.AGENT)
-            peer = unheard if view is None else view.peer
-            actions += self._send_all(targets, Suspicion(peer))
-        return actions
-
-    @staticmethod
-    def _send_all(targets: Iterable[str], message: Message) -> list[Action]:
-        return [Send(instance, message) for instance in targets]
-
     # Targets
 
     def _agent_targets(self, now: float) -> list[str]:
--- a/tests/safety_mutations.py
+++ b/tests/safety_mutations.py
@@ -169,7 +169,7 @@
     ),
     Mutation(
         "leaving servers are not announced to other entries",
-        "membership",
+        "peer_messages",
         "        if not records:\n            return []\n        targets",
         "        if True:\n            return []\n        targets",
         MEMBERS,
