--- a/bench/suspect_cost.py
+++ b/bench/suspect_cost.py
@@ -1,4 +1,4 @@
-"""Messages, bytes and table entries that crash reports cost each process.
+"""Messages, bytes and memory that crash reports and tickets cost each process.
 
 Each crash is flooded with its repeats. The cost of one crash is counted at several
 sizes, fitted and extrapolated to the target; with 190 failures a day and a lost rack
@@ -15,6 +15,12 @@
 from lacewingcleat.crash_suspects import MAX_SUSPECTS, CrashSuspects
 from lacewingcleat.identity import Peer, Role
 from lacewingcleat.messages import CrashReport, Envelope
+from lacewingcleat.tickets import (
+    MAX_STORED_BYTES,
+    MAX_TICKETS,
+    Response,
+    TicketBook,
+)
 
 DIGEST = "0" * 32
 IN_FLIGHT = 16
@@ -129,6 +135,7 @@
         _bounded("suspects/target/mean", mean, BOUND_BYTES_PER_SECOND, "B/s"),
         Measure("suspects/target/rack-burst", burst, "B/s"),
         _bounded("suspects/full-table", _table_memory(), BOUND_MEMORY_BYTES, "B"),
+        _bounded("tickets/full-book", _book_memory(), BOUND_MEMORY_BYTES, "B"),
     ]
     return measures
 
@@ -149,6 +156,23 @@
     return float(used)
 
 
+def _book_memory() -> float:
+    """Return the memory of a full ticket book with all stored responses."""
+    book = TicketBook(Peer("agent", DIGEST, "zone-00", Role.AGENT), "address", b"key")
+    tracemalloc.start()
+    size = MAX_STORED_BYTES // MAX_TICKETS
+    for number in range(MAX_TICKETS):
+        random_bytes = number.to_bytes(16, "big")
+        minted = book.mint("orders", "account", random_bytes, 0.0).unwrap()
+        fingerprint = f"{number:032x}"
+        book.present(minted.token, "orders", "account", fingerprint, 0.0)
+        book.start(minted.ticket.ticket_id, 0.0)
+        book.finish(minted.ticket.ticket_id, Response(200, (), bytes(size)), 0.0)
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return float(used)
+
+
 def _bounded(name: str, value: float, bound: float, unit: str) -> Measure:
     return Measure(name, value, unit, bound, Direction.AT_MOST)
 
--- a/lacewingcleat/peer_view.py
+++ b/lacewingcleat/peer_view.py
@@ -66,6 +66,7 @@
         "_candidate",
         "_clock_by_incarnation",
         "alive_at",
+        "announced_at",
         "answered_at",
         "control_address",
         "known_at",
@@ -89,6 +90,7 @@
         self.request_address = request_address
         self.leaving = False
         self.noted_at = NEVER
+        self.announced_at = NEVER
         self.view_digest = ""
         self.alive_at = NEVER
         self.answered_at = NEVER
--- a/tests/safety_mutations.py
+++ b/tests/safety_mutations.py
@@ -169,7 +169,7 @@
     ),
     Mutation(
         "leaving servers are not announced to other entries",
-        "membership",
+        "peer_messages",
         "        if not records:\n            return []\n        targets",
         "        if True:\n            return []\n        targets",
         MEMBERS,
@@ -251,6 +251,13 @@
         "        if False:",
         "tests/test_token_stream.py",
     ),
+    Mutation(
+        "notices of leaving servers are not renewed",
+        "membership",
+        "if view.leaving and now - view.announced_at < RENEW_NOTICE_SECONDS:",
+        "if view.leaving:",
+        "tests/test_membership.py",
+    ),
 ]
 
 
