Measure the accuracy of Retry-After of the account limits

Cause: the promise to refused callers was only measured at the agents. Change: a burst of 1.5 and 3 times the limit at one entry, with callers that return.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -17,6 +17,7 @@
     message_size,
 )
 from bench.measure import Direction, Measure
+from lacewingcleat.account_limits import LimitPermit, LimitRefusal
 from lacewingcleat.limit_home import LOAN_DEMANDS_PER_SECOND
 from lacewingcleat.messages import LimitDemand, LimitDemands, LimitLease, LimitLeases
 
@@ -277,9 +278,50 @@
     ]
 
 
+def retry_accuracy() -> list[Measure]:
+    """Measure whether refused callers are admitted when they come back as told.
+
+    One entry gets a burst of 1.5 or 3 times the limit for 10 s, then half of the limit.
+    """
+    measures = []
+    for factor in (1.5, 3.0):
+        model = LimitsModel(make_sheet([make_account("a", LIMIT)], ZONES))
+        model.run(SETTLED_SECONDS)
+        name = "regina-0"
+        limits = model.entry_by_name[name].limits
+        start = model.now
+        back: list[float] = []
+        told = kept = 0
+        while model.now < start + 70.0:
+            model.step()
+            returning = [at for at in back if at <= model.now]
+            back = [at for at in back if at > model.now]
+            rate = LIMIT * (factor if model.now < start + 10.0 else 0.5)
+            for index in range(len(returning) + round(rate * STEP_SECONDS)):
+                # The refused caller repeats until it is admitted.
+                decision = model.decide(name, "a")
+                if isinstance(decision, LimitPermit):
+                    limits.finish(decision, 1, model.now)
+                    kept += index < len(returning)
+                elif isinstance(decision, LimitRefusal):
+                    back.append(model.now + decision.retry_after_seconds)
+            told += len(returning)
+        label = f"limits: burst of {factor}x"
+        measures += [
+            Measure(f"{label}, told to come back", told, "calls"),
+            Measure(f"{label}, admitted when back as told", kept / told, "share"),
+        ]
+    return measures
+
+
 def run() -> list[Measure]:
     """Measure the account limits."""
-    return use_of_the_limit() + bound_in_partitions() + control_traffic()
+    return [
+        *use_of_the_limit(),
+        *bound_in_partitions(),
+        *retry_accuracy(),
+        *control_traffic(),
+    ]
 
 
 if __name__ == "__main__":
--- a/bench/limits_model.py
+++ b/bench/limits_model.py
@@ -5,7 +5,12 @@
 
 import msgpack  # type: ignore[import-untyped]
 
-from lacewingcleat.account_limits import AccountLimits, LimitPermit, LimitWait
+from lacewingcleat.account_limits import (
+    AccountLimits,
+    LimitDecision,
+    LimitPermit,
+    LimitWait,
+)
 from lacewingcleat.actions import Action, Send
 from lacewingcleat.identity import Peer, Role
 from lacewingcleat.messages import LimitDemands, LimitLeases
@@ -118,13 +123,18 @@
         for _ in range(round(seconds / STEP_SECONDS)):
             self.step()
 
-    def admit(self, name: str, account: str, tokens: int = 1) -> LimitPermit | None:
-        """Offer a request at an entry; return its permit if it is admitted."""
+    def decide(self, name: str, account: str, tokens: int = 1) -> LimitDecision:
+        """Offer a request at an entry, waiting for a lease if asked to."""
         entry = self.entry_by_name[name]
         decision = entry.limits.admit(account, tokens, self.now)
         if isinstance(decision, LimitWait):
             self.deliver(entry, decision.actions)
             decision = entry.limits.admit(account, tokens, self.now, waited=True)
+        return decision
+
+    def admit(self, name: str, account: str, tokens: int = 1) -> LimitPermit | None:
+        """Offer a request at an entry; return its permit if it is admitted."""
+        decision = self.decide(name, account, tokens)
         return decision if isinstance(decision, LimitPermit) else None
 
     def deliver(self, sender: Entry, actions: Iterable[Action]) -> None:
