Count an entry once when membership lists an earlier incarnation

Cause: a restarted entry that was still listed under its old incarnation counted as two entries, so its zone needed a larger majority and agreed on no view. Change: one live entry per instance name, and the own process for the own name. Conclusion: the new test fails without the change.

--- a/lacewingcleat/account_limits.py
+++ b/lacewingcleat/account_limits.py
@@ -136,6 +136,7 @@
     def apply_sheet(self, sheet: Sheet, now: float) -> None:
         """Put a revision in force."""
         old = self._sheet
+        same_zones = old is not None and old.zone_by_name == sheet.zone_by_name
         self._sheet = sheet
         self._home.apply_sheet(sheet, now)
         for name, account in list(self._account_by_name.items()):
@@ -144,11 +145,7 @@
                     del self._account_by_name[name]
                 continue
             record = sheet.account_by_name[name]
-            if (
-                old is not None
-                and old.account_by_name.get(name) == record
-                and old.zone_by_name == sheet.zone_by_name
-            ):
+            if same_zones and old and old.account_by_name.get(name) == record:
                 # A new sheet arrives every two seconds and changes few accounts.
                 continue
             account.limit = limit_of(record)
@@ -161,7 +158,12 @@
 
         Entries that are leaving are left out. The own entry is always part.
         """
-        live = {peer for peer in entries if peer.role is Role.ENTRY} | {self._me}
+        live_by_instance = {
+            peer.instance: peer for peer in entries if peer.role is Role.ENTRY
+        }
+        # Membership may still list an earlier incarnation of this entry.
+        live_by_instance[self._me.instance] = self._me
+        live = live_by_instance.values()
         own = sorted(
             (peer.instance, peer.incarnation)
             for peer in live
--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from testtools import TestCase
 
 from lacewingcleat.account_limits import (
@@ -100,3 +102,15 @@
                 network.run(0.25)
         self.assertGreaterEqual(running, 28)
         self.assertLessEqual(running, 30)
+
+    def test_own_earlier_incarnation_is_not_a_second_entry(self) -> None:
+        """Guards against a restarted entry whose zone seems to have one entry more."""
+        network = make_limits_zone(
+            make_sheet(zones=[Zone("regina", "prairie", 1)]),
+            entries=1,
+        )
+        process = network.process_by_instance["regina-0"]
+        old = replace(process.peer, incarnation="0ld")
+        process.limits.observe_entries([old, process.peer], network.now)
+        network.run(SETTLED_SECONDS)
+        self.assertTrue(process.limits.home.authority.holds(network.now))
