--- a/tests/test_agent_gate.py
+++ b/tests/test_agent_gate.py
@@ -48,6 +48,17 @@
         gate.finish("a", 0.2)
         self.assertTrue(gate.drained)
 
+    def test_paused_gate_starts_nothing_until_it_resumes(self) -> None:
+        """Guards against starts by a sheet from before a pause."""
+        gate = make_gate(make_sheet(servers=[make_server(slots=1)]))
+        gate.admit(make_gate_request("a"), 0.0)
+        gate.admit(make_gate_request("b"), 0.0)
+        gate.pause(5.0)
+        self.assertEqual([], gate.finish("a", 5.1))
+        refused = gate.admit(make_gate_request("c"), 5.1)
+        self.assertEqual(RefusalReason.PAUSED, refused.reason)
+        self.assertEqual([Started("b")], gate.resume(5.2))
+
     def test_suspect_runs_alone(self) -> None:
         """Guards against a suspect that takes other requests down with it."""
         gate = make_gate(make_sheet(servers=[make_server(slots=4)]))
--- a/tests/test_limits_scenarios.py
+++ b/tests/test_limits_scenarios.py
@@ -153,6 +153,7 @@
         name = rank_by_rendezvous("rate", REGINA)[0]
         home = machine.network.process_by_instance[name].limits.home
         request_id, sent_at = max(home._sent_at_by_request_id.items())
+        home._account_by_name["rate"].loan_by_zone.clear()
         sender = make_peer("saskatoon-0", "ff", "saskatoon")
         lease = LimitLease("rate", request_id, 1.0, 0, 0.0, 6.0, loan=True)
         home.receive_loan(sender, lease, sent_at + 3.0)
