--- a/tests/test_group_routing.py
+++ b/tests/test_group_routing.py
@@ -171,6 +171,18 @@
         self.assertEqual(4, len(targets))
         self.assertLess(targets[make_target(3)], 12)
 
+    def test_busy_group_attracts_nothing_by_its_cache(self) -> None:
+        """Guards against a prefix that outweighs a group without free slots."""
+        router = make_router()
+        for number in (1, 2, 3, 4):
+            running = 8 if number == 3 else 2
+            router.loads.apply_report(make_report(number, running=running), "a", 1.0)
+        blocks = tuple(str(number) for number in range(60))
+        router.prefixes.apply_events(CacheEvents("group-3", 1, blocks, ()), "a", 1.0)
+        request = make_request(prompt_tokens=8000, prefix_blocks=blocks)
+        choice = router.choose(request, 1.0, Random(1)).unwrap()
+        self.assertNotIn(make_target(3), [score.target for score in choice.scores])
+
     def test_session_resumes_near_its_cache(self) -> None:
         """Guards against a resumed session that prefills everything again."""
         router = make_router()
@@ -235,6 +247,19 @@
             [Exclusion.EJECTED, None, None, None], [v.exclusion for v in verdicts]
         )
 
+    def test_old_report_allows_for_a_longer_wait(self) -> None:
+        """Guards against healthy groups that are ejected when reports lag by 5 s."""
+        router = make_router()
+        for number in (1, 2, 3, 4):
+            router.loads.apply_report(make_report(number, age=5.0), "a", 6.0)
+        for seed in range(24):
+            routed = send(router, make_request(), 6.0, seed)
+            if routed.choice.target != make_target(1):
+                router.record_first_token(routed, 6.1)
+                router.record_finish(routed, Outcome.COMPLETED, 6.2, 50)
+        self.assertEqual([], router.tick(10.0))
+        self.assertEqual([make_target(1)], [e.target for e in router.tick(20.0)])
+
     def test_call_that_must_not_be_repeated_is_no_probe(self) -> None:
         """Guards against an unrepeatable call to a server that probably fails."""
         router = make_router()
