Isolate a suspect at one server fleet-wide; send zone digests sparingly

Change: the router takes the server from choose_isolation_server by the fingerprint; zone digests go to one reader of each zone of the region each second and of other regions every tenth.

--- a/lacewingcleat/entry_dispatch.py
+++ b/lacewingcleat/entry_dispatch.py
@@ -155,6 +155,7 @@
                 model.prompt_text,
             ),
             alone=call.alone,
+            fingerprint=call.fingerprint,
         )
         writer = AnswerWriter(self._node.reactor, call)
         path = call.request.path_text()
@@ -173,7 +174,13 @@
     ) -> None:
         """Answer a call of a plain service by the rule for its ticket."""
         writer = AnswerWriter(self._node.reactor, call)
-        route = ServiceRequest(service.name, call.account.name, alone=call.alone)
+        route = ServiceRequest(
+            service.name,
+            call.account.name,
+            idempotent=use is TicketUse.NONE,
+            alone=call.alone,
+            fingerprint=call.fingerprint,
+        )
         path = call.request.path_text()
         work = _Work(call, writer, route, path, use is TicketUse.NONE)
         work.service = service.name
--- a/lacewingcleat/entry_node.py
+++ b/lacewingcleat/entry_node.py
@@ -29,6 +29,7 @@
 from lacewingcleat.routing_choice import Choice, ModelRequest, NoRoute, RouteRequest
 from lacewingcleat.settings import EntrySettings
 from lacewingcleat.sheet import Sheet
+from lacewingcleat.zone_digests import choose_digest_receivers
 
 DIGEST_SECONDS = 1.0
 JUDGE_SECONDS = 1.0
@@ -57,6 +58,7 @@
         self.budget = RetryBudget(now)
         self.on_leases: list[Any] = []
         self._next_digest = 0.0
+        self._digest_turn = 0
         self._next_judgement = 0.0
 
     def on_sheet(self, sheet: Sheet, now: float) -> None:
@@ -126,13 +128,21 @@
         """Tell other zones about the groups of this one, if this entry is a reader."""
         if not self.relay.is_reader:
             return
+        self._digest_turn += 1
+        readers_by_zone = {
+            zone: self.membership.zone_readers(zone, now) for zone in sheet.zone_by_name
+        }
+        receivers = choose_digest_receivers(
+            self.peer.instance,
+            self.peer.zone,
+            sheet.zone_by_name,
+            readers_by_zone,
+            self._digest_turn,
+        )
         targets = self._zone_targets(sheet, self.peer.zone)
         digest = self.router.loads.make_digest(self.peer.zone, targets, now)
-        for zone in sheet.zone_by_name:
-            if zone == self.peer.zone:
-                continue
-            for instance in self.membership.zone_readers(zone, now):
-                self.send(instance, digest)
+        for instance in receivers:
+            self.send(instance, digest)
 
     def _zone_targets(self, sheet: Sheet, zone: str) -> list[Target]:
         groups = [
--- a/lacewingcleat/group_routing.py
+++ b/lacewingcleat/group_routing.py
@@ -10,6 +10,7 @@
 
 from result import Err, Ok, Result
 
+from lacewingcleat.crash_suspects import choose_isolation_server
 from lacewingcleat.load_view import (
     LoadEstimate,
     LoadView,
@@ -18,7 +19,6 @@
 )
 from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent, TargetState
 from lacewingcleat.prefix_affinity import BLOCK_TOKENS, PrefixIndex
-from lacewingcleat.rendezvous import rank_by_rendezvous
 from lacewingcleat.request_cost import CostModel
 from lacewingcleat.routing_candidates import (
     CandidateFinder,
@@ -156,7 +156,7 @@
         if probe is not None:
             return Ok(self._make_choice(pool, request, [probe], ChoiceRule.PROBE, now))
         if request.alone:
-            return self._choose_alone(pool, request, now, rng)
+            return self._choose_alone(pool, request, now)
         candidates = self._finder.draw(pool, request, now, rng)
         if not candidates:
             return Err(self._explain_no_route(pool, request, now))
@@ -275,21 +275,16 @@
         pool: Pool,
         request: RouteRequest,
         now: float,
-        rng: Random,
     ) -> Result[Choice, NoRoute]:
-        """Choose the zone's one server for suspects, the same at every entry."""
-        if not pool.near.members:
-            pool.refresh_far(self.loads, self.ejection, now, rng)
-        accepted = [
-            member
-            for member in pool.near.members or pool.far.members
-            if accepts(member, request)
-        ]
-        if not accepted:
+        """Choose the one server for a suspect, the same at every entry."""
+        accepted = [member for member in pool.usable if accepts(member, request)]
+        servers_by_zone: dict[str, list[str]] = {}
+        for member in accepted:
+            servers_by_zone.setdefault(member.zone, []).append(member.target.server)
+        first = choose_isolation_server(request.fingerprint, servers_by_zone)
+        members = [member for member in accepted if member.target.server == first]
+        if not members:
             return Err(self._explain_no_route(pool, request, now))
-        member_by_server = {member.target.server: member for member in accepted}
-        first = rank_by_rendezvous(f"alone/{accepted[0].zone}", member_by_server)[0]
-        members = [member_by_server[first]]
         return Ok(self._make_choice(pool, request, members, ChoiceRule.ALONE, now))
 
     def _make_choice(
--- a/lacewingcleat/routing_choice.py
+++ b/lacewingcleat/routing_choice.py
@@ -23,6 +23,7 @@
     :param resume_group: group that holds the KV cache of the session, empty if none.
     :param excluded: targets that have already failed this request.
     :param alone: whether the request may only run alone, as a crash suspect.
+    :param fingerprint: decides which server runs it alone.
     """
 
     model: str
@@ -36,6 +37,7 @@
     resume_group: str = ""
     excluded: frozenset[Target] = frozenset()
     alone: bool = False
+    fingerprint: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +52,7 @@
     idempotent: bool = False
     excluded: frozenset[Target] = frozenset()
     alone: bool = False
+    fingerprint: str = ""
 
 
 RouteRequest = ModelRequest | ServiceRequest
