Let tests notice replaced tickets, lost notices and doubled keys again

Cause: a rerun of the mutations showed three survivors: 4 and 11 in RequestMachine and 20, whose repair test no longer lost the notices.

Change: the harness obtains a new ticket when a request is retried elsewhere, keys occur more often, and the repair test drops all peer lists for 10 s instead of most messages.

--- a/tests/safety_harness.py
+++ b/tests/safety_harness.py
@@ -20,7 +20,13 @@
 )
 from lacewingcleat.identity import Peer, Role
 from lacewingcleat.membership import Membership
-from lacewingcleat.messages import CrashReport, Heartbeat, Message, SuspectCleared
+from lacewingcleat.messages import (
+    CrashReport,
+    Heartbeat,
+    Message,
+    PeerList,
+    SuspectCleared,
+)
 from lacewingcleat.pause_watch import PauseWatch
 from lacewingcleat.retries import (
     Attempt,
@@ -177,7 +183,12 @@
     def attempt(self, call: Call, agent: str) -> None:
         call.target = agent
         call.token = call.job.token
-        call.step = "mint" if call.job.mode is Mode.ENTRY_TICKET else "run"
+        # A retry elsewhere needs a ticket of that agent, whoever obtained the first.
+        is_retry = bool(call.facts.failed_targets)
+        needs_ticket = call.job.mode is Mode.ENTRY_TICKET or (
+            call.job.mode is Mode.CALLER_TICKET and is_retry
+        )
+        call.step = "mint" if needs_ticket else "run"
         self.post(call)
 
     def post(self, call: Call) -> None:
@@ -379,7 +390,7 @@
         self.now = 0.0
         self.random = Random(0)
         self.loss = self.delay = self.double = 0.0
-        self.cut = False
+        self.cut = self.lose_lists = False
         servers = [make_server(f"s{zone}{i}", zone) for zone in "ab" for i in "123"]
         self.sheet = make_sheet(
             zones=[Zone("a", "r", 3), Zone("b", "r", 3)], servers=servers
@@ -417,6 +428,8 @@
     def post(self, node: Node, actions: list[Action]) -> None:
         for action in actions:
             assert isinstance(action, Send)
+            if self.lose_lists and isinstance(action.message, PeerList):
+                continue
             copies = 1 + (self.random.random() < self.double)
             for _ in range(copies):
                 if self.random.random() < self.loss:
--- a/tests/safety_mutations.py
+++ b/tests/safety_mutations.py
@@ -177,7 +177,7 @@
     Mutation(
         "lost notices are never repaired",
         "membership",
-        "actions += self._old_notices(targets, now)",
+        "actions += self._late_notices(targets, now)",
         "pass",
         "tests/test_membership.py",
     ),
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -124,9 +124,9 @@
         leaving.view.set_leaving(world.now + leaving.skew)
         world.run(3.0)
         world.boot("sa1", Role.AGENT)
-        world.loss = 0.9
+        world.lose_lists = True
         world.run(10.0)
-        world.loss = 0.0
+        world.lose_lists = False
         world.run(25.0)
         for name in ("ea1", "ea2", "ea3", "eb1", "eb2", "eb3"):
             entry = world.node_by_name[name]
--- a/tests/test_safety_machines.py
+++ b/tests/test_safety_machines.py
@@ -63,7 +63,7 @@
     @rule(
         mode=st.sampled_from([*Mode, Mode.ENTRY_TICKET, Mode.CALLER_TICKET]),
         agent=st.sampled_from(AGENTS),
-        key=st.sampled_from(["", "k"]),
+        key=st.sampled_from(["", "k", "k"]),
     )
     def submit(self, mode: Mode, agent: str, key: str) -> None:
         self.world.submit(mode, "e1", agent, key)
