--- a/bench/experts.py
+++ b/bench/experts.py
@@ -26,6 +26,7 @@
 from bench.expert_switch import count_switch, stall_rank
 from bench.measure import Direction, Measure
 from lacewingcleat.expert_load import ExpertLoad
+from lacewingcleat.expert_placement import Loads, Slots
 from lacewingcleat.map_switch import HOLD_SECONDS
 from lacewingcleat.rebalance import MoveCosts, RebalancePlanner
 
@@ -33,6 +34,7 @@
 WEIGHTS = ((10.0, 1.0), (3.0, 1.0), (1.0, 1.0), (1.0, 3.0), (1.0, 10.0), (1.0, 30.0))
 COTEAU = (3.0, 1.0)
 KOWHAI = (1.0, 3.0)
+REPETITIONS = 4
 HOURLY = 3600 // SAMPLE_SECONDS
 TARGET = Size(256, 256, 2, 60, 0)
 DOCS = Path(__file__).parent.parent / "docs"
@@ -79,22 +81,30 @@
     return measures
 
 
-def _slice_measures() -> list[Measure]:
-    rng = np.random.default_rng(SEED)
-    loads = np.exp(rng.normal(0.0, 0.8, (TARGET.layers, TARGET.experts)))
-    loads /= loads.sum(axis=1, keepdims=True)
-    planner = RebalancePlanner(place_all(loads, TARGET), *COTEAU, MoveCosts())
-    drifted = loads * np.exp(rng.normal(0.0, 0.15, loads.shape))
-    drifted /= drifted.sum(axis=1, keepdims=True)
+def _time_slices(placed: Slots, drifted: Loads) -> list[float]:
+    planner = RebalancePlanner(placed, *COTEAU, MoveCosts())
     speeds = np.ones(TARGET.ranks)
-    slices = []
     began = perf_counter()
     planner.begin(drifted, speeds, 0.0)
-    slices.append(perf_counter() - began)
+    slices = [perf_counter() - began]
     while planner.working:
         began = perf_counter()
         planner.work(0.0)
         slices.append(perf_counter() - began)
+    return slices
+
+
+def _slice_measures() -> list[Measure]:
+    rng = np.random.default_rng(SEED)
+    loads = np.exp(rng.normal(0.0, 0.8, (TARGET.layers, TARGET.experts)))
+    loads /= loads.sum(axis=1, keepdims=True)
+    placed = place_all(loads, TARGET)
+    drifted = loads * np.exp(rng.normal(0.0, 0.15, loads.shape))
+    drifted /= drifted.sum(axis=1, keepdims=True)
+    # The work of a slice is the same in each repetition. Its shortest time is free of
+    # the delays that other processes on the machine cause.
+    repetitions = [_time_slices(placed, drifted) for _ in range(REPETITIONS)]
+    slices = np.min(repetitions, axis=0)
     estimate = ExpertLoad(TARGET.layers, TARGET.experts, TARGET.ranks)
     estimator = Estimator(TARGET, SEED)
     estimator.estimate = estimate
@@ -102,11 +112,16 @@
     estimator.observe(drifted, 0.0)
     observing = perf_counter() - began
     label = "256 ranks x 256 experts x 60 layers"
-    share = 100 * (sum(slices) / 600.0 + observing / SAMPLE_SECONDS)
+    share = 100 * (float(slices.sum()) / 600.0 + observing / SAMPLE_SECONDS)
     return [
         Measure(
-            f"longest slice, {label}",
-            1000 * max(slices),
+            f"longest slice, single time on a shared machine, {label}",
+            1000 * float(np.max(repetitions)),
+            "ms",
+        ),
+        Measure(
+            f"longest slice, shortest of {REPETITIONS} times each, {label}",
+            1000 * float(slices.max()),
             "ms",
             20.0,
             Direction.AT_MOST,
--- a/tests/builders_experts.py
+++ b/tests/builders_experts.py
@@ -1,7 +1,10 @@
 """Builders and stand-ins for the tests of expert maps and their switch."""
 
+import os
 from dataclasses import replace
 
+from hypothesis import Phase
+
 from lacewingcleat.messages import OrderKind
 from lacewingcleat.order_fence import EngineState, FenceNumber, Order
 
@@ -82,3 +85,13 @@
         step = self.state.step + 1
         held = 0 <= self.state.hold_step <= step
         self.state = replace(self.state, step=step, held=held)
+
+
+def chosen_phases() -> tuple[Phase, ...]:
+    """Return hypothesis's phases; without shrinking if NO_SHRINK is set.
+
+    `tests.mutations` needs to know only whether a test fails.
+    """
+    if os.environ.get("NO_SHRINK"):
+        return (Phase.generate,)
+    return tuple(Phase)
--- a/tests/test_map_switch_faults.py
+++ b/tests/test_map_switch_faults.py
@@ -16,6 +16,7 @@
 
 from lacewingcleat.map_switch import LeaderPhase
 from lacewingcleat.messages import RankPhase
+from tests.builders_experts import chosen_phases
 from tests.group_simulation import GroupSimulation
 
 RANKS = st.integers(0, 2)
@@ -58,6 +59,40 @@
                 del self.group.packets[lost - 1 : lost]
             self.group.run(0.01)
 
+    @rule(
+        phase=st.sampled_from(
+            [LeaderPhase.PREPARING, LeaderPhase.HOLDING, LeaderPhase.SETTLING],
+        ),
+        rank=RANKS,
+        slow=st.sets(RANKS, max_size=2),
+        deaf=st.sets(RANKS, max_size=2),
+    )
+    def progress_until(
+        self,
+        phase: LeaderPhase,
+        rank: int,
+        slow: set[int],
+        deaf: set[int],
+    ) -> None:
+        """Run to a phase that random events rarely reach, then hinder some ranks."""
+        self.group.propose(rank)
+        for _ in range(150):
+            leaders = [agent.leader for agent in self.group.agents if agent]
+            if any(leader.phase is phase and leader.busy for leader in leaders):
+                break
+            self.group.late = (self.group.late + self.group.packets)[-40:]
+            self.group.run(0.02)
+        self.group.slow |= slow
+        self.group.deaf |= deaf
+
+    @rule(rank=RANKS)
+    def replace_leader(self, rank: int) -> None:
+        """Let another agent lead, while the former one may not know."""
+        self.group.lead(rank)
+        self.group.slow.clear()
+        self.group.deaf.clear()
+        self.group.run(0.5, 0.02)
+
     @rule(data=st.data())
     def deliver_late(self, data: st.DataObject) -> None:
         late = self.group.late
@@ -168,6 +203,7 @@
             deadline=None,
             derandomize=True,
             database=None,
+            phases=chosen_phases(),
             suppress_health_check=list(HealthCheck),
         ),
     )
--- a/tests/test_order_fence.py
+++ b/tests/test_order_fence.py
@@ -28,7 +28,7 @@
     receive_order,
 )
 from lacewingcleat.pause_watch import PAUSE_GAP_SECONDS
-from tests.builders_experts import StandInEngine
+from tests.builders_experts import StandInEngine, chosen_phases
 
 FIRST = Epoch(1, "server-0")
 SECOND = Epoch(2, "server-1")
@@ -181,6 +181,7 @@
             deadline=None,
             derandomize=True,
             database=None,
+            phases=chosen_phases(),
             suppress_health_check=list(HealthCheck),
         ),
     )
@@ -270,3 +271,22 @@
         unload = Order(OrderKind.UNLOAD, name="adapter")
         number = FenceNumber(FIRST, 1)
         self.assertEqual(Ok([]), fence.submit(number, fence.grant(2.0), unload, 2.0))
+
+    def test_next_order_waits_for_the_reading_after_the_answer(self) -> None:
+        """Guards against decisions on a state from before the last order."""
+        fence = make_fence(False)
+        number = FenceNumber(FIRST, 1)
+        fence.submit(number, fence.grant(2.0), LOAD, 2.0)
+        early = fence.refresh(2.05)[0]
+        read = fence.order_answered(number, 2.1)[0]
+        second = FenceNumber(FIRST, 2)
+        unload = Order(OrderKind.UNLOAD, name="adapter")
+        self.assertFalse(fence.ready)
+        refused = fence.submit(second, fence.grant(2.1), unload, 2.1)
+        self.assertEqual(Err(Refusal.BUSY), refused)
+        fence.state_read(early.read_id, EngineState("engine"), 2.2)
+        self.assertFalse(fence.ready)
+        loaded = EngineState("engine", loaded=frozenset({"adapter"}))
+        fence.state_read(read.read_id, loaded, 2.3)
+        self.assertTrue(fence.ready)
+        self.assertEqual("applied", fence.outcome_of_last())
