Slim the envelope of control messages; deal routing by the sheet's entry count

Cause: each message carried a digest that nobody read and a long incarnation; the router got the live count of entries, which causes herding when it is too low; a check for other targets spent routing credit. Change: no routing digest in envelopes, 64-bit incarnations; the entry count comes from the sheet; the check reads verdicts; agents report the work they admitted.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -139,7 +139,7 @@
                 continue
             known = sizes.get(id(action.message))
             if known is None:
-                envelope = Envelope(peer, 45_000, DIGEST, action.message, DIGEST)
+                envelope = Envelope(peer, 45_000, DIGEST, action.message)
                 known = (action.message, envelope, encoded_size(envelope))
                 sizes[id(action.message)] = known
             traffic.count(known[2])
--- a/bench/suspect_cost.py
+++ b/bench/suspect_cost.py
@@ -100,7 +100,7 @@
             if not isinstance(body, CrashReport):
                 continue
             if not size:
-                size = encoded_size(Envelope(peer, 45_000, DIGEST, body, DIGEST))
+                size = encoded_size(Envelope(peer, 45_000, DIGEST, body))
             for name in (sender, action.instance):
                 self.octets_by_name[name] += size
                 self.messages_by_name[name] += 1
--- a/lacewingcleat/agent_node.py
+++ b/lacewingcleat/agent_node.py
@@ -78,6 +78,7 @@
         self._check: defer.Deferred[None] | None = None
         self._in_flight_at_check: set[str] = set()
         self._alone_at_check = False
+        self._admitted_seconds = 0.0
 
     # Sheet, time and messages
 
@@ -155,6 +156,7 @@
     def begin_run(self, request_id: str, fingerprint: str, cost: float) -> None:
         """Note a request that is now at the backend server."""
         self._run_by_id[request_id] = _Run(fingerprint, cost)
+        self._admitted_seconds += cost
 
     def end_run(self, request_id: str) -> None:
         """Forget a request that has ended."""
@@ -281,6 +283,8 @@
         report = self._make_report(now)
         if report is None or self.stopping:
             return
+        admitted = self._admitted_seconds
+        report = msgspec.structs.replace(report, admitted_seconds=admitted)
         for instance in self.report_receivers(now):
             self.send(instance, report)
 
--- a/lacewingcleat/entry_node.py
+++ b/lacewingcleat/entry_node.py
@@ -110,9 +110,6 @@
         self.limits.observe_entries(entries, now)
         self.perform(self.limits.tick(now))
         self._judge_targets(now)
-        self.router.loads.entries = max(
-            1, len([peer for peer in entries if peer.zone == self.peer.zone])
-        )
         if now >= self._next_digest:
             self._next_digest = now + DIGEST_SECONDS
             self._send_digest(sheet, now)
@@ -206,7 +203,8 @@
 
     def can_route(self, request: RouteRequest) -> bool:
         """Return whether any target is left for a request."""
-        return self.router.choose(request, read_now(), random.Random(0)).is_ok()
+        verdicts = self.router.explain(request, read_now())
+        return any(verdict.exclusion is None for verdict in verdicts)
 
     def status(self) -> dict[str, Any]:
         """Return the status document of the admin port."""
@@ -259,7 +257,7 @@
             )
         except (msgspec.MsgspecError, TypeError, ValueError) as error:
             return {"error": str(error)}
-        match self.router.choose(request, read_now(), random.Random(0)):
+        match self.router.choose(request, read_now(), self.rng):
             case Ok(choice):
                 return {
                     "group": choice.target.group,
--- a/lacewingcleat/messages.py
+++ b/lacewingcleat/messages.py
@@ -468,13 +468,9 @@
 
 
 class Envelope(Record, frozen=True):
-    """Wrap a message with its sender and the sheet revision the sender holds.
-
-    :param routing_digest: digest over all sheet parts other than accounts.
-    """
+    """Wrap a message with its sender and the sheet revision the sender holds."""
 
     sender: Peer
     revision: int
     digest: str
     body: Message
-    routing_digest: str = ""
--- a/lacewingcleat/node.py
+++ b/lacewingcleat/node.py
@@ -40,7 +40,8 @@
 from lacewingcleat.sheet_relay import SheetRelay
 from lacewingcleat.tracing import Tracing
 
-INCARNATION_BYTES = 16
+# Names one of at most some thousand starts a day, so 64 bits do not meet twice.
+INCARNATION_BYTES = 8
 EXPORT_SECONDS = 1.0
 LEAVING_NOTICE_SECONDS = 1.0
 DRAIN_LIMIT_SECONDS = 600.0
@@ -218,7 +219,6 @@
             relay.revision,
             relay.digest,
             message,
-            relay.routing_digest,
         )
         self.channel.send(address, envelope)
 
