Judge slow ranks only after each layer's load was seen

Change: a rank counts as slow when every layer was reported since it began to look slow. Conclusion: a hot expert and a slow rank are told apart also while demand moves.

--- a/lacewingcleat/expert_load.py
+++ b/lacewingcleat/expert_load.py
@@ -53,6 +53,7 @@
         self._sequence = 0
         self._slow_reports = np.zeros(ranks, dtype=np.int64)
         self._quick_reports = np.zeros(ranks, dtype=np.int64)
+        self._slow_since = np.full(ranks, np.nan)
 
     def observe(self, report: RankReport, loads_by_rank: Loads, now: float) -> None:
         """Take the group's aggregated report.
@@ -64,7 +65,7 @@
             return
         self._sequence = report.sequence
         self._observe_experts(report, now)
-        self._observe_ranks(report, loads_by_rank)
+        self._observe_ranks(report, loads_by_rank, now)
 
     def rank_findings(self) -> list[RankFinding]:
         """Return the ranks that are slow by themselves.
@@ -73,8 +74,9 @@
         drained and reported.
         """
         findings = []
+        slow = self._slow_ranks()
         for rank, count in enumerate(self._slow_reports):
-            if count < SLOW_REPORTS:
+            if not slow[rank]:
                 continue
             drain = count >= DRAIN_REPORTS
             condition = RankCondition.DRAIN if drain else RankCondition.SLOW
@@ -83,8 +85,17 @@
 
     def speeds(self) -> Loads:
         """Return each rank's relative speed; 1 for all that are not found slow."""
+        return np.where(self._slow_ranks(), 1.0 / np.maximum(self.slowness, 1.0), 1.0)
+
+    def _slow_ranks(self) -> npt.NDArray[np.bool_]:
+        """Return which ranks are slow by themselves.
+
+        Reports name one layer at a time, but step times cover all. When demand shifts,
+        ranks therefore look slow until each layer's load has been seen again.
+        """
+        refreshed = self._slow_since <= np.min(self._seen_at)
         slow = self._slow_reports >= SLOW_REPORTS
-        return np.where(slow, 1.0 / np.maximum(self.slowness, 1.0), 1.0)
+        return np.asarray(slow & refreshed)
 
     def _observe_experts(self, report: RankReport, now: float) -> None:
         if not report.load_by_expert:
@@ -124,7 +135,12 @@
         if total > 0:
             row += gain * (seen / total - row)
 
-    def _observe_ranks(self, report: RankReport, loads_by_rank: Loads) -> None:
+    def _observe_ranks(
+        self,
+        report: RankReport,
+        loads_by_rank: Loads,
+        now: float,
+    ) -> None:
         ranks = np.array(sorted(report.step_seconds_by_rank), dtype=np.int64)
         ranks = ranks[(ranks >= 0) & (ranks < len(self.slowness))]
         if len(ranks) < 2:
@@ -140,6 +156,7 @@
         normal = slow.copy()
         slow[ranks] = ratio > SLOW_RATIO
         normal[ranks] = ratio < NORMAL_RATIO
+        self._slow_since[slow & (self._slow_reports == 0)] = now
         self._slow_reports[slow] += 1
         self._quick_reports[slow] = 0
         self._quick_reports[normal] += 1
