Answer or cut off malformed, oversized and slow input at each listener

An endless answer whose caller stopped reading grew an entry by 1,117 MB and was never slowed down; a stalled stream was sent to another engine after 10 s. An empty control frame made pynng raise RuntimeError, after which the reactor no longer watched the control socket. A caller's or a service's Lacewing headers were taken for the system's own: an answer with Lacewing-Outcome-Code was reported as an error. Header values that are not UTF-8 and deeply nested JSON gave 500 with outcome unknown, and exceptions in the agent left calls without an answer. A target such as `@host:port/path` at an agent named another host. Answers with an endless head or a status such as 9999 were not refused.

Change: the listener checks method and target, bounds the request line in time and all bodies together, and answers 500 when its handler raises. The client bounds the head of an answer and its status. copy_headers drops every Lacewing header, and the agent sets those of the engine itself; a service no longer gets request id and priority, as interfaces.md says. Throttle covers plain bodies, pauses a producer that is registered on a full connection, and tells BodyWatch that the caller is slow, which ends the caller's connection after 15 s. The control channel survives any error of a message. Files are read up to their limit, and `lacewing-ctl diff` exits with 2 for an unreadable file.

--- a/lacewingcleat/admin_server.py
+++ b/lacewingcleat/admin_server.py
@@ -40,6 +40,9 @@
     def handle(self, request: BoundedRequest) -> None:
         """Answer one request."""
         path = request.path_text()
+        if request.too_large:
+            request.respond(413, "text/plain", b"the body is too large\n")
+            return
         if request.method == b"POST" and path == "/explain" and self._explain:
             document = self._explain(request.body.getvalue())
             request.respond(200, JSON_CONTENT_TYPE, msgspec.json.encode(document))
--- a/lacewingcleat/agent_server.py
+++ b/lacewingcleat/agent_server.py
@@ -122,15 +122,29 @@
         """Dispatch one request."""
         self._node.observe_clock()
         path = request.path_text()
+        if request.too_large:
+            detail = f"the body exceeds {self._settings.body_limit_bytes} bytes"
+            self._refuse(request, not_run(413, "body-too-large", detail))
+            return
         match (request.method, path):
             case (b"POST", "/lacewing/tickets"):
                 self._mint(request)
             case (b"POST", "/lacewing/tickets/revoke"):
-                defer.ensureDeferred(self._revoke(request))
+                self._watch(self._revoke(request), request)
             case (b"POST", "/lacewing/cancel"):
                 self._cancel_by_id(request)
             case _:
-                defer.ensureDeferred(self._relay(request, path))
+                self._watch(self._relay(request, path), request)
+
+    def _watch(self, handling: Any, request: BoundedRequest) -> None:
+        """Answer a request whose handling fails; it may have been sent."""
+        done: defer.Deferred[None] = defer.ensureDeferred(handling)
+        done.addErrback(self._fail, request)
+
+    def _fail(self, failure: Any, request: BoundedRequest) -> None:
+        self._node.log.error(f"a request failed: {failure.getTraceback()}")
+        detail = "the agent failed while it handled the request"
+        self._refuse(request, unknown("internal-error", detail))
 
     def apply_gate_events(self, events: list[GateEvent]) -> None:
         """Tell waiting calls that they start or are refused."""
@@ -145,7 +159,7 @@
         now = self._node.now()
         try:
             body = msgspec.json.decode(request.body.getvalue(), type=_MintBody)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             self._refuse(request, not_run(400, "malformed-request", str(error)))
             return
         sheet = self._node.sheet
@@ -175,7 +189,7 @@
         now = self._node.now()
         try:
             body = msgspec.json.decode(request.body.getvalue(), type=_RevokeBody)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             self._refuse(request, not_run(400, "malformed-request", str(error)))
             return
         outcome = self._node.book.revoke(body.ticket, body.account, now)
@@ -217,10 +231,6 @@
     async def _relay(self, request: BoundedRequest, path: str) -> None:
         node = self._node
         call = self._make_call(request)
-        if request.too_large:
-            detail = f"the body exceeds {self._settings.body_limit_bytes} bytes"
-            self._end(call, not_run(413, "body-too-large", detail))
-            return
         if call.request_id in self._call_by_id:
             detail = "a request with this id is running"
             self._end(call, not_run(409, "duplicate", detail))
@@ -266,14 +276,13 @@
             names.parse_traceparent(request.header(names.TRACEPARENT)),
             attributes={"lacewing.request_id": request_id},
         )
-        cost = request.header(names.COST_SECONDS) or ""
         return _Call(
             request,
             request_id,
             span,
             node.now() + deadline.unwrap_or(names.DEFAULT_DEADLINE_SECONDS),
             request.header(names.FINGERPRINT) or "",
-            float(cost) if cost.replace(".", "", 1).isdigit() else 0.0,
+            names.parse_seconds(request.header(names.COST_SECONDS)),
         )
 
     def _needs_ticket(self, request: BoundedRequest, path: str) -> bool:
@@ -347,13 +356,12 @@
             request.header(names.PRIORITY),
             DEFAULT_PRIORITY,
         )
-        revision = request.header(names.REVISION) or "0"
         return GateRequest(
             call.request_id,
             request.header(names.ACCOUNT) or "",
             request.header(names.FIRM) or "",
             priority.unwrap_or(DEFAULT_PRIORITY),
-            int(revision) if revision.isdigit() else 0,
+            names.parse_count(request.header(names.REVISION)),
             request.header(names.ROUTING_DIGEST) or "",
             call.deadline,
             request.header(names.RUN_ALONE) is not None,
@@ -376,7 +384,11 @@
         request = call.request
         span = node.tracing.start_span("backend", SpanKind.CLIENT, parent=call.span)
         headers = copy_headers(request.requestHeaders, HOP_HEADERS)
-        set_headers(headers, {names.TRACEPARENT: traceparent_of(span)})
+        own = {names.TRACEPARENT: traceparent_of(span)}
+        if self._settings.backend_kind == "engine":
+            own[names.REQUEST_ID] = call.request_id
+            own[names.PRIORITY] = request.header(names.PRIORITY) or ""
+        set_headers(headers, own)
         target = self._backend_path(request, path)
         body = self._backend_body(request)
         sent = await node.client.send(
@@ -435,11 +447,11 @@
 
     def _backend_body(self, request: BoundedRequest) -> bytes:
         body = request.body.getvalue()
-        offset = request.header(names.RESUME_OFFSET) or ""
-        if not offset.isdigit() or offset == "0":
+        offset = names.parse_count(request.header(names.RESUME_OFFSET))
+        if not offset:
             return body
         document = msgspec.json.decode(body)
-        document["lacewing_resume_offset"] = int(offset)
+        document["lacewing_resume_offset"] = offset
         return msgspec.json.encode(document)
 
     async def _pass_on(self, call: _Call, response: Any) -> bool:
@@ -472,9 +484,9 @@
             max(0.0, call.deadline - node.now()),
             receiver.abort,
         )
+        response.deliverBody(receiver)
         if request.is_open and has_body(response.code, request.method.decode()):
             request.registerProducer(Throttle(receiver), True)
-        response.deliverBody(receiver)
         complete = await ended
         if limit.active():
             limit.cancel()
--- a/lacewingcleat/control_channel.py
+++ b/lacewingcleat/control_channel.py
@@ -13,6 +13,7 @@
 import pynng
 from result import Err, Ok
 from twisted.internet.interfaces import IReadDescriptor
+from twisted.logger import Logger
 from zope.interface import implementer
 
 from lacewingcleat.control_wire import MAX_FRAME_BYTES, decode, encode
@@ -24,6 +25,7 @@
 MAX_PEER_SOCKETS = 512
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 2000
+_LOG = Logger()
 
 
 class ReaderReactor(Protocol):
@@ -49,6 +51,7 @@
 
     __slots__ = (
         "dropped",
+        "failed",
         "malformed",
         "received",
         "received_bytes",
@@ -63,6 +66,7 @@
         self.received_bytes = 0
         self.dropped = 0
         self.malformed = 0
+        self.failed = 0
 
 
 @implementer(IReadDescriptor)
@@ -119,6 +123,11 @@
             except pynng.exceptions.NNGException:
                 self.counters.malformed += 1
                 return
+            except RuntimeError:
+                # pynng cannot unpack a frame without bytes. The reactor would stop
+                # watching the descriptor if the error reached it.
+                self.counters.malformed += 1
+                continue
             self._receive(data)
         self._reactor.callLater(0, self.doRead)
 
@@ -127,7 +136,13 @@
         self.counters.received_bytes += len(data)
         match decode(data):
             case Ok(envelope):
-                self._deliver(envelope)
+                try:
+                    self._deliver(envelope)
+                except Exception:
+                    # The reactor would stop watching the descriptor, and the process
+                    # would hear no peer any more.
+                    self.counters.failed += 1
+                    _LOG.failure("a control message failed")
             case Err():
                 self.counters.malformed += 1
 
@@ -159,7 +174,11 @@
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
-        socket.dial(f"tcp://{address}", block=False)
+        try:
+            socket.dial(f"tcp://{address}", block=False)
+        except pynng.exceptions.NNGException:
+            socket.close()
+            raise
         self._push_by_address[address] = socket
         return socket
 
--- a/lacewingcleat/ctl_main.py
+++ b/lacewingcleat/ctl_main.py
@@ -119,27 +119,28 @@
     return check_sheet(document.value, file, document.line_of)
 
 
-def _load_sheet(file: str) -> Sheet | None:
+def _load_sheet(file: str) -> Result[Sheet, int]:
+    """Return a sheet, or the exit code after telling what is wrong with it."""
     text = read_text(file)
     if text is None:
-        return None
+        return Err(EXIT_USAGE)
     parsed = parse_document(text, file)
     if isinstance(parsed, Err):
         print_findings(parsed.err_value)
-        return None
+        return Err(EXIT_FINDINGS)
     checked = _check_document(parsed.ok_value, file)
     if isinstance(checked, Err):
         print_findings(checked.err_value)
-        return None
-    return checked.ok_value
+        return Err(EXIT_FINDINGS)
+    return Ok(checked.ok_value)
 
 
 def _diff(old: str, new: str) -> int:
     before = _load_sheet(old)
     after = _load_sheet(new)
-    if before is None or after is None:
-        return EXIT_FINDINGS
-    lines = diff_sheets(before, after, read_wall()).lines()
+    if isinstance(before, Err) or isinstance(after, Err):
+        return max(before.err() or EXIT_OK, after.err() or EXIT_OK)
+    lines = diff_sheets(before.ok_value, after.ok_value, read_wall()).lines()
     for line in lines or ["no changes"]:
         print(line)
     return EXIT_OK
--- a/lacewingcleat/entry_answer.py
+++ b/lacewingcleat/entry_answer.py
@@ -89,10 +89,11 @@
             IDLE_SECONDS,
             call.deadline - read_now(),
             receiver.abort,
+            call.drop_caller,
         )
-        if request.is_open:
-            request.registerProducer(Throttle(receiver), True)
         response.deliverBody(receiver)
+        if request.is_open:
+            request.registerProducer(Throttle(receiver, watch.set_paused), True)
         complete = await ended
         watch.stop()
         call.receiver = None
@@ -124,17 +125,27 @@
             held_bytes += len(data)
             if held_bytes > HELD_BACK_BYTES and request.is_open:
                 self._write_head(response, ticket)
+                throttle = Throttle(receiver, watch.set_paused)
+                request.registerProducer(throttle, True)
                 request.write(b"".join(held))
                 held.clear()
 
         receiver = BodyReceiver(receive, ended.callback)
         call.receiver = receiver
         remaining = call.deadline - read_now()
-        watch = BodyWatch(self._reactor, remaining, remaining, receiver.abort)
+        watch = BodyWatch(
+            self._reactor,
+            remaining,
+            remaining,
+            receiver.abort,
+            call.drop_caller,
+        )
         response.deliverBody(receiver)
         complete = await ended
         watch.stop()
         call.receiver = None
+        if request.is_open and request.producer is not None:
+            request.unregisterProducer()
         if not complete:
             return Said.BROKEN
         if not call.head_written:
--- a/lacewingcleat/entry_call.py
+++ b/lacewingcleat/entry_call.py
@@ -14,6 +14,10 @@
 from lacewingcleat.sheet import ClientAccount
 from lacewingcleat.token_stream import StreamProgress
 
+# A caller that takes no data for this time loses its connection, so that it does not
+# hold a slot of an engine until its deadline.
+STALLED_CALLER_SECONDS = 15.0
+
 
 @dataclass(slots=True)
 class EntryCall:
@@ -46,6 +50,11 @@
     first_byte_at: float = 0.0
     on_first_byte: Callable[[], None] = lambda: None
 
+    def drop_caller(self) -> None:
+        """Break off the connection of a caller that does not read."""
+        if self.request.is_open:
+            self.request.channel.forceAbortClient()
+
     def cancel(self) -> None:
         """Give up the attempt that is running, because the caller has gone."""
         self.caller_gone = True
@@ -61,9 +70,17 @@
     :param reactor: the loop.
     :param idle_seconds: longest time between two parts of the answer.
     :param abort: ends the answer.
+    :param on_stall: ends the connection of a caller that has stopped reading.
     """
 
-    __slots__ = ("_abort", "_idle_seconds", "_idle_timer", "_reactor", "_total_timer")
+    __slots__ = (
+        "_abort",
+        "_idle_seconds",
+        "_idle_timer",
+        "_on_stall",
+        "_paused",
+        "_total_timer",
+    )
 
     def __init__(
         self,
@@ -71,18 +88,33 @@
         idle_seconds: float,
         total_seconds: float,
         abort: Callable[[], None],
+        on_stall: Callable[[], None] = lambda: None,
     ) -> None:
-        self._reactor = reactor
         self._idle_seconds = idle_seconds
         self._abort = abort
-        self._idle_timer = reactor.callLater(idle_seconds, abort)
+        self._on_stall = on_stall
+        self._paused = False
+        self._idle_timer = reactor.callLater(idle_seconds, self._idle)
         self._total_timer = reactor.callLater(max(0.0, total_seconds), abort)
 
     def touch(self) -> None:
         """Note that a part has arrived."""
-        if self._idle_timer.active():
+        if self._idle_timer.active() and not self._paused:
             self._idle_timer.reset(self._idle_seconds)
 
+    def set_paused(self, paused: bool) -> None:
+        """Wait for the caller instead of the backend server, or the reverse."""
+        self._paused = paused
+        if self._idle_timer.active():
+            seconds = STALLED_CALLER_SECONDS if paused else self._idle_seconds
+            self._idle_timer.reset(seconds)
+
+    def _idle(self) -> None:
+        if self._paused:
+            self._on_stall()
+        else:
+            self._abort()
+
     def stop(self) -> None:
         """Stop watching."""
         for timer in (self._idle_timer, self._total_timer):
--- a/lacewingcleat/entry_dispatch.py
+++ b/lacewingcleat/entry_dispatch.py
@@ -477,16 +477,16 @@
             )
             return None
         said = Said.NOT_RUN if outcome == Outcome.NOT_RUN.value else Said.UNKNOWN
-        seconds = float(retry_after) if retry_after.isdigit() else 0.0
+        seconds = names.parse_seconds(retry_after)
         return Attempt(target.server, Sent.SOME, said, code, seconds)
 
     def _observe_revision(self, server: str, response: Any) -> None:
-        revision = first_header(response.headers, names.REVISION)
+        revision = names.parse_count(first_header(response.headers, names.REVISION))
         digest = first_header(response.headers, names.DIGEST)
-        if revision.isdigit() and digest:
+        if revision and digest:
             node = self._node
             node.perform(
-                node.relay.observe(server, int(revision), digest, read_now()),
+                node.relay.observe(server, revision, digest, read_now()),
             )
 
     def _headers(self, work: _Work, target: Target, cost_seconds: float) -> Headers:
--- a/lacewingcleat/entry_node.py
+++ b/lacewingcleat/entry_node.py
@@ -247,7 +247,13 @@
                 version=str(question.get("version", "")),
                 adapter=str(question.get("adapter", "")),
             )
-        except (msgspec.MsgspecError, TypeError, ValueError) as error:
+        except (
+            msgspec.MsgspecError,
+            OverflowError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ) as error:
             return {"error": str(error)}
         match self.router.choose(request, read_now(), random.Random(0)):
             case Ok(choice):
--- a/lacewingcleat/entry_server.py
+++ b/lacewingcleat/entry_server.py
@@ -227,7 +227,7 @@
     async def _ticket(self, call: EntryCall) -> None:
         try:
             body = msgspec.json.decode(call.request.body.getvalue(), type=_TicketBody)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             self._refuse(call, not_run(400, "malformed-body", str(error)))
             return
         sheet = self._node.sheet
--- a/lacewingcleat/http_headers.py
+++ b/lacewingcleat/http_headers.py
@@ -37,6 +37,7 @@
 MAX_IDEMPOTENCY_KEY_LENGTH = 255
 
 _TRACEPARENT_PATTERN = re.compile(r"00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
+_SECONDS_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _PRINTABLE_PATTERN = re.compile(r"[\x21-\x7e]+")
 
 
@@ -95,6 +96,20 @@
     return Ok(value)
 
 
+def parse_count(value: str | None) -> int:
+    """Return a whole number of at most 18 digits, 0 for anything else."""
+    if value is None or not value.isascii() or not value.isdigit() or len(value) > 18:
+        return 0
+    return int(value)
+
+
+def parse_seconds(value: str | None) -> float:
+    """Return a decimal number of seconds, 0.0 for anything else."""
+    if value is None or not _SECONDS_PATTERN.fullmatch(value):
+        return 0.0
+    return float(value)
+
+
 def parse_traceparent(value: str | None) -> str:
     """Return a valid traceparent or an empty string.
 
--- a/lacewingcleat/http_relay.py
+++ b/lacewingcleat/http_relay.py
@@ -17,11 +17,13 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from twisted.web import http
+from twisted.web._newclient import HEADER, STATUS, HTTP11ClientProtocol
 from twisted.web.client import (
     Agent,
     FileBodyProducer,
     HTTPConnectionPool,
     ResponseDone,
+    _HTTP11ClientFactory,
 )
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IResponse
@@ -29,6 +31,10 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_CONNECTION_SECONDS = 30
 MAX_IDLE_CONNECTIONS_PER_HOST = 256
+# The HTTP client bounds a line but not the number of lines before the body.
+MAX_HEAD_BYTES = 64 << 10
+INTERNAL_PREFIX = b"lacewing-"
+STATUS_RANGE = range(200, 600)
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -93,28 +99,72 @@
             transport.loseConnection()
 
 
+class _BoundedProtocol(HTTP11ClientProtocol):
+    """Close a connection on which the head of an answer does not end."""
+
+    head_bytes = 0
+
+    def dataReceived(self, data: bytes) -> None:
+        """Count what arrives before the body."""
+        super().dataReceived(data)
+        parser = self._parser
+        if parser is None or parser.state not in (STATUS, HEADER):
+            self.head_bytes = 0
+            return
+        self.head_bytes += len(data)
+        if self.head_bytes > MAX_HEAD_BYTES:
+            transport: Any = self.transport
+            transport.abortConnection()
+
+
+class _BoundedProtocolFactory(_HTTP11ClientFactory):
+    def buildProtocol(self, addr: Any) -> _BoundedProtocol:
+        return _BoundedProtocol(self._quiescentCallback)
+
+
+class _BoundedPool(HTTPConnectionPool):
+    _factory = _BoundedProtocolFactory
+
+
 class Throttle:
-    """Pause the next hop's answer while the receiving connection is full."""
+    """Pause the next hop's answer while the receiving connection is full.
 
-    __slots__ = ("_receiver",)
+    :param on_pause: called with True when reading stops, with False when it goes on.
+    """
+
+    __slots__ = ("_on_pause", "_receiver")
 
-    def __init__(self, receiver: BodyReceiver) -> None:
+    def __init__(
+        self,
+        receiver: BodyReceiver,
+        on_pause: Callable[[bool], None] | None = None,
+    ) -> None:
         self._receiver = receiver
+        self._on_pause = on_pause
 
     def pauseProducing(self) -> None:
         """Stop reading from the next hop."""
         transport: Any = self._receiver.transport
         if transport is not None:
             transport.pauseProducing()
+        if self._on_pause is not None:
+            self._on_pause(True)
 
     def resumeProducing(self) -> None:
         """Read on."""
         transport: Any = self._receiver.transport
         if transport is not None:
             transport.resumeProducing()
+        if self._on_pause is not None:
+            self._on_pause(False)
 
     def stopProducing(self) -> None:
-        """Stop for good; the loss of the connection is handled by the call."""
+        """Read on when the receiver is gone.
+
+        The call decides whether the answer is cancelled. An answer under a ticket is
+        kept, so it must not stay paused.
+        """
+        self.resumeProducing()
 
 
 class RelayClient:
@@ -125,7 +175,7 @@
 
     def __init__(self, reactor: Any) -> None:
         self._reactor: Any = reactor
-        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool = _BoundedPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_SECONDS
         self._pool.retryAutomatically = False
@@ -152,17 +202,20 @@
             can cancel it.
         """
         producer: Any = FileBodyProducer(BytesIO(body)) if body else None
-        pending = self._agent.request(
-            method.encode(),
-            f"http://{address}{path}".encode(),
-            headers,
-            producer,
-        )
+        try:
+            pending = self._agent.request(
+                method.encode(),
+                f"http://{address}{path}".encode(),
+                headers,
+                producer,
+            )
+        except ValueError as reason:
+            return Err(SendFailure(SendState.NOT_SENT, _text(reason)))
         if on_pending is not None:
             on_pending(pending)
         pending.addTimeout(max(0.001, timeout), self._reactor)
         try:
-            return Ok(await pending)
+            response = await pending
         except (
             error.ConnectError,
             error.ConnectionRefusedError,
@@ -173,6 +226,14 @@
         except Exception as reason:
             # Everything else may have happened after the request was on the wire.
             return Err(SendFailure(SendState.SENT, _text(reason)))
+        if response.code not in STATUS_RANGE:
+            discarded = BodyReceiver(lambda _: None, lambda _: None)
+            answer: Any = response
+            answer.deliverBody(discarded)
+            discarded.abort()
+            text = f"the answer has the status {response.code}"
+            return Err(SendFailure(SendState.SENT, text))
+        return Ok(response)
 
     async def fetch(
         self,
@@ -253,10 +314,16 @@
 
 
 def copy_headers(headers: Headers, dropped: frozenset[bytes] = frozenset()) -> Headers:
-    """Return the end-to-end headers of a message."""
+    """Return the end-to-end headers of a message, without those of this system.
+
+    A caller could pass for another account by them, and a backend server could make
+    its answer pass for one of its agent.
+    """
     copied = Headers()
     for name, values in headers.getAllRawHeaders():
         lower = name.lower()
+        if lower.startswith(INTERNAL_PREFIX):
+            continue
         if lower not in HOP_BY_HOP_HEADERS and lower not in dropped:
             copied.setRawHeaders(name, values)
     return copied
@@ -270,9 +337,12 @@
 
 
 def first_header(headers: Headers, name: str) -> str:
-    """Return the first value of a header, empty if there is none."""
-    values = headers.getRawHeaders(name)
-    return values[0] if values else ""
+    """Return the first value of a header, empty if there is none.
+
+    Bytes that are not UTF-8 are replaced.
+    """
+    values = headers.getRawHeaders(name.encode())
+    return values[0].decode("utf-8", "replace") if values else ""
 
 
 def has_body(status: int, method: str) -> bool:
--- a/lacewingcleat/http_server.py
+++ b/lacewingcleat/http_server.py
@@ -4,6 +4,7 @@
 that is not received within a time limit loses its connection.
 """
 
+import re
 from collections.abc import Callable
 from http import HTTPStatus
 from io import BytesIO
@@ -11,9 +12,13 @@
 from weakref import WeakSet
 
 from twisted.internet import reactor
+from twisted.internet.error import ConnectionDone
+from twisted.logger import Logger
+from twisted.python.failure import Failure
 from twisted.web import http
 
-from lacewingcleat.problems import CONTENT_TYPE, Problem, encode_problem
+from lacewingcleat.http_headers import OUTCOME, OUTCOME_CODE, Outcome
+from lacewingcleat.problems import CONTENT_TYPE, Problem, encode_problem, not_run
 
 DEFAULT_BODY_LIMIT_BYTES = 8 << 20
 RECEIVE_TIMEOUT_SECONDS = 30.0
@@ -23,6 +28,16 @@
 # Bytes beyond the limit are discarded so that the client can read the 413; a client
 # that sends this many times the limit loses its connection instead.
 DISCARD_FACTOR = 4
+# Bodies of all requests of a listener together, in units of the limit of one body.
+# Without it, 2,000 open requests of 8 MiB could hold 16 GiB.
+HELD_BODIES = 32
+
+_METHOD_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,32}")
+# A target is put behind the address of the next hop, so one without a leading slash
+# could name another host.
+_TARGET_PATTERN = re.compile(rb"/[\x21-\x7e]*")
+_LOG = Logger()
+CONNECTION_DONE = Failure(ConnectionDone())
 
 _REACTOR: Any = reactor
 
@@ -38,6 +53,9 @@
         factory = getattr(channel, "bounded_factory", None)
         if factory is not None:
             self.body_limit = factory.body_limit
+        self._bounded_factory = factory
+        self.held_bytes = 0
+        self.refused = False
         self.receive_timer: Any = _REACTOR.callLater(
             RECEIVE_TIMEOUT_SECONDS,
             self._receive_timed_out,
@@ -60,12 +78,29 @@
     def handleContentChunk(self, data: bytes) -> None:
         """Store a part of the body, or discard it beyond the limit."""
         self.received_bytes += len(data)
-        if self.received_bytes <= self.body_limit:
+        if self.received_bytes <= self.body_limit and self._hold(len(data)):
             self.body.write(data)
             return
         if self.received_bytes > DISCARD_FACTOR * self.body_limit:
             self.channel.forceAbortClient()
 
+    def _hold(self, size: int) -> bool:
+        """Return whether the listener has memory for another part of the body."""
+        channel: Any = self.channel
+        factory = channel.bounded_factory
+        if self.refused or factory.held_bytes + size > factory.held_limit:
+            self.refused = True
+            self._release()
+            return False
+        factory.held_bytes += size
+        self.held_bytes += size
+        return True
+
+    def _release(self) -> None:
+        if self._bounded_factory is not None:
+            self._bounded_factory.held_bytes -= self.held_bytes
+        self.held_bytes = 0
+
     @property
     def too_large(self) -> bool:
         """Return whether the body exceeded the limit."""
@@ -75,17 +110,55 @@
         """Hand the request to the factory's handler."""
         self._stop_receive_timer()
         channel: Any = self.channel
-        channel.bounded_factory.handle(self)
+        problem = self._find_problem()
+        if problem is not None:
+            self._refuse(problem)
+            return
+        try:
+            channel.bounded_factory.handle(self)
+        except Exception:
+            _LOG.failure("a request failed")
+            detail = "the process failed while it handled the request"
+            self._refuse(Problem(500, Outcome.UNKNOWN, "internal-error", detail))
+
+    def _find_problem(self) -> Problem | None:
+        if self.refused and not self.too_large:
+            detail = "the bodies of open requests fill the memory set aside for them"
+            return not_run(503, "overload", detail, 1.0)
+        if not _METHOD_PATTERN.fullmatch(self.method):
+            return not_run(400, "malformed-request", "the method is not a token")
+        if not _TARGET_PATTERN.fullmatch(self.uri):
+            detail = "the target must be a path of printable ASCII characters"
+            return not_run(400, "malformed-request", detail)
+        return None
+
+    def _refuse(self, problem: Problem) -> None:
+        self.setHeader(OUTCOME.encode(), problem.outcome.value.encode())
+        self.setHeader(OUTCOME_CODE.encode(), problem.code.encode())
+        self.respond_problem(problem, "")
+
+    def finish(self) -> None:
+        """End the answer and give the memory of the body back."""
+        self._release()
+        super().finish()
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        """Pause a new producer at once if the connection is already full."""
+        super().registerProducer(producer, streaming)
+        channel: Any = self.channel
+        if streaming and channel is not None and channel.is_full:
+            producer.pauseProducing()
 
     def connectionLost(self, reason: Any) -> None:
         """Stop the timer when the client goes away."""
         self._stop_receive_timer()
+        self._release()
         super().connectionLost(reason)
 
     def header(self, name: str) -> str | None:
-        """Return a header's value as text."""
-        value: str | None = self.getHeader(name)
-        return value
+        """Return a header's value as text; bytes that are not UTF-8 are replaced."""
+        value: bytes | None = self.getHeader(name.encode())
+        return None if value is None else value.decode("utf-8", "replace")
 
     def path_text(self) -> str:
         """Return the path without the query."""
@@ -122,6 +195,45 @@
         return not self._disconnected and not self.finished
 
 
+class BoundedChannel(http.HTTPChannel):
+    """Close a connection whose request line does not arrive in time.
+
+    The idle timeout alone does not bound it, because each byte starts it again.
+    """
+
+    line_timer: Any = None
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether the connection takes no more data for now."""
+        return bool(self._waitingForTransport)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Start the timer with the first byte of a request line."""
+        super().dataReceived(data)
+        if self.requests or not self._buffer:
+            self._stop_line_timer()
+        elif self.line_timer is None:
+            self.line_timer = _REACTOR.callLater(
+                RECEIVE_TIMEOUT_SECONDS,
+                self._line_timed_out,
+            )
+
+    def _line_timed_out(self) -> None:
+        self.line_timer = None
+        self.forceAbortClient()
+
+    def _stop_line_timer(self) -> None:
+        timer, self.line_timer = self.line_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def connectionLost(self, reason: Any = CONNECTION_DONE) -> None:
+        """Stop the timer when the client goes away."""
+        self._stop_line_timer()
+        super().connectionLost(reason)
+
+
 class BoundedFactory(http.HTTPFactory):
     """Build channels whose requests go to one handler.
 
@@ -138,10 +250,12 @@
         self.handle = handle
         self._channels: WeakSet[Any] = WeakSet()
         self.body_limit = body_limit
+        self.held_bytes = 0
+        self.held_limit = HELD_BODIES * body_limit
 
     def buildProtocol(self, addr: Any) -> Any:
         """Build a channel that creates bounded requests."""
-        channel: Any = http.HTTPChannel()
+        channel: Any = BoundedChannel()
         channel.factory = self
         channel.timeOut = self.timeOut
         channel.requestFactory = BoundedRequest
--- a/lacewingcleat/node.py
+++ b/lacewingcleat/node.py
@@ -305,6 +305,7 @@
         metrics.control_bytes.labels("received").set(counters.received_bytes)
         metrics.control_dropped.labels("full").set(counters.dropped)
         metrics.control_dropped.labels("malformed").set(counters.malformed)
+        metrics.control_dropped.labels("failed").set(counters.failed)
 
     def base_status(self) -> dict[str, Any]:
         """Return the part of the status that all roles share."""
--- a/lacewingcleat/program.py
+++ b/lacewingcleat/program.py
@@ -11,6 +11,7 @@
 from twisted.internet.error import CannotListenError
 
 from lacewingcleat import __version__
+from lacewingcleat.documents import MAX_DOCUMENT_BYTES
 from lacewingcleat.findings import Finding
 from lacewingcleat.http_server import BoundedFactory
 from lacewingcleat.logs import PartLogger
@@ -36,7 +37,12 @@
 def read_text(path: str) -> str | None:
     """Return the text of a file, or None after telling why it cannot be read."""
     try:
-        return Path(path).read_text(encoding="utf-8")
+        with Path(path).open("rb") as file:
+            content = file.read(MAX_DOCUMENT_BYTES + 1)
+        if len(content) > MAX_DOCUMENT_BYTES:
+            print(f"{path}: exceeds {MAX_DOCUMENT_BYTES} bytes", file=sys.stderr)
+            return None
+        return content.decode()
     except (OSError, UnicodeDecodeError) as error:
         print(f"{path}: {error}", file=sys.stderr)
         return None
--- /dev/null
+++ b/tests/test_doors.py
@@ -0,0 +1,383 @@
+"""Real processes get malformed, oversized and slow input on each of their listeners."""
+
+import json
+import socket
+import time
+from pathlib import Path
+from typing import ClassVar
+
+import msgspec
+import pynng
+from testtools import TestCase
+
+from bench.process_fleet import ENTRIES, KEY, SERVICES, ProcessFleet
+from lacewingcleat.control_wire import (
+    FIELD_NAMES,
+    MAX_FRAME_BYTES,
+    MESSAGE_TYPES,
+    encode,
+)
+from lacewingcleat.identity import Peer, Role
+from lacewingcleat.messages import Envelope, Heartbeat
+from tests.raw_backend import RawBackend
+
+CHAT = "/v1/chat/completions"
+ENTRY = ENTRIES[0]
+LARGE_BYTES = (8 << 20) + 1
+# Two bodies at the limit, a copy of each, and what the allocator keeps of them.
+MEMORY_GROWTH_BYTES = 64 << 20
+NESTED = b'{"service":"orders","x":' + b"[" * 100_000
+GOOD_FRAME = encode(
+    Envelope(
+        Peer("entry-9", "c", "regina", Role.ENTRY),
+        0,
+        "",
+        Heartbeat("127.0.0.1:1", "127.0.0.1:2", "ab", False, 1, 8),
+    ),
+)
+HUGE = (2**63 - 1, -(2**63), 1e308, -1.0, "x" * 1000, b"\xff", None, [], {}, True)
+
+
+class DoorsTest(TestCase):
+    fleet: ClassVar[ProcessFleet]
+    backends: ClassVar[list[RawBackend]]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        cls.fleet = ProcessFleet(token_seconds=0.005)
+        cls.addClassCleanup(cls.fleet.stop)
+        cls.fleet.start()
+        cls.backends = []
+        for name in SERVICES:
+            cls.fleet.kill(f"backend-{name}")
+            backend = RawBackend(cls.fleet.backend_by_server[name])
+            cls.addClassCleanup(backend.stop)
+            cls.backends.append(backend)
+        cls.fleet.wait_until_ready(SERVICES)
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.before = {name: self._memory(name) for name in self._names()}
+        self.addCleanup(self._check_processes)
+
+    def _names(self) -> tuple[str, ...]:
+        return (*ENTRIES, *SERVICES, "draft-1", "draft-2")
+
+    def _memory(self, name: str) -> int:
+        pid = self.fleet.process_by_name[name].pid
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) * 1024
+        raise AssertionError(f"{name} has ended")
+
+    def _check_processes(self) -> None:
+        """Check memory and health of each process, and a request at each entry."""
+        for name in self._names():
+            self.assertIsNone(self.fleet.process_by_name[name].poll(), name)
+            address = self.fleet.admin_by_name[name]
+            self.assertEqual(200, self.fleet.get(address, "/healthz")[0])
+            growth = self._memory(name) - self.before[name]
+            self.assertLess(growth, MEMORY_GROWTH_BYTES, name)
+        for entry in ENTRIES:
+            body = {"model": "drafting", "prompt": "hello", "max_tokens": 2}
+            status, _, _ = self.fleet.send(entry, "POST", "/v1/completions", body)
+            self.assertEqual(200, status)
+
+    def _agent(self, name: str) -> str:
+        return next(
+            server["address"]
+            for server in self.fleet.sheet["backend_servers"]
+            if server["name"] == name
+        )
+
+    def _connect(self, address: str) -> socket.socket:
+        host, _, port = address.rpartition(":")
+        connection = socket.create_connection((host, int(port)), timeout=10)
+        self.addCleanup(connection.close)
+        return connection
+
+    def _raw(self, address: str, data: bytes) -> bytes:
+        """Send bytes and return the beginning of the answer."""
+        connection = self._connect(address)
+        try:
+            connection.sendall(data)
+        except (BrokenPipeError, ConnectionResetError):
+            pass
+        answer = b""
+        try:
+            while b"\r\n\r\n" not in answer and (part := connection.recv(65536)):
+                answer += part
+        except ConnectionResetError:
+            pass
+        return answer
+
+    def _raw_status(self, address: str, data: bytes) -> int:
+        answer = self._raw(address, data)
+        self.assertIn(b" ", answer, f"no answer to {data[:80]!r}")
+        return int(answer.split(b" ", 2)[1])
+
+    def _head(self, method: str, path: str, *lines: bytes) -> bytes:
+        first = f"{method} {path} HTTP/1.1\r\nHost: x\r\n".encode()
+        key = f"Authorization: Bearer {KEY}\r\n".encode()
+        return first + key + b"".join(line + b"\r\n" for line in lines) + b"\r\n"
+
+    def _listeners(self) -> list[tuple[str, str]]:
+        entry = self.fleet.request_by_entry[ENTRY]
+        return [
+            (entry, CHAT),
+            (self._agent("draft-1"), "/lacewing/tickets"),
+            (self._agent("draft-1"), CHAT),
+            (self.fleet.admin_by_name[ENTRY], "/explain"),
+        ]
+
+    # Bodies and heads
+
+    def test_bodies_beyond_the_limit(self) -> None:
+        """Guards against memory chosen by a caller and a 400 for a cut body."""
+        for address, path in self._listeners():
+            length = f"Content-Length: {LARGE_BYTES}".encode()
+            data = self._head("POST", path, length) + b"x" * LARGE_BYTES
+            if path != "/explain":
+                self.assertEqual(413, self._raw_status(address, data))
+                chunk = f"{LARGE_BYTES:x}\r\n".encode() + b"x" * LARGE_BYTES
+                data = self._head("POST", path, b"Transfer-Encoding: chunked")
+                data += chunk + b"\r\n0\r\n\r\n"
+                self.assertEqual(413, self._raw_status(address, data))
+                continue
+            small = b"x" * (100 << 10)
+            data = self._head("POST", path, b"Content-Length: 102400") + small
+            self.assertEqual(413, self._raw_status(address, data))
+
+    def test_head_that_arrives_byte_by_byte(self) -> None:
+        """Guards against a parser that fails when a line is cut anywhere."""
+        connection = self._connect(self.fleet.request_by_entry[ENTRY])
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for byte in self._head("GET", "/v1/models"):
+            connection.sendall(bytes([byte]))
+            time.sleep(0.001)
+        self.assertIn(b" 200 ", connection.recv(65536))
+
+    def test_head_without_end(self) -> None:
+        """Guards against header lines that are kept without a bound."""
+        for address, path in self._listeners():
+            data = f"POST {path} HTTP/1.1\r\n".encode() + b"X: y\r\n" * 20_000
+            self.assertIn(self._raw(address, data)[9:12], (b"400", b""))
+
+    def test_body_that_stops_half_way(self) -> None:
+        """Guards against memory and calls that a lost connection leaves open."""
+        for address, path in self._listeners():
+            for _ in range(8):
+                connection = self._connect(address)
+                head = self._head("POST", path, b"Content-Length: 6000000")
+                connection.sendall(head + b"x" * 3_000_000)
+                connection.close()
+
+    def test_idle_connections(self) -> None:
+        """Guards against idle connections that keep others from being answered."""
+        for address, _ in self._listeners():
+            for index in range(75):
+                connection = self._connect(address)
+                if index % 2:
+                    connection.sendall(b"POST /v1/chat")
+
+    def test_malformed_text_gets_a_clear_error(self) -> None:
+        """Guards against 500 and hanging calls for bytes that are not UTF-8."""
+        entry = self.fleet.request_by_entry[ENTRY]
+        agent = self._agent("draft-1")
+        bad = b"\xff\xfe\xb2"
+        cases = [
+            (entry, "GET", "/v1/models", b"Authorization: Bearer " + bad, 200),
+            (entry, "GET", "/v1/models", b"Lacewing-Deadline-Ms: " + bad, 400),
+            (entry, "GET", "/v1/models", b"Lacewing-Priority: " + bad, 400),
+            (entry, "GET", "/v1/models", b"traceparent: " + bad, 200),
+            (entry, "GET", "/services/orders/good", b"Idempotency-Key: " + bad, 400),
+            (agent, "GET", "/state", b"Lacewing-Request-Id: " + bad, 200),
+            (agent, "GET", "/state", "Lacewing-Cost-Seconds: ²".encode(), 200),
+            (agent, "GET", "/state", "Lacewing-Revision: ²".encode(), 503),
+            (agent, "GET", "/state", b"Lacewing-Revision: " + b"9" * 9000, 503),
+            (agent, "GET", "/state", b"Lacewing-Resume-Offset: " + b"9" * 9000, 200),
+        ]
+        for address, method, path, line, wanted in cases:
+            data = self._head(method, path, line)
+            if address == agent and b"Revision" not in line:
+                data = self._head(method, path, b"Lacewing-Revision: 1", line)
+            if line.startswith(b"Authorization"):
+                data = f"{method} {path} HTTP/1.1\r\nHost: x\r\n".encode()
+                data += line + b"\r\n\r\n"
+                wanted = 401
+            self.assertEqual(wanted, self._raw_status(address, data), line[:60])
+
+    def test_malformed_bodies_get_a_clear_error(self) -> None:
+        """Guards against 500 for JSON that is nested deeply or not UTF-8."""
+        entry = self.fleet.request_by_entry[ENTRY]
+        agent = self._agent("draft-1")
+        for address, path in (
+            (entry, CHAT),
+            (entry, "/v1/tickets"),
+            (agent, "/lacewing/tickets"),
+            (agent, "/lacewing/tickets/revoke"),
+        ):
+            for body in (NESTED, b'{"service":"\xff"}', b"", b"[]", b"\x00"):
+                length = f"Content-Length: {len(body)}".encode()
+                data = self._head("POST", path, length) + body
+                self.assertEqual(400, self._raw_status(address, data), path)
+        admin = self.fleet.admin_by_name[ENTRY]
+        for body in (b"[" * 60_000, b'{"max_tokens":1e999}', b'{"max_tokens":1e300}'):
+            length = f"Content-Length: {len(body)}".encode()
+            data = self._head("POST", "/explain", length) + body
+            self.assertEqual(200, self._raw_status(admin, data))
+
+    def test_unknown_methods_targets_and_lengths(self) -> None:
+        """Guards against a target that names another host, and 500 for bad names."""
+        entry = self.fleet.request_by_entry[ENTRY]
+        agent = self._agent("draft-1")
+        other = self.fleet.backend_by_server["draft-2"]
+        self.assertEqual(404, self._raw_status(entry, self._head("FOO", "/v1/models")))
+        for address in (entry, agent):
+            for method, path in (
+                ("G@T", "/services/orders/good"),
+                ("GET", "/services/orders/\u00ff"),
+                ("GET", f"@{other}/state"),
+                ("GET", f"http://{other}/state"),
+            ):
+                data = self._head(method, path)
+                self.assertEqual(400, self._raw_status(address, data), path)
+            lengths = (b"Content-Length: 1", b"Content-Length: 2")
+            data = self._head("POST", CHAT, *lengths) + b"ab"
+            self.assertEqual(400, self._raw_status(address, data))
+            data = self._head("POST", CHAT, b"Content-Length: -1")
+            self.assertEqual(400, self._raw_status(address, data))
+
+    # Internal headers
+
+    def test_a_caller_cannot_pass_for_another_account(self) -> None:
+        """Guards against internal headers of a caller that reach an agent."""
+        small = {"Authorization": "Bearer demo-small"}
+        status, _, body = self.fleet.send(
+            ENTRY, "POST", "/v1/tickets", {"service": "orders"}, small
+        )
+        self.assertEqual(201, status)
+        forged = {
+            "Lacewing-Ticket": json.loads(body)["ticket"],
+            "Lacewing-Account": "small",
+            "Lacewing-Firm": "other",
+            "lacewing-account": "small",
+            "Lacewing-Outcome": "ran",
+            "Lacewing-Outcome-Code": "x",
+        }
+        path = "/services/orders/good"
+        status, headers, _ = self.fleet.send(ENTRY, "POST", path, b"{}", forged)
+        self.assertNotEqual(200, status)
+        self.assertEqual("unknown", headers["Lacewing-Outcome"])
+        own = small | {"Lacewing-Ticket": forged["Lacewing-Ticket"]}
+        self.assertEqual(200, self.fleet.send(ENTRY, "POST", path, b"{}", own)[0])
+
+    def test_internal_headers_do_not_reach_a_service(self) -> None:
+        """Guards against a service that sees other headers than the caller sent."""
+        headers = {"Lacewing-Account": "small", "Lacewing-Outcome": "x", "X-Own": "1"}
+        path = "/services/orders/seen"
+        self.fleet.send(ENTRY, "GET", path, headers=headers)
+        heads = [head for backend in self.backends for head in backend.heads]
+        seen = next(head for head in heads if head.startswith(b"GET /seen "))
+        self.assertIn(b"x-own: 1", seen.lower())
+        self.assertNotIn(b"lacewing-", seen.lower())
+
+    def test_a_service_cannot_speak_for_its_agent(self) -> None:
+        """Guards against an answer that ran and is reported as not run."""
+        path = "/services/orders/claims"
+        status, headers, body = self.fleet.send(ENTRY, "GET", path)
+        self.assertEqual((200, b"good"), (status, body))
+        self.assertEqual("ran", headers["Lacewing-Outcome"])
+        self.assertNotIn("Lacewing-Outcome-Code", headers)
+        self.assertNotIn("Lacewing-Ticket", headers)
+
+    # Answers of a misbehaving backend server
+
+    def test_broken_answers(self) -> None:
+        """Guards against broken answers that are passed on as whole ones."""
+        wanted_by_path = {
+            "/broken-chunk": 502,
+            "/cut-chunk": 502,
+            "/long-length": 502,
+            "/two-lengths": 502,
+            "/negative-length": 502,
+            "/bad-status": 502,
+            "/no-status": 502,
+            "/no-body": 204,
+            "/binary-header": 200,
+        }
+        seen = {}
+        for path in wanted_by_path:
+            # Reports of servers with failures settle, as between callers.
+            status, _, _ = self.fleet.send(ENTRY, "GET", f"/services/orders{path}")
+            seen[path] = status
+        self.assertEqual(wanted_by_path, seen)
+
+    def test_endless_head_and_event_of_a_service(self) -> None:
+        """Guards against memory use chosen by a backend server."""
+        for path in ("/endless-head", "/endless-event"):
+            status, _, _ = self.fleet.send(ENTRIES[1], "GET", f"/services/orders{path}")
+            self.assertEqual(502, status, path)
+
+    def test_a_caller_that_stops_reading(self) -> None:
+        """Guards against an answer that fills the memory of entry and agent."""
+        for path in ("/endless-events", "/endless-body"):
+            connection = self._connect(self.fleet.request_by_entry[ENTRIES[2]])
+            connection.sendall(self._head("GET", f"/services/orders{path}"))
+            self.assertIn(b" 200 ", connection.recv(4096))
+            time.sleep(1.0)
+            first = sum(item.sent_by_path.get(path, 0) for item in self.backends)
+            time.sleep(1.0)
+            last = sum(item.sent_by_path.get(path, 0) for item in self.backends)
+            self.assertGreater(first, 0)
+            self.assertEqual(first, last, f"{path}: the service is not slowed down")
+            self._check_processes()
+            connection.close()
+
+    # Control socket
+
+    def test_malformed_control_frames(self) -> None:
+        """Guards against a frame that ends the control plane of a process."""
+        for address, name in self._control_addresses():
+            raw = self._connect(address)
+            raw.sendall(b"\x00SP\x00\x00\x50\x00\x00" + b"\xff" * 64)
+            self._connect(address).sendall(b"GET / HTTP/1.1\r\n\r\n")
+            with pynng.Push0(dial=f"tcp://{address}", send_timeout=5000) as push:
+                for frame in self._frames():
+                    push.send(frame)
+                push.send(b"x" * (MAX_FRAME_BYTES + 1))
+                time.sleep(0.3)
+            before = self._received(name)
+            with pynng.Push0(dial=f"tcp://{address}", send_timeout=5000) as push:
+                push.send(GOOD_FRAME)
+                time.sleep(0.3)
+            self.assertGreater(self._received(name), before, f"{name} hears no peer")
+            self.assertNotIn("periodic work failed", self.fleet.log(name))
+
+    def _control_addresses(self) -> list[tuple[str, str]]:
+        server = self.fleet.sheet["backend_servers"][0]
+        return [
+            (self.fleet.control_by_entry[ENTRY], ENTRY),
+            (server["control_address"], server["name"]),
+        ]
+
+    def _frames(self) -> list[bytes]:
+        frames = [b"", b"\xc1", b"\xdd\xff\xff\xff\xff", b"\x91" * 1000]
+        sender = ["i", "c", "regina", "entry"]
+        for name, message_type in MESSAGE_TYPES.items():
+            count = len(FIELD_NAMES[message_type])
+            for value in HUGE:
+                body = [value] * count
+                frame = [1, name, sender, 0, "", "", body]
+                frames.append(msgspec.msgpack.encode(frame))
+                frames.append(msgspec.msgpack.encode(frame)[:-3])
+            frames.append(msgspec.msgpack.encode([1, name, sender, -1, "d", "r", []]))
+        return frames
+
+    def _received(self, name: str) -> float:
+        _, text = self.fleet.get(self.fleet.admin_by_name[name], "/metrics")
+        for line in text.decode().splitlines():
+            if line.startswith('lacewing_control_messages{direction="received"}'):
+                return float(line.split()[-1])
+        raise AssertionError("no metric of control messages")
