--- a/lacewingcleat/ctl_main.py
+++ b/lacewingcleat/ctl_main.py
@@ -140,8 +140,12 @@
     after = _load_sheet(new)
     if isinstance(before, Err) or isinstance(after, Err):
         return max(before.err() or EXIT_OK, after.err() or EXIT_OK)
-    lines = diff_sheets(before.ok_value, after.ok_value, read_wall()).lines()
-    for line in lines or ["no changes"]:
+    revisions, *changes = diff_sheets(
+        before.ok_value,
+        after.ok_value,
+        read_wall(),
+    ).lines()
+    for line in (revisions, *(changes or ["no changes"])):
         print(line)
     return EXIT_OK
 
