--- a/lacewingcleat/entry_node.py
+++ b/lacewingcleat/entry_node.py
@@ -255,7 +255,13 @@
                 version=str(question.get("version", "")),
                 adapter=str(question.get("adapter", "")),
             )
-        except (msgspec.MsgspecError, TypeError, ValueError) as error:
+        except (
+            msgspec.MsgspecError,
+            OverflowError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ) as error:
             return {"error": str(error)}
         match self.router.choose(request, read_now(), self.rng):
             case Ok(choice):
--- a/tests/test_experts.py
+++ b/tests/test_experts.py
@@ -112,7 +112,7 @@
         self.assertEqual([], estimate.rank_findings())
 
     def test_shift_of_demand_is_not_a_slow_rank(self) -> None:
-        """Guards against slow ranks that are only a shift not yet seen in all layers."""
+        """Guards against taking a shift, seen layer by layer, for slow ranks."""
         layers = 24
         estimate = ExpertLoad(layers, 4, 4)
         seconds = {0: 0.02, 1: 0.01, 2: 0.01, 3: 0.01}
