Split the entry's dispatch by job; name the entry to agents

Change: entry_work, entry_tickets, entry_attempts and entry_dispatch; the header Lacewing-Entry, and the digest in answers; a reserved range of ports per fleet. Conclusion: behaviour as before, but a newer sheet now reaches the entry at once.

--- a/lacewingcleat/agent_server.py
+++ b/lacewingcleat/agent_server.py
@@ -53,6 +53,7 @@
 HOP_HEADERS = frozenset(
     name.lower().encode()
     for name in (
+        names.ENTRY,
         names.ACCOUNT,
         names.FIRM,
         names.REVISION,
@@ -230,6 +231,7 @@
 
     async def _relay(self, request: BoundedRequest, path: str) -> None:
         node = self._node
+        self._observe_sender(request)
         call = self._make_call(request)
         if call.request_id in self._call_by_id:
             detail = "a request with this id is running"
@@ -266,6 +268,15 @@
             if call.ticket_id:
                 self._wake_attached(call.ticket_id)
 
+    def _observe_sender(self, request: BoundedRequest) -> None:
+        """Hand over a newer sheet to the entry, or ask it for its own."""
+        entry = request.header(names.ENTRY)
+        revision = names.parse_count(request.header(names.REVISION) or "")
+        digest = request.header(names.DIGEST) or ""
+        if entry and revision and digest:
+            node = self._node
+            node.perform(node.relay.observe(entry, revision, digest, node.now()))
+
     def _make_call(self, request: BoundedRequest) -> _Call:
         node = self._node
         request_id = request.header(names.REQUEST_ID) or node.random_bytes(8).hex()
@@ -596,6 +607,7 @@
         request.setHeader(names.OUTCOME.encode(), outcome.value.encode())
         revision = str(self._node.revision).encode()
         request.setHeader(names.REVISION.encode(), revision)
+        request.setHeader(names.DIGEST.encode(), self._node.relay.digest.encode())
 
 
 def _path_below_service(path: str, name: str) -> str:
--- a/lacewingcleat/demo_fleet.py
+++ b/lacewingcleat/demo_fleet.py
@@ -26,6 +26,7 @@
 DEMO_TRACE_RATIO = 1.0
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
+PORTS_PER_POOL = 200
 SEEDS_PER_PROCESS = 2
 
 
@@ -33,20 +34,30 @@
     """Find free loopback ports, none of them twice.
 
     The ports lie below the range from which the system takes the local ports of
-    outgoing connections, so that none is taken between the probe and its use.
+    outgoing connections. Each pool reserves a range of its own by a bound socket, so
+    that fleets that run at the same time do not meet.
     """
 
     def __init__(self) -> None:
-        self._taken: set[int] = set()
-        self._rng = random.Random(os.urandom(8))
+        self._reservation = socket.socket()
+        self._next = self._reserve() + 1
+
+    def _reserve(self) -> int:
+        starts = list(range(FIRST_PORT, LAST_PORT, PORTS_PER_POOL))
+        random.Random(os.urandom(8)).shuffle(starts)
+        for start in starts:
+            try:
+                self._reservation.bind((LOOPBACK, start))
+            except OSError:
+                continue
+            return start
+        raise OSError("no range of ports is free")
 
     def take(self) -> str:
         """Return an address with a free port."""
         while True:
-            port = self._rng.randrange(FIRST_PORT, LAST_PORT)
-            if port in self._taken:
-                continue
-            self._taken.add(port)
+            port = self._next
+            self._next += 1
             with socket.socket() as probe:
                 try:
                     probe.bind((LOOPBACK, port))
--- a/lacewingcleat/entry_server.py
+++ b/lacewingcleat/entry_server.py
@@ -236,7 +236,7 @@
             self._refuse(call, not_run(404, "no-such-service", "no such service"))
             return
         key = names.parse_idempotency_key(call.request.header(names.IDEMPOTENCY_KEY))
-        minted = await self._dispatcher.mint(call, service, key.unwrap_or(""))
+        minted = await self._dispatcher.tickets.mint(call, service, key.unwrap_or(""))
         if minted.problem is not None:
             self._refuse(call, minted.problem)
             return
