--- a/lacewingcleat/agent_node.py
+++ b/lacewingcleat/agent_node.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
 from result import Err
 from twisted.internet import defer, task
 from twisted.web.http_headers import Headers
@@ -16,6 +15,7 @@
 from lacewingcleat.agent_gate import AgentGate, GateEvent
 from lacewingcleat.clock import read_now, read_wall
 from lacewingcleat.crash_suspects import Convicted, RunAlone
+from lacewingcleat.engine_report import EngineLoad, decode_incarnation, decode_load
 from lacewingcleat.group_leader import FrontState
 from lacewingcleat.hours import claim_share
 from lacewingcleat.identity import Role
@@ -72,7 +72,8 @@
         self._run_by_id: dict[str, _Run] = {}
         self._backend_incarnation = ""
         self._backend_up = True
-        self._load: dict[str, Any] = {}
+        self._load = EngineLoad()
+        self._load_malformed = False
         self._sequence = 0
         self._next_report = 0.0
         self._check: defer.Deferred[None] | None = None
@@ -246,11 +247,7 @@
         )
         if isinstance(fetched, Err):
             return None
-        try:
-            state = msgspec.json.decode(fetched.ok_value[1], type=dict[str, Any])
-        except msgspec.MsgspecError:
-            return None
-        return str(state.get("incarnation", ""))
+        return decode_incarnation(fetched.ok_value[1])
 
     def _report_crash(self, fingerprints: set[str], alone: bool) -> None:
         now = read_now()
@@ -302,13 +299,14 @@
         if isinstance(fetched, Err):
             await self.check_backend("")
             return
-        try:
-            self._load = msgspec.json.decode(fetched.ok_value[1], type=dict[str, Any])
-        except msgspec.MsgspecError:
-            self._load = {}
+        decoded = decode_load(fetched.ok_value[1])
+        if isinstance(decoded, Err) and not self._load_malformed:
+            text = f"the engine's load report is malformed: {decoded.err_value}"
+            self.alarm("engine-load", text)
+        self._load_malformed = isinstance(decoded, Err)
+        self._load = decoded.unwrap_or(EngineLoad())
         in_flight = self._fingerprints_in_flight()
-        incarnation = str(self._load.get("incarnation", ""))
-        self._note_incarnation(incarnation, in_flight, False)
+        self._note_incarnation(self._load.incarnation, in_flight, False)
 
     def _make_report(self, now: float) -> GroupReport | None:
         if self.service is not None:
@@ -318,8 +316,8 @@
         load = self._load
         reports = self.rank_agent.reports
         reports.observe_own(
-            float(load.get("step_seconds", 0.0)),
-            _expert_loads(load),
+            load.step_seconds,
+            load.tokens_by_expert(),
             self.rank_agent.map_version,
         )
         self.perform(reports.tick(now))
@@ -329,10 +327,10 @@
             self._queued_seconds(),
             self.gate.running,
             self._capacity(),
-            float(load.get("prefill_tokens_per_second", 0.0)),
-            tuple(load.get("adapters", ())),
+            load.prefill_tokens_per_second,
+            load.adapters,
             self.group.versions,
-            float(load.get("kv_free_share", 0.0)),
+            load.kv_free_share,
         )
         return reports.group_report(front, now)
 
@@ -399,15 +397,3 @@
         if not self._backend_up:
             return "the backend server does not answer"
         return ""
-
-
-def _expert_loads(load: dict[str, Any]) -> dict[tuple[int, int], int]:
-    """Return the engine's tokens by layer and expert; malformed rows are dropped."""
-    rows = load.get("load_by_expert", [])
-    return {
-        (row[0], row[1]): row[2]
-        for row in rows
-        if isinstance(row, list)
-        and len(row) == 3
-        and all(isinstance(item, int) for item in row)
-    }
--- a/lacewingcleat/config_client.py
+++ b/lacewingcleat/config_client.py
@@ -97,7 +97,7 @@
         self._instances_version, content = read
         try:
             listed = msgspec.json.decode(content, type=_Instances)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return
         platform = PlatformList(frozenset(listed.live), frozenset(listed.leaving))
         self._owner.membership.update_platform(platform, read_now())
--- a/lacewingcleat/rank_agent.py
+++ b/lacewingcleat/rank_agent.py
@@ -266,7 +266,7 @@
             return
         try:
             state = msgspec.json.decode(fetched.ok_value[1], type=EngineState)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             self._node.alarm(
                 "engine-state", f"the engine's state is malformed: {error}"
             )
--- a/tests/test_doors_memory.py
+++ b/tests/test_doors_memory.py
@@ -1,11 +1,13 @@
 """Listeners, the client and the control channel with input in memory."""
 
+import json
 from typing import Any
 from unittest.mock import patch
 
 import pynng
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from result import Err, Ok
 from testtools import TestCase
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
@@ -14,6 +16,11 @@
 from lacewingcleat import http_headers, http_server
 from lacewingcleat.control_channel import ControlChannel
 from lacewingcleat.control_wire import encode
+from lacewingcleat.engine_report import (
+    EngineLoad,
+    decode_incarnation,
+    decode_load,
+)
 from lacewingcleat.entry_call import STALLED_CALLER_SECONDS, BodyWatch
 from lacewingcleat.http_relay import (
     MAX_HEAD_BYTES,
@@ -161,6 +168,45 @@
         self.assertEqual("\ufffd", first_header(headers, "Content-Type"))
 
 
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=4),
+    max_leaves=6,
+)
+
+
+class EngineReportTest(TestCase):
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(
+        st.dictionaries(
+            st.sampled_from(EngineLoad.__struct_fields__),
+            json_values,
+            max_size=6,
+        ),
+    )
+    def test_any_load_report_gives_a_result(self, report: dict[str, object]) -> None:
+        """Guards against an engine's report that stops the reports of its agent."""
+        decoded = decode_load(json.dumps(report).encode())
+        if isinstance(decoded, Ok):
+            load = decoded.ok_value
+            self.assertTrue(0 <= load.kv_free_share <= 1)
+            for key, tokens in load.tokens_by_expert().items():
+                self.assertTrue(all(0 <= item <= 1 << 53 for item in (*key, tokens)))
+
+    def test_deep_nesting_is_refused(self) -> None:
+        """Guards against an engine's answer that exhausts the stack."""
+        nested = b'{"x":' + b"[" * 100_000
+        self.assertIsInstance(decode_load(nested), Err)
+        self.assertIsNone(decode_incarnation(nested))
+
+    def test_a_regular_report_is_taken(self) -> None:
+        """Guards against bounds that refuse what engines report."""
+        report = {"step_seconds": 0.02, "load_by_expert": [[0, 1, 5], [0, "x", 1]]}
+        load = decode_load(json.dumps(report).encode()).unwrap()
+        self.assertEqual(0.02, load.step_seconds)
+        self.assertEqual({(0, 1): 5}, load.tokens_by_expert())
+
+
 class BodyWatchTest(TestCase):
     def test_a_slow_caller_is_not_a_slow_server(self) -> None:
         """Guards against a stream that is sent again because its caller stalls."""
