--- a/lacewingcleat/rank_agent.py
+++ b/lacewingcleat/rank_agent.py
@@ -304,7 +304,7 @@
             return
         try:
             state = msgspec.json.decode(fetched.ok_value[1], type=EngineState)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             self._node.alarm(
                 "engine-state", f"the engine's state is malformed: {error}"
             )
