Say "not run" about a ticket only by its agent's book

Cause: found on reading. An agent whose backend was down, that was full, or that refused a suspect answered "not run" before it had looked into the ticket book, although an earlier copy under the same ticket could have run; an entry did the same for malformed headers, overload and a wrong key. Change: the agent presents the ticket first and makes it a tombstone when it refuses; the entry states "unknown" for its own refusals of requests with a ticket. The agent's tickets and answers are modules of their own, and both programs share node_process.

--- a/lacewingcleat/agent_process.py
+++ b/lacewingcleat/agent_process.py
@@ -2,46 +2,24 @@
 
 from typing import Any
 
-from twisted.internet import defer
-
-from lacewingcleat.admin_server import AdminServer
 from lacewingcleat.agent_node import AgentNode
 from lacewingcleat.agent_server import AgentServer
-from lacewingcleat.program import listen
+from lacewingcleat.node_process import NodeProcess
 from lacewingcleat.settings import AgentSettings
 
 
-class AgentProcess:
+class AgentProcess(NodeProcess):
     """Run one agent."""
 
     def __init__(self, reactor: Any, settings: AgentSettings) -> None:
-        self._reactor = reactor
         self.settings = settings
         self.node = AgentNode(reactor, settings)
         self.server = AgentServer(self.node)
-        self.admin = AdminServer(
-            self.node.metrics.registry,
-            self.node.ready_reason,
-            self.node.status,
-            self._refresh,
-        )
-        self._ports: list[Any] = []
-
-    def start(self) -> None:
-        """Open the listeners and start the control plane."""
-        settings = self.settings
-        self._ports = [
-            listen(self._reactor, settings.request_address, self.server.factory),
-            listen(self._reactor, settings.admin_address, self.admin.factory),
-        ]
-        self.node.start()
-        self.node.log.info(
-            f"listening on {settings.request_address} for {settings.server}.",
-        )
-
-    def _refresh(self) -> None:
-        self.node.refresh_metrics()
-        self.node.metrics.open_requests.set(self.server.open_calls)
+        super().__init__(reactor, self.node, self.server)
+
+    def refresh(self) -> None:
+        """Copy state into the metrics before they are read."""
+        super().refresh()
         self.node.metrics.waiting.set(self.node.gate.waiting)
 
     async def stop(self) -> None:
@@ -53,11 +31,4 @@
         node = self.node
         self.server.apply_gate_events(node.gate.drain(node.now()))
         node.set_leaving()
-        await node.wait_until_idle(lambda: self.server.open_calls)
-        await self.close()
-
-    async def close(self) -> None:
-        """Close at once."""
-        for port in self._ports:
-            await defer.maybeDeferred(port.stopListening)
-        await self.node.close()
+        await super().stop()
--- a/lacewingcleat/agent_server.py
+++ b/lacewingcleat/agent_server.py
@@ -14,8 +14,10 @@
 from twisted.web.http_headers import Headers
 
 from lacewingcleat import http_headers as names
+from lacewingcleat.agent_answers import AgentAnswers, ticket_problem
 from lacewingcleat.agent_gate import GateEvent, GateRequest, Queued, Refused
 from lacewingcleat.agent_node import AgentNode
+from lacewingcleat.agent_tickets import AgentTickets
 from lacewingcleat.chat_api import SERVICES_PREFIX
 from lacewingcleat.http_headers import Outcome
 from lacewingcleat.http_relay import (
@@ -27,27 +29,18 @@
     set_headers,
 )
 from lacewingcleat.http_server import BoundedFactory, BoundedRequest
-from lacewingcleat.problems import Problem, not_run, ran, unknown
-from lacewingcleat.sheet import DEFAULT_PRIORITY, DEFAULT_TICKET_SECONDS
+from lacewingcleat.problems import Problem, not_run, unknown
+from lacewingcleat.sheet import DEFAULT_PRIORITY
 from lacewingcleat.tickets import (
     MAX_RESPONSE_BYTES,
-    Attach,
-    NotRun,
-    Ran,
     Response,
-    RunNow,
-    Stored,
     TicketCode,
     Unknown,
 )
 from lacewingcleat.tickets import Started as TicketStarted
 from lacewingcleat.tracing import end_span, traceparent_of
 
-MINT_PATH = "/lacewing/tickets"
-REVOKE_PATH = "/lacewing/tickets/revoke"
-CANCEL_PATH = "/lacewing/cancel"
 CANCEL_TIMEOUT_SECONDS = 1.0
-TICKET_RANDOM_BYTES = 16
 
 # Headers that concern the hop between entry and agent and not the backend server.
 HOP_HEADERS = frozenset(
@@ -72,17 +65,6 @@
 STATUS_BY_REFUSAL = {"overload": 503, "displaced": 503, "deadline": 504}
 
 
-class _MintBody(msgspec.Struct):
-    service: str
-    account: str
-    key: str = ""
-
-
-class _RevokeBody(msgspec.Struct):
-    ticket: str
-    account: str
-
-
 @dataclass(slots=True)
 class _Call:
     """Hold one request on its way to the backend server."""
@@ -109,7 +91,8 @@
     def __init__(self, node: AgentNode) -> None:
         self._node = node
         self._call_by_id: dict[str, _Call] = {}
-        self._waiters_by_ticket: dict[str, list[defer.Deferred[None]]] = {}
+        self._answers = AgentAnswers(node)
+        self._tickets = AgentTickets(node, self._answers)
         self._settings = node.settings
         self.factory = BoundedFactory(self.handle, node.settings.body_limit_bytes)
         node.on_gate_events = self.apply_gate_events
@@ -125,13 +108,13 @@
         path = request.path_text()
         if request.too_large:
             detail = f"the body exceeds {self._settings.body_limit_bytes} bytes"
-            self._refuse(request, not_run(413, "body-too-large", detail))
+            self._answers.refuse(request, not_run(413, "body-too-large", detail))
             return
         match (request.method, path):
             case (b"POST", "/lacewing/tickets"):
-                self._mint(request)
+                self._tickets.mint(request)
             case (b"POST", "/lacewing/tickets/revoke"):
-                self._watch(self._revoke(request), request)
+                self._watch(self._tickets.revoke(request), request)
             case (b"POST", "/lacewing/cancel"):
                 self._cancel_by_id(request)
             case _:
@@ -145,7 +128,7 @@
     def _fail(self, failure: Any, request: BoundedRequest) -> None:
         self._node.log.error(f"a request failed: {failure.getTraceback()}")
         detail = "the agent failed while it handled the request"
-        self._refuse(request, unknown("internal-error", detail))
+        self._answers.refuse(request, unknown("internal-error", detail))
 
     def apply_gate_events(self, events: list[GateEvent]) -> None:
         """Tell waiting calls that they start or are refused."""
@@ -154,109 +137,28 @@
             if call is not None and not call.admitted.called:
                 call.admitted.callback(event)
 
-    # Tickets
-
-    def _mint(self, request: BoundedRequest) -> None:
-        now = self._node.now()
-        try:
-            body = msgspec.json.decode(request.body.getvalue(), type=_MintBody)
-        except (msgspec.MsgspecError, RecursionError) as error:
-            self._refuse(request, not_run(400, "malformed-request", str(error)))
-            return
-        sheet = self._node.sheet
-        service = sheet.service_by_name.get(body.service) if sheet else None
-        if self._node.gate.leaving or service is None:
-            detail = "the backend server takes no new work for this service"
-            self._refuse(request, not_run(503, "leaving", detail, 1.0))
-            return
-        seconds = service.ticket_seconds if service else DEFAULT_TICKET_SECONDS
-        minted = self._node.book.mint(
-            body.service,
-            body.account,
-            self._node.random_bytes(TICKET_RANDOM_BYTES),
-            now,
-            body.key,
-            seconds,
-        )
-        match minted:
-            case Ok(ticket):
-                document = {"ticket": ticket.token, "expires_seconds": seconds}
-                self._set_outcome(request, Outcome.NOT_RUN)
-                request.respond(201, "application/json", msgspec.json.encode(document))
-            case Err(refusal):
-                self._refuse(request, _ticket_problem(refusal, ""))
-
-    async def _revoke(self, request: BoundedRequest) -> None:
-        now = self._node.now()
-        try:
-            body = msgspec.json.decode(request.body.getvalue(), type=_RevokeBody)
-        except (msgspec.MsgspecError, RecursionError) as error:
-            self._refuse(request, not_run(400, "malformed-request", str(error)))
-            return
-        outcome = self._node.book.revoke(body.ticket, body.account, now)
-        match outcome:
-            case Attach(ticket_id):
-                await self._attach(request, ticket_id, body.ticket, body.account)
-            case Stored(_, response):
-                self._respond_stored(request, response)
-            case NotRun() | Ran() | Unknown():
-                self._refuse(request, _ticket_problem(outcome, body.ticket))
-
-    async def _attach(
-        self,
-        request: BoundedRequest,
-        ticket_id: str,
-        token: str,
-        account: str,
-    ) -> None:
-        """Wait for the running copy and answer with its outcome."""
-        waiter: defer.Deferred[None] = defer.Deferred()
-        self._waiters_by_ticket.setdefault(ticket_id, []).append(waiter)
-        await waiter
-        outcome = self._node.book.revoke(token, account, self._node.now())
-        match outcome:
-            case Stored(_, response):
-                self._respond_stored(request, response)
-            case NotRun() | Ran() | Unknown():
-                self._refuse(request, _ticket_problem(outcome, token))
-            case Attach():
-                detail = "the request is still running"
-                self._refuse(request, unknown("still-running", detail, token))
-
-    def _wake_attached(self, ticket_id: str) -> None:
-        for waiter in self._waiters_by_ticket.pop(ticket_id, []):
-            waiter.callback(None)
-
     # Requests
 
     async def _relay(self, request: BoundedRequest, path: str) -> None:
-        node = self._node
         self._observe_sender(request)
         call = self._make_call(request)
-        if call.request_id in self._call_by_id:
-            detail = "a request with this id is running"
-            self._end(call, not_run(409, "duplicate", detail))
-            return
-        if len(self._call_by_id) >= self._settings.open_request_limit:
-            detail = "the agent has too many open requests"
-            self._end(call, not_run(503, "overload", detail, 1.0))
-            return
-        if not node.backend_up:
-            detail = "the backend server is down"
-            self._end(call, not_run(503, "backend-down", detail, 1.0))
-            return
-        refusal = node.refuse_suspect(
-            call.fingerprint, request.header(names.RUN_ALONE) is not None
-        )
-        if refusal is not None:
-            self._end(call, refusal)
-            return
         token = request.header(names.TICKET) or ""
         if not token and self._needs_ticket(request, path):
             detail = "a non-idempotent call needs a ticket"
             self._end(call, not_run(428, TicketCode.REQUIRED, detail))
             return
-        if token and not await self._present_ticket(call, token):
+        if token:
+            # The book comes first: a copy of the request may have run already, and
+            # then no other refusal may call it not run.
+            call.ticket_id = await self._tickets.present(
+                request, token, call.fingerprint
+            )
+            if not call.ticket_id:
+                end_span(call.span, {"lacewing.ticket": "answered"}, False)
+                return
+        refusal = self._refuse_early(call)
+        if refusal is not None:
+            self._end_unstarted(call, refusal, token)
             return
         self._call_by_id[call.request_id] = call
         gone: defer.Deferred[None] = request.notifyFinish()
@@ -266,7 +168,29 @@
         finally:
             del self._call_by_id[call.request_id]
             if call.ticket_id:
-                self._wake_attached(call.ticket_id)
+                self._tickets.wake(call.ticket_id)
+
+    def _refuse_early(self, call: _Call) -> Problem | None:
+        """Return why a request does not even come to the gate."""
+        node = self._node
+        if call.request_id in self._call_by_id:
+            return not_run(409, "duplicate", "a request with this id is running")
+        if len(self._call_by_id) >= self._settings.open_request_limit:
+            detail = "the agent has too many open requests"
+            return not_run(503, "overload", detail, 1.0)
+        if not node.backend_up:
+            return not_run(503, "backend-down", "the backend server is down", 1.0)
+        alone = call.request.header(names.RUN_ALONE) is not None
+        return node.refuse_suspect(call.fingerprint, alone)
+
+    def _end_unstarted(self, call: _Call, problem: Problem, token: str) -> None:
+        """Refuse a request; its ticket, if any, never starts afterwards."""
+        if call.ticket_id:
+            outcome = self._node.book.refuse(call.ticket_id, problem.code)
+            self._tickets.wake(call.ticket_id)
+            if isinstance(outcome, Unknown):
+                problem = ticket_problem(outcome, token)
+        self._end(call, problem)
 
     def _observe_sender(self, request: BoundedRequest) -> None:
         """Hand over a newer sheet to the entry, or ask it for its own."""
@@ -309,32 +233,6 @@
             _path_below_service(path, name),
         )
 
-    async def _present_ticket(self, call: _Call, token: str) -> bool:
-        """Return whether the request may run under its ticket; else answer it."""
-        request = call.request
-        presented = self._node.book.present(
-            token,
-            request.header(names.SERVICE) or "",
-            request.header(names.ACCOUNT) or "",
-            call.fingerprint,
-            self._node.now(),
-            request.header(names.IDEMPOTENCY_KEY) or "",
-        )
-        self._node.metrics.tickets.labels(type(presented).__name__).inc()
-        match presented:
-            case RunNow(ticket_id):
-                call.ticket_id = ticket_id
-                return True
-            case Attach(ticket_id):
-                account = request.header(names.ACCOUNT) or ""
-                await self._attach(request, ticket_id, token, account)
-            case Stored(_, response):
-                self._respond_stored(request, response)
-            case NotRun() | Ran() | Unknown():
-                self._refuse(request, _ticket_problem(presented, token))
-        end_span(call.span, {"lacewing.ticket": type(presented).__name__}, False)
-        return False
-
     async def _admit_and_run(self, call: _Call, path: str, token: str) -> None:
         node = self._node
         decision = node.gate.admit(self._gate_request(call), node.now())
@@ -352,7 +250,7 @@
             started = node.book.start(call.ticket_id, node.now())
             if not isinstance(started, TicketStarted):
                 self.apply_gate_events(node.gate.cancel(call.request_id, node.now()))
-                self._end(call, _ticket_problem(started, token))
+                self._end(call, ticket_problem(started, token))
                 return
         node.begin_run(call.request_id, call.fingerprint, call.cost_seconds)
         try:
@@ -381,14 +279,10 @@
     def _end_refused(self, call: _Call, refused: Refused, token: str) -> None:
         code = refused.reason.value
         self._node.metrics.decisions.labels(code).inc()
-        if call.ticket_id:
-            outcome = self._node.book.refuse(call.ticket_id, code)
-            if isinstance(outcome, Unknown):
-                self._end(call, _ticket_problem(outcome, token))
-                return
         detail = f"the backend server refused the request: {code}"
         status = STATUS_BY_REFUSAL.get(code, 503)
-        self._end(call, not_run(status, code, detail, refused.retry_after_seconds))
+        problem = not_run(status, code, detail, refused.retry_after_seconds)
+        self._end_unstarted(call, problem, token)
 
     async def _run(self, call: _Call, path: str, token: str) -> None:
         node = self._node
@@ -472,7 +366,7 @@
         if request.is_open:
             request.setResponseCode(response.code)
             request.responseHeaders = copy_headers(response.headers)
-            self._set_outcome(request, Outcome.RAN)
+            self._answers.set_outcome(request, Outcome.RAN)
             if isinstance(response.length, int):
                 request.setHeader(b"Content-Length", str(response.length).encode())
         kept: list[bytes] | None = [] if call.ticket_id else None
@@ -581,47 +475,9 @@
 
     def _end(self, call: _Call, problem: Problem) -> None:
         end_span(call.span, {"lacewing.code": problem.code}, True)
-        self._refuse(call.request, problem)
-
-    def _refuse(self, request: BoundedRequest, problem: Problem) -> None:
-        if not request.is_open:
-            return
-        self._set_outcome(request, problem.outcome)
-        request.setHeader(names.OUTCOME_CODE.encode(), problem.code.encode())
-        request.respond_problem(problem, request.header(names.REQUEST_ID) or "")
-
-    def _respond_stored(self, request: BoundedRequest, response: Response) -> None:
-        if not request.is_open:
-            return
-        headers = Headers()
-        for name, value in response.headers:
-            headers.addRawHeader(name, value)
-        request.responseHeaders = headers
-        self._set_outcome(request, Outcome.RAN)
-        request.setResponseCode(response.status)
-        request.setHeader(b"Content-Length", str(len(response.body)).encode())
-        request.write(response.body)
-        request.finish()
-
-    def _set_outcome(self, request: BoundedRequest, outcome: Outcome) -> None:
-        request.setHeader(names.OUTCOME.encode(), outcome.value.encode())
-        revision = str(self._node.revision).encode()
-        request.setHeader(names.REVISION.encode(), revision)
-        request.setHeader(names.DIGEST.encode(), self._node.relay.digest.encode())
+        self._answers.refuse(call.request, problem)
 
 
 def _path_below_service(path: str, name: str) -> str:
     below = path.removeprefix(f"{SERVICES_PREFIX}{name}")
     return below or "/"
-
-
-def _ticket_problem(outcome: NotRun | Ran | Unknown, token: str) -> Problem:
-    match outcome:
-        case NotRun(code):
-            detail = f"the request did not run under this ticket: {code}"
-            return not_run(409, code, detail)
-        case Ran(code):
-            detail = f"the request ran, but its answer is not at hand: {code}"
-            return ran(409, code, detail, token)
-        case Unknown(code):
-            return unknown(code, f"nobody can tell whether it ran: {code}", token)
--- a/lacewingcleat/entry_server.py
+++ b/lacewingcleat/entry_server.py
@@ -4,6 +4,7 @@
 crashes of backend servers, and then handed to the dispatcher.
 """
 
+from dataclasses import replace
 from hashlib import sha256
 from typing import Any
 
@@ -327,9 +328,23 @@
         )
 
     def _refuse(self, call: EntryCall, problem: Problem) -> None:
-        AnswerWriter(self._node.reactor, call).refuse(problem)
+        stated = state_for_ticket(call.request, problem)
+        AnswerWriter(self._node.reactor, call).refuse(stated)
 
     def _respond(self, request: BoundedRequest, problem: Problem) -> None:
+        problem = state_for_ticket(request, problem)
         self._node.metrics.requests.labels(problem.outcome.value, problem.code).inc()
         request.setHeader(names.OUTCOME.encode(), problem.outcome.value.encode())
         request.respond_problem(problem, "")
+
+
+def state_for_ticket(request: BoundedRequest, problem: Problem) -> Problem:
+    """Return what an entry may say when it refuses a request by itself.
+
+    A copy of a request with a ticket may have run through another entry, so only the
+    ticket's agent can say that it was not run.
+    """
+    ticket = request.header(names.TICKET)
+    if not ticket or problem.outcome is not Outcome.NOT_RUN:
+        return problem
+    return replace(problem, outcome=Outcome.UNKNOWN, ticket=ticket)
--- a/lacewingcleat/node.py
+++ b/lacewingcleat/node.py
@@ -170,6 +170,14 @@
         """Return the processes to which crash reports are passed on."""
         return self.membership.flood_targets(now)
 
+    def ready_reason(self) -> str:
+        """Return why the process should get no work, empty if it should."""
+        return "" if self.relay.ready(read_now()) else "no sheet is in force yet"
+
+    def status(self) -> dict[str, Any]:
+        """Return the status document of the admin port."""
+        return self.base_status()
+
     # Messages and actions
 
     def deliver(self, envelope: Envelope) -> None:
--- /dev/null
+++ b/lacewingcleat/node_process.py
@@ -0,0 +1,133 @@
+"""transport: a node with its listeners, and the program that runs one."""
+
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol, TypeVar
+
+from pynng.exceptions import AddressInUse
+from result import Err, Result
+from twisted.internet import defer, reactor
+
+from lacewingcleat.admin_server import AdminServer
+from lacewingcleat.findings import Finding
+from lacewingcleat.http_server import BoundedFactory
+from lacewingcleat.logs import PartLogger, start_logs
+from lacewingcleat.node import Node
+from lacewingcleat.program import (
+    EXIT_CANNOT_LISTEN,
+    EXIT_FINDINGS,
+    EXIT_USAGE,
+    listen,
+    make_parser,
+    print_findings,
+    read_text,
+    run_until_stopped,
+)
+from lacewingcleat.settings import ProcessSettings
+
+Settings = TypeVar("Settings", bound=ProcessSettings)
+
+
+class RequestServer(Protocol):
+    """Describe the HTTP side of a node."""
+
+    factory: BoundedFactory
+
+    @property
+    def open_calls(self) -> int:
+        """Return the number of requests that have not ended."""
+
+
+class NodeProcess:
+    """Run one node with its listeners for requests and operators.
+
+    :param reactor: the loop.
+    :param explain: answers routing questions, for nodes that route.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        node: Node,
+        server: RequestServer,
+        explain: Callable[[bytes], dict[str, Any]] | None = None,
+    ) -> None:
+        self._reactor = reactor
+        self._base_node = node
+        self._base_server = server
+        self.admin = AdminServer(
+            node.base_metrics.registry,
+            node.ready_reason,
+            node.status,
+            self.refresh,
+            explain,
+        )
+        self._ports: list[Any] = []
+
+    def start(self) -> None:
+        """Open the listeners and start the control plane."""
+        settings = self._base_node.base_settings
+        self._ports = [
+            listen(self._reactor, settings.request_address, self._base_server.factory),
+            listen(self._reactor, settings.admin_address, self.admin.factory),
+        ]
+        self._base_node.start()
+        self._base_node.log.info(f"listening on {settings.request_address}.")
+
+    def refresh(self) -> None:
+        """Copy state into the metrics before they are read."""
+        self._base_node.refresh_metrics()
+        open_calls = self._base_server.open_calls
+        self._base_node.base_metrics.open_requests.set(open_calls)
+
+    def reload(self) -> None:
+        """Ask for the newest sheet."""
+        self._base_node.reload()
+
+    async def stop(self) -> None:
+        """Finish the requests in flight, then close."""
+        await self._base_node.wait_until_idle(lambda: self._base_server.open_calls)
+        await self.close()
+
+    async def stop_accepting(self) -> None:
+        """Close the listener for requests."""
+        await defer.maybeDeferred(self._ports[0].stopListening)
+
+    async def close(self) -> None:
+        """Close at once."""
+        for port in self._ports:
+            await defer.maybeDeferred(port.stopListening)
+        await self._base_node.close()
+
+
+def run_node(
+    program: str,
+    description: str,
+    load: Callable[[str, str], Result[Settings, list[Finding]]],
+    make: Callable[[Any, Settings], NodeProcess],
+    arguments: Sequence[str] | None,
+) -> int:
+    """Run a node as a program and return its exit code."""
+    parser = make_parser(program, description)
+    parser.add_argument("settings", metavar="FILE", help="settings, JSON with comments")
+    options = parser.parse_args(arguments)
+    text = read_text(options.settings)
+    if text is None:
+        return EXIT_USAGE
+    loaded = load(text, options.settings)
+    if isinstance(loaded, Err):
+        print_findings(loaded.err_value)
+        return EXIT_FINDINGS
+    settings = loaded.ok_value
+    start_logs(settings.log_format, settings.log_level)
+    try:
+        process = make(reactor, settings)
+    except AddressInUse:
+        PartLogger(program).error(f"cannot listen on {settings.control_address}.")
+        return EXIT_CANNOT_LISTEN
+    return run_until_stopped(
+        reactor,
+        process.start,
+        process.stop,
+        process.reload,
+        PartLogger(program),
+    )
--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -304,6 +304,33 @@
         )
         self.assertEqual((200, 1), (status, self._runs("c")), body)
 
+    def test_service_killed_with_an_order_in_flight(self) -> None:
+        """Guards against "not run" about an order that a dead service has begun."""
+        headers = self._ticket("e")
+        self._send_in_thread("entry-1", "e", headers)
+        time.sleep(0.4)
+        for name in ("orders-1", "orders-2"):
+            self.fleet.kill(f"backend-{name}")
+        for _ in range(3):
+            status, _, body = self.fleet.send(
+                "entry-2", "POST", "/services/orders/place", {"key": "e"}, headers
+            )
+            self.assertEqual((502, UNKNOWN), (status, json.loads(body)["type"]))
+            time.sleep(0.5)
+
+    def test_entry_that_refuses_a_ticket_does_not_vouch_for_it(self) -> None:
+        """Guards against "not run" about an order that ran through another entry."""
+        headers = self._ticket("f")
+        status, _, _ = self.fleet.send(
+            "entry-1", "POST", "/services/orders/place", {"key": "f"}, headers
+        )
+        self.assertEqual((200, 1), (status, self._runs("f")))
+        broken = headers | {"Lacewing-Deadline-Ms": "soon"}
+        status, _, body = self.fleet.send(
+            "entry-2", "POST", "/services/orders/place", {"key": "f"}, broken
+        )
+        self.assertEqual((400, UNKNOWN), (status, json.loads(body)["type"]))
+
     def test_key_without_ticket_never_runs(self) -> None:
         """Guards against an order that two entries run under the same key."""
         for entry in ENTRIES:
