Measure a request's cost without idle control

Change: three times as many requests, and the CPU that the processes use when idle is taken off both sides.

--- a/bench/path.py
+++ b/bench/path.py
@@ -23,7 +23,8 @@
 LONG_TOKENS = 400
 SHORT_STREAMS = 24
 SHORT_TOKENS = 4
-SHORT_ROUNDS = 20
+SHORT_ROUNDS = 60
+IDLE_SECONDS = 5.0
 WARM_UP_SECONDS = 9.0
 READ_TIMEOUT_SECONDS = 60.0
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -136,13 +137,24 @@
 
 
 def _measure(address: str, pids: list[int]) -> _Cost:
+    """Measure the path without what the processes use when they are idle.
+
+    That is the cost of control, which bench/control_cost measures.
+    """
     _stream(address, SHORT_STREAMS, SHORT_TOKENS)
-    begin = cpu_seconds(pids)
-    _stream(address, LONG_STREAMS, LONG_TOKENS)
-    middle = cpu_seconds(pids)
-    for _ in range(SHORT_ROUNDS):
-        _stream(address, SHORT_STREAMS, SHORT_TOKENS)
-    return _Cost(middle - begin, cpu_seconds(pids) - middle)
+    before = cpu_seconds(pids)
+    time.sleep(IDLE_SECONDS)
+    idle = (cpu_seconds(pids) - before) / IDLE_SECONDS
+
+    def cost(rounds: int, streams: int, tokens: int) -> float:
+        begin, begin_cpu = time.monotonic(), cpu_seconds(pids)
+        for _ in range(rounds):
+            _stream(address, streams, tokens)
+        elapsed = time.monotonic() - begin
+        return cpu_seconds(pids) - begin_cpu - idle * elapsed
+
+    long_seconds = cost(1, LONG_STREAMS, LONG_TOKENS)
+    return _Cost(long_seconds, cost(SHORT_ROUNDS, SHORT_STREAMS, SHORT_TOKENS))
 
 
 def _measure_bare(fleet: ProcessFleet) -> _Cost:
