--- a/lacewingcleat/findings.py
+++ b/lacewingcleat/findings.py
@@ -53,6 +53,11 @@
         self._line_of = line_of
         self.items: list[Finding] = []
 
+    @property
+    def line_of(self) -> Callable[[str], int]:
+        """Return the function that gives the line of a path."""
+        return self._line_of
+
     def add(self, path: str, text: str) -> None:
         """Record a finding; findings beyond the limit are dropped."""
         if len(self.items) < MAX_FINDINGS:
--- a/lacewingcleat/sheet_check.py
+++ b/lacewingcleat/sheet_check.py
@@ -89,9 +89,7 @@
     }
     reader.finish()
     tables = build_tables(placed_by_member)
-    if not findings.items:
-        tables.check_accounts(findings)
-        tables.check_routing(findings)
+    _check_references(tables, findings, Findings(source, findings.line_of))
     if not findings.items:
         tables.check_time_zones(findings)
     if findings.items or not isinstance(value, dict):
@@ -106,6 +104,24 @@
     return Ok(tables.build(revision, split.manifest))
 
 
+def _check_references(
+    tables: SheetTables,
+    findings: Findings,
+    references: Findings,
+) -> None:
+    """Check how records refer to each other, beside what is wrong inside them.
+
+    A malformed value is replaced by a placeholder, so a reference that starts from a
+    place already reported says nothing new.
+    """
+    tables.check_accounts(references)
+    tables.check_routing(references)
+    reported = {finding.path for finding in findings.items}
+    for finding in references.items:
+        if finding.path not in reported:
+            findings.add(finding.path, finding.text)
+
+
 def check_parts(
     manifest: Manifest,
     part_by_name: Mapping[str, bytes],
