--- a/lacewingcleat/agent_tickets.py
+++ b/lacewingcleat/agent_tickets.py
@@ -9,7 +9,7 @@
 from lacewingcleat.agent_node import AgentNode
 from lacewingcleat.http_headers import Outcome
 from lacewingcleat.http_server import BoundedRequest
-from lacewingcleat.problems import not_run, unknown
+from lacewingcleat.problems import Problem, not_run, unknown
 from lacewingcleat.sheet import DEFAULT_TICKET_SECONDS
 from lacewingcleat.tickets import Attach, NotRun, Ran, RunNow, Stored, Unknown
 
@@ -76,7 +76,8 @@
             body = msgspec.json.decode(request.body.getvalue(), type=_RevokeBody)
         except (msgspec.MsgspecError, RecursionError) as error:
             # Nothing is known about the ticket that was meant.
-            self._answers.refuse(request, unknown("malformed-request", str(error)))
+            problem = Problem(400, Outcome.UNKNOWN, "malformed-request", str(error))
+            self._answers.refuse(request, problem)
             return
         outcome = self._node.book.revoke(body.ticket, body.account, now)
         match outcome:
