Stop a rank's periodic work when its agent closes

Cause: the loop of a switch under way went on after its agent had closed. Change: the agent stops its rank's part before the sockets. Conclusion: a stopping agent sends no more orders.

--- a/lacewingcleat/agent_node.py
+++ b/lacewingcleat/agent_node.py
@@ -148,6 +148,12 @@
             self._next_report = now + REPORT_SECONDS
             defer.ensureDeferred(self._report(now))
 
+    async def close(self) -> None:
+        """Stop the rank's part in its group as well."""
+        if self.rank_agent is not None:
+            self.rank_agent.stop()
+        await super().close()
+
     # Work at the backend server
 
     @property
