Send the admin port a body below its limit in the test of cut bodies

Cause: the test sent 3 MB to a listener that resets connections after 256 KiB, so it failed when the reset arrived before the last write. Change: the body for that listener is 30 of 60 kB; all others are as before. What the test guards, bodies that stop half way, is now really reached at that listener. Conclusion: the listener is right, the test asked for a write it may refuse.

--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -162,10 +162,12 @@
     def test_body_that_stops_half_way(self) -> None:
         """Guards against memory and calls that a lost connection leaves open."""
         for address, path in self._listeners():
+            # Below each listener's limit; it may reset a connection that sends more.
+            length = 60_000 if path == "/explain" else 6_000_000
             for _ in range(8):
                 connection = self._connect(address)
-                head = self._head("POST", path, b"Content-Length: 6000000")
-                connection.sendall(head + b"x" * 3_000_000)
+                head = self._head("POST", path, f"Content-Length: {length}".encode())
+                connection.sendall(head + b"x" * (length // 2))
                 connection.close()
 
     def test_idle_connections(self) -> None:
