--- a/tests/test_doors.py
+++ b/tests/test_listeners.py
@@ -33,7 +33,7 @@
 HUGE = (2**63 - 1, -(2**63), 1e308, -1.0, "x" * 1000, b"\xff", None, [], {}, True)
 
 
-class DoorsTest(TestCase):
+class ListenersTest(TestCase):
     fleet: ClassVar[ProcessFleet]
     backends: ClassVar[list[RawBackend]]
 
