Give the stalled rank's model the loads of one layer a report

Cause: the model sent reports without loads, by which a rank is no longer judged slow, so make bench stopped with an error. Change: each report names one layer, as the agents' reports do.

--- a/bench/expert_switch.py
+++ b/bench/expert_switch.py
@@ -156,6 +156,9 @@
     raise RuntimeError("the switch did not finish")
 
 
+TOKENS_IN_REPORT = 1_000_000
+
+
 @dataclass(frozen=True)
 class StallOutcome:
     """Say when a slow rank was found and what relieving it gained."""
@@ -183,7 +186,14 @@
         work = total_times(planner.slots, loads, level)
         seconds = work / true_speeds
         by_rank = {rank: float(value) for rank, value in enumerate(seconds)}
-        estimate.observe(RankReport("g", 1, by_rank, {}, number), work, float(number))
+        # Reports name one layer at a time, as those of the agents.
+        layer = number % size.layers
+        tokens = {
+            (layer, expert): round(share * TOKENS_IN_REPORT)
+            for expert, share in enumerate(loads[layer])
+        }
+        report = RankReport("g", 1, by_rank, tokens, number)
+        estimate.observe(report, work, float(number))
         findings = estimate.rank_findings()
         if findings and not recognised:
             if findings[0].condition is RankCondition.NORMAL or findings[0].rank != 1:
