--- a/tests/test_experts.py
+++ b/tests/test_experts.py
@@ -5,6 +5,8 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from bench.expert_day import Size
+from bench.expert_switch import stall_rank
 from lacewingcleat.expert_load import ExpertLoad, RankCondition
 from lacewingcleat.expert_placement import (
     apply_changes,
@@ -142,6 +144,15 @@
         self.assertEqual(1.0, estimate.speeds()[0])
 
 
+class StalledRankTest(TestCase):
+    def test_a_stalled_rank_is_relieved_by_reports_of_one_layer(self) -> None:
+        """Guards against a slow rank that is never found, or never relieved."""
+        size = Size(ranks=8, experts=64, slots=10, layers=4, hours=1)
+        outcome = stall_rank(size, 2.0)
+        self.assertLessEqual(outcome.reports_to_recognise, 2 * size.layers)
+        self.assertLess(outcome.step_after, 0.8 * outcome.step_before)
+
+
 def plan_once(planner: RebalancePlanner, loads: np.ndarray, now: float):
     planner.begin(loads, np.ones(planner.slots.shape[1]), now)
     plan = None
