--- a/lacewingcleat/agent_server.py
+++ b/lacewingcleat/agent_server.py
@@ -42,26 +42,9 @@
 
 CANCEL_TIMEOUT_SECONDS = 1.0
 
-# Headers that concern the hop between entry and agent and not the backend server.
-HOP_HEADERS = frozenset(
-    name.lower().encode()
-    for name in (
-        names.ENTRY,
-        names.ACCOUNT,
-        names.FIRM,
-        names.REVISION,
-        names.DIGEST,
-        names.ROUTING_DIGEST,
-        names.GROUP,
-        names.SERVICE,
-        names.RUN_ALONE,
-        names.TICKET,
-        names.FINGERPRINT,
-        names.COST_SECONDS,
-        names.RESUME_OFFSET,
-        names.TRACEPARENT,
-    )
-)
+# The agent passes on a trace context of its own. `copy_headers` drops all headers that
+# concern the hop between entry and agent.
+REPLACED_HEADERS = frozenset({names.TRACEPARENT.lower().encode()})
 STATUS_BY_REFUSAL = {"overload": 503, "displaced": 503, "deadline": 504}
 
 
@@ -288,7 +271,7 @@
         node = self._node
         request = call.request
         span = node.tracing.start_span("backend", SpanKind.CLIENT, parent=call.span)
-        headers = copy_headers(request.requestHeaders, HOP_HEADERS)
+        headers = copy_headers(request.requestHeaders, REPLACED_HEADERS)
         own = {names.TRACEPARENT: traceparent_of(span)}
         if self._settings.backend_kind == "engine":
             own[names.REQUEST_ID] = call.request_id
--- a/lacewingcleat/entry_answer.py
+++ b/lacewingcleat/entry_answer.py
@@ -27,11 +27,6 @@
 HELD_BACK_BYTES = 1 << 20
 IDLE_SECONDS = 10.0
 
-INTERNAL_HEADERS = frozenset(
-    name.lower().encode()
-    for name in (names.OUTCOME, names.OUTCOME_CODE, names.REVISION, names.DIGEST)
-)
-
 
 class AnswerWriter:
     """Pass answers of attempts on to one caller.
@@ -167,7 +162,7 @@
         call.first_byte_at = read_now()
         call.on_first_byte()
         request.setResponseCode(response.code)
-        request.responseHeaders = copy_headers(response.headers, INTERNAL_HEADERS)
+        request.responseHeaders = copy_headers(response.headers)
         request.setHeader(names.REQUEST_ID.encode(), call.request_id.encode())
         request.setHeader(names.OUTCOME.encode(), Outcome.RAN.value.encode())
         if ticket:
--- a/lacewingcleat/entry_work.py
+++ b/lacewingcleat/entry_work.py
@@ -23,28 +23,9 @@
 )
 from lacewingcleat.routing_choice import RouteRequest
 
+# Headers of callers that go no further; `copy_headers` drops the internal ones.
 CALLER_HEADERS = frozenset(
-    name.lower().encode()
-    for name in (
-        names.AUTHORIZATION,
-        names.DEADLINE_MS,
-        names.PRIORITY,
-        names.TRACEPARENT,
-        names.TICKET,
-        names.REQUEST_ID,
-        names.ENTRY,
-        names.ACCOUNT,
-        names.FIRM,
-        names.REVISION,
-        names.DIGEST,
-        names.ROUTING_DIGEST,
-        names.GROUP,
-        names.SERVICE,
-        names.RUN_ALONE,
-        names.FINGERPRINT,
-        names.COST_SECONDS,
-        names.RESUME_OFFSET,
-    )
+    name.lower().encode() for name in (names.AUTHORIZATION, names.TRACEPARENT)
 )
 
 
--- a/lacewingcleat/settings.py
+++ b/lacewingcleat/settings.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from result import Err, Ok, Result
 
@@ -118,44 +118,39 @@
 
 def _read_entry(reader: RecordReader) -> EntrySettings:
     return EntrySettings(
-        instance=reader.name("instance"),
-        zone=reader.name("zone"),
-        request_address=_read_advertised(reader, "request_address"),
-        control_address=_read_advertised(reader, "control_address"),
-        admin_address=reader.address("admin_address", listen=True),
-        peers=_read_peers(reader),
-        body_limit_bytes=_read_body_limit(reader),
-        open_request_limit=_read_open_limit(reader),
-        queue_limit=_read_queue_limit(reader),
-        log_format=reader.choice("log_format", LOG_FORMATS, "text"),
-        log_level=reader.choice("log_level", LOG_LEVELS, "info"),
-        trace_export_address=reader.address("trace_export_address", ""),
-        trace_sampling_ratio=_read_sampling_ratio(reader),
+        **_read_process(reader),
         config_address=reader.address("config_address"),
     )
 
 
 def _read_agent(reader: RecordReader) -> AgentSettings:
     return AgentSettings(
-        instance=reader.name("instance"),
-        zone=reader.name("zone"),
-        request_address=_read_advertised(reader, "request_address"),
-        control_address=_read_advertised(reader, "control_address"),
-        admin_address=reader.address("admin_address", listen=True),
-        peers=_read_peers(reader),
-        body_limit_bytes=_read_body_limit(reader),
-        open_request_limit=_read_open_limit(reader),
-        queue_limit=_read_queue_limit(reader),
-        log_format=reader.choice("log_format", LOG_FORMATS, "text"),
-        log_level=reader.choice("log_level", LOG_LEVELS, "info"),
-        trace_export_address=reader.address("trace_export_address", ""),
-        trace_sampling_ratio=_read_sampling_ratio(reader),
+        **_read_process(reader),
         server=reader.name("server"),
         backend_kind=reader.choice("backend_kind", BACKEND_KINDS),
         backend_address=reader.address("backend_address"),
     )
 
 
+def _read_process(reader: RecordReader) -> dict[str, Any]:
+    """Read what entries and agents have in common, by field of `ProcessSettings`."""
+    return {
+        "instance": reader.name("instance"),
+        "zone": reader.name("zone"),
+        "request_address": _read_advertised(reader, "request_address"),
+        "control_address": _read_advertised(reader, "control_address"),
+        "admin_address": reader.address("admin_address", listen=True),
+        "peers": _read_peers(reader),
+        "body_limit_bytes": _read_body_limit(reader),
+        "open_request_limit": _read_open_limit(reader),
+        "queue_limit": _read_queue_limit(reader),
+        "log_format": reader.choice("log_format", LOG_FORMATS, "text"),
+        "log_level": reader.choice("log_level", LOG_LEVELS, "info"),
+        "trace_export_address": reader.address("trace_export_address", ""),
+        "trace_sampling_ratio": _read_sampling_ratio(reader),
+    }
+
+
 def _read_advertised(reader: RecordReader, name: str) -> str:
     """Read a listen address that is told to peers, so it must be a real one."""
     address = reader.address(name, listen=True)
