Add a direct entry that serves the users' platform

Cause: the platform's backend servers are called at their own addresses, its configuration lies in a read-only store, and no machine keeps state. Change: an adapter in lacewingcleat/platform decodes settings, configuration, server entries, store reads and headers; new modules follow the store, judge access by the age of the view, choose servers and relay requests. Retry and outlier decisions are the existing ones.

--- /dev/null
+++ b/lacewingcleat/caller_connection.py
@@ -0,0 +1,349 @@
+"""transport: HTTP/1.1 connections of callers to a direct entry.
+
+Each request is read whole before it is handed on, so that what a server receives was
+framed by this process alone.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import h11
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+
+from lacewingcleat.clock import read_now
+from lacewingcleat.routing_config import ListenerLimits
+
+# In force until the first configuration is known.
+DEFAULT_LIMITS = ListenerLimits(16_384, 4_194_304, 3.0, 15.0)
+# Added to the idle time, so that a request does not cross this process's close.
+IDLE_MARGIN_SECONDS = 1.0
+# Time for which the rest of a refused request is read, so that closing the connection
+# does not reset it before the caller has read the answer.
+LINGER_SECONDS = 1.0
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class CallerRequest:
+    """Hold one request and write its answer.
+
+    :ivar on_gone: called when the caller's connection ends before the answer.
+    """
+
+    __slots__ = (
+        "_connection",
+        "answered",
+        "arrived_at",
+        "body",
+        "gone",
+        "headers",
+        "method",
+        "on_gone",
+        "target",
+    )
+
+    def __init__(
+        self,
+        connection: "CallerConnection",
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        arrived_at: float,
+    ) -> None:
+        self._connection = connection
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.arrived_at = arrived_at
+        self.body = b""
+        self.answered = False
+        self.gone = False
+        self.on_gone: Callable[[], None] | None = None
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of a header; names are in lower case."""
+        return next((value for key, value in self.headers if key == name), None)
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer."""
+        if self.gone or self.answered:
+            return
+        self.answered = True
+        framed = [*headers, (b"content-length", b"%d" % len(body))]
+        self._connection.write_answer(status, framed, body)
+
+    def begin(self, status: int, headers: Headers, data: bytes) -> None:
+        """Begin an answer whose length is not known."""
+        if self.gone:
+            return
+        self._connection.begin_stream(status, headers, data)
+
+    def send(self, data: bytes) -> None:
+        """Write a part of the body."""
+        if not self.gone and data:
+            self._connection.send_stream(data)
+
+    def finish(self) -> None:
+        """End the body."""
+        if self.gone or self.answered:
+            return
+        self.answered = True
+        self._connection.end_stream()
+
+    def abort(self) -> None:
+        """End the connection, so that an answer that has begun looks incomplete."""
+        if self.gone or self.answered:
+            return
+        self.answered = True
+        self._connection.abort()
+
+
+class CallerConnection(Protocol):
+    """Read requests of one caller, one at a time."""
+
+    transport: Any
+
+    def __init__(self, factory: "CallerFactory") -> None:
+        self._factory = factory
+        limits = factory.limits
+        self._http = h11.Connection(h11.SERVER, limits.header_bytes)
+        self._limits = limits
+        self._request: CallerRequest | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._handling = False
+        self._lingering = False
+        self._timer: Any = None
+        self.open = False
+
+    def connectionMade(self) -> None:
+        """Begin to wait for a request."""
+        self.open = True
+        self.transport.setTcpNoDelay(True)
+        self._factory.connections.add(self)
+        self._wait(self._limits.idle_seconds + IDLE_MARGIN_SECONDS, self._close_idle)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parse what the caller sent."""
+        if self._lingering:
+            return
+        self._http.receive_data(data)
+        if self._handling:
+            held = len(self._http.trailing_data[0])
+            if held > self._limits.header_bytes + self._limits.body_bytes:
+                self.abort()
+            return
+        if self._request is None:
+            self._wait(self._limits.header_seconds, self._time_out)
+        else:
+            self._wait(self._limits.idle_seconds, self._time_out)
+        self._parse()
+
+    def _parse(self) -> None:
+        try:
+            while not self._handling and not self._lingering and self.open:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    if self._http.they_are_waiting_for_100_continue:
+                        self._write(
+                            h11.InformationalResponse(status_code=100, headers=[])
+                        )
+                    return
+                if event is h11.PAUSED:
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint)
+
+    def _take(self, event: object) -> None:
+        match event:
+            case h11.Request():
+                self._begin(event)
+            case h11.Data():
+                self._body_bytes += len(event.data)
+                if self._body_bytes > self._limits.body_bytes:
+                    self._reject(413)
+                    return
+                self._body.append(bytes(event.data))
+            case h11.EndOfMessage():
+                self._hand_on()
+            case h11.ConnectionClosed():
+                self.transport.loseConnection()
+            case _:
+                return
+
+    def _begin(self, event: h11.Request) -> None:
+        headers = [(bytes(key), bytes(value)) for key, value in event.headers]
+        names = [key for key, _ in headers]
+        # Two framings in one request are read differently by different programs.
+        if b"transfer-encoding" in names and b"content-length" in names:
+            self._reject(400)
+            return
+        self._body = []
+        self._body_bytes = 0
+        self._request = CallerRequest(
+            self, bytes(event.method), bytes(event.target), headers, read_now()
+        )
+        self._wait(self._limits.idle_seconds, self._time_out)
+
+    def _hand_on(self) -> None:
+        request = self._request
+        if request is None:
+            return
+        self._cancel_timer()
+        request.body = b"".join(self._body)
+        request.arrived_at = read_now()
+        self._body = []
+        self._handling = True
+        self._factory.open_requests += 1
+        self._factory.handler(request)
+
+    def write_answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer and go on with the next request."""
+        head = h11.Response(status_code=status, headers=self._with_close(headers))
+        parts = [self._http.send(head) or b""]
+        method = self._request.method if self._request else b""
+        if body and method != b"HEAD":
+            parts.append(self._http.send(h11.Data(data=body)) or b"")
+        parts.append(self._http.send(h11.EndOfMessage()) or b"")
+        self.transport.write(b"".join(parts))
+        self._end_request()
+
+    def begin_stream(self, status: int, headers: Headers, data: bytes) -> None:
+        """Write the head of a stream and its first bytes."""
+        framed = [*headers, (b"transfer-encoding", b"chunked")]
+        head = h11.Response(status_code=status, headers=self._with_close(framed))
+        out = self._http.send(head) or b""
+        if data:
+            out += self._http.send(h11.Data(data=data)) or b""
+        self.transport.write(out)
+
+    def send_stream(self, data: bytes) -> None:
+        """Write a part of a stream."""
+        self.transport.write(self._http.send(h11.Data(data=data)) or b"")
+
+    def end_stream(self) -> None:
+        """End a stream."""
+        self.transport.write(self._http.send(h11.EndOfMessage()) or b"")
+        self._end_request()
+
+    def _with_close(self, headers: Headers) -> Headers:
+        if self._factory.closing():
+            return [*headers, (b"connection", b"close")]
+        return headers
+
+    def _write(self, event: h11.Event) -> None:
+        self.transport.write(self._http.send(event) or b"")
+
+    def _end_request(self) -> None:
+        self._handling = False
+        self._request = None
+        self._factory.open_requests -= 1
+        if self._http.our_state is not h11.DONE or (
+            self._http.their_state is not h11.DONE
+        ):
+            self._linger()
+            return
+        self._http.start_next_cycle()
+        # Bodies and headers are bounded by the limits that are in force now.
+        self._limits = self._factory.limits
+        self._wait(self._limits.idle_seconds + IDLE_MARGIN_SECONDS, self._close_idle)
+        if self._http.trailing_data[0]:
+            self._factory.reactor.callLater(0, self._parse)
+
+    def _reject(self, status: int) -> None:
+        """Answer a request that cannot be read, then close."""
+        if not self.open:
+            return
+        self._cancel_timer()
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            head = h11.Response(
+                status_code=status,
+                headers=[(b"content-length", b"0"), (b"connection", b"close")],
+            )
+            self._write(head)
+            self._write(h11.EndOfMessage())
+            self._factory.on_rejected(status)
+        self._linger()
+
+    def _linger(self) -> None:
+        self._lingering = True
+        self.transport.loseWriteConnection()
+        self._wait(LINGER_SECONDS, self.abort)
+
+    def _time_out(self) -> None:
+        self._reject(408)
+
+    def _close_idle(self) -> None:
+        self.transport.loseConnection()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read or answered."""
+        if not self._handling and self._request is None:
+            self.transport.loseConnection()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self.open:
+            self.transport.abortConnection()
+
+    def readConnectionLost(self) -> None:
+        """End the connection when the caller has closed its side."""
+        self.transport.loseConnection()
+
+    def connectionLost(self, reason: Failure | None = None) -> None:
+        """Tell whoever handles the request that the caller is gone."""
+        self.open = False
+        self._cancel_timer()
+        self._factory.connections.discard(self)
+        if not self._handling or self._request is None:
+            return
+        self._handling = False
+        self._factory.open_requests -= 1
+        request = self._request
+        request.gone = True
+        if request.on_gone is not None:
+            request.on_gone()
+
+    def _wait(self, seconds: float, action: Callable[[], None]) -> None:
+        self._cancel_timer()
+        self._timer = self._factory.reactor.callLater(seconds, action)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+
+class CallerFactory(Factory):
+    """Accept connections.
+
+    :param handler: takes each request that was read whole.
+    :param closing: whether answers ask callers to use another connection.
+    :param on_rejected: told the status with which an unreadable request was refused.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        handler: Callable[[CallerRequest], None],
+        closing: Callable[[], bool] = lambda: False,
+        on_rejected: Callable[[int], None] = lambda status: None,
+    ) -> None:
+        self.reactor = reactor
+        self.handler = handler
+        self.closing = closing
+        self.on_rejected = on_rejected
+        self.limits = DEFAULT_LIMITS
+        self.connections: set[CallerConnection] = set()
+        self.open_requests = 0
+
+    def buildProtocol(self, _address: object) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self)
+
+    def close_idle(self) -> None:
+        """Close the connections without a request."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
--- /dev/null
+++ b/lacewingcleat/direct_metrics.py
@@ -0,0 +1,71 @@
+"""transport: metrics of a direct entry."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from lacewingcleat.latency_buckets import LATENCY_BUCKETS_SECONDS
+
+
+class DirectMetrics:
+    """Hold the metrics of one process in its own registry."""
+
+    __slots__ = (
+        "config_age",
+        "lost_log_lines",
+        "open_requests",
+        "registry",
+        "requests",
+        "resumes",
+        "retries",
+        "seconds",
+        "store_calls",
+    )
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "lacewing_direct_requests_total",
+            "Requests by status and reason; the reason is empty for served ones.",
+            ["status", "reason"],
+            registry=self.registry,
+        )
+        self.retries = Counter(
+            "lacewing_direct_retries_total",
+            "Attempts after the first one, by the end of the one before.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.resumes = Counter(
+            "lacewing_direct_stream_resumes_total",
+            "Streams that went on at another backend server.",
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            "lacewing_direct_request_seconds",
+            "Time from a request's arrival to the end of its answer.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_SECONDS,
+        )
+        self.config_age = Gauge(
+            "lacewing_direct_config_age_seconds",
+            "Age of the view of the configuration.",
+            registry=self.registry,
+        )
+        self.open_requests = Gauge(
+            "lacewing_direct_open_requests",
+            "Requests that are open.",
+            registry=self.registry,
+        )
+        self.store_calls = Gauge(
+            "lacewing_direct_store_calls",
+            "Calls to the platform's store since the start.",
+            registry=self.registry,
+        )
+        self.lost_log_lines = Gauge(
+            "lacewing_direct_lost_log_lines",
+            "Log lines dropped since the start.",
+            registry=self.registry,
+        )
+
+    def count(self, status: int, reason: str) -> None:
+        """Count the end of a request."""
+        self.requests.labels(str(status), reason[:40]).inc()
--- a/lacewingcleat/event_stream.py
+++ b/lacewingcleat/event_stream.py
@@ -22,6 +22,11 @@
         self.events = 0
         self.done = False
 
+    @property
+    def has_rest(self) -> bool:
+        """Return whether the last event is incomplete."""
+        return bool(self._rest)
+
     def feed(self, data: bytes) -> bytes:
         """Return the complete events that are now available.
 
--- a/lacewingcleat/metrics.py
+++ b/lacewingcleat/metrics.py
@@ -11,24 +11,9 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from lacewingcleat.latency_buckets import LATENCY_BUCKETS_SECONDS
 from lacewingcleat.relay_figures import RelayFigure
 
-LATENCY_BUCKETS_SECONDS = (
-    0.005,
-    0.01,
-    0.027,
-    0.05,
-    0.1,
-    0.25,
-    0.5,
-    1.1,
-    2.5,
-    5.0,
-    10.0,
-    30.0,
-    120.0,
-)
-
 
 class FigureCollector(Collector):
     """Read figures from a state machine when metrics are collected.
--- /dev/null
+++ b/lacewingcleat/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the users' platform and the product's own types."""
--- /dev/null
+++ b/lacewingcleat/platform/config_item.py
@@ -0,0 +1,134 @@
+"""protocol: the operator's configuration as it lies in the platform's store."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from lacewingcleat.routing_config import (
+    ConfigAccount,
+    EngineFigures,
+    ListenerLimits,
+    RequestKind,
+    Route,
+    RoutingConfig,
+    ServiceConfig,
+    ServiceShare,
+    index_routes,
+)
+
+CONFIG_KEY = "op/config"
+MS_PER_SECOND = 1000.0
+KIND_BY_WORD = {
+    "idempotent": RequestKind.IDEMPOTENT,
+    "non_idempotent": RequestKind.NON_IDEMPOTENT,
+    "streaming": RequestKind.STREAM,
+}
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 5
+    # A route names either one service or a split over several.
+    service: str = ""
+    traffic_split: list[_Share] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_cache_tokens: int
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    tenants: list[_Tenant] = []
+
+
+_DECODER = msgspec.json.Decoder(_Config)
+
+
+def decode_config(data: bytes) -> Result[RoutingConfig, str]:
+    """Decode one version of the configuration."""
+    try:
+        found = _DECODER.decode(data)
+        routes = [_route(route) for route in found.routes]
+    except (msgspec.MsgspecError, RecursionError, KeyError) as error:
+        return Err(f"{type(error).__name__}: {error}")
+    limits = found.limits
+    return Ok(
+        RoutingConfig(
+            version=found.version,
+            routes_by_host=index_routes(routes),
+            service_by_name={item.name: _service(item) for item in found.services},
+            account_by_key={
+                key: ConfigAccount(tenant.name, tenant.priority)
+                for tenant in found.tenants
+                for key in tenant.api_keys
+            },
+            needs_keys=bool(found.tenants),
+            limits=ListenerLimits(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.header_timeout_ms / MS_PER_SECOND,
+                limits.idle_timeout_ms / MS_PER_SECOND,
+            ),
+        ),
+    )
+
+
+def _route(route: _Route) -> Route:
+    shares = [
+        ServiceShare(share.service, share.weight) for share in route.traffic_split
+    ]
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=KIND_BY_WORD[route.kind],
+        timeout_seconds=route.timeout_ms / MS_PER_SECOND,
+        target_seconds=route.target_latency_ms / MS_PER_SECOND,
+        priority=route.priority,
+        shares=tuple(shares) or (ServiceShare(route.service, 1.0),),
+        max_attempts=route.max_attempts,
+        public=route.public,
+        resumable=route.resumable,
+    )
+
+
+def _service(service: _Service) -> ServiceConfig:
+    engine = service.engine
+    figures = EngineFigures(engine.slots, engine.kv_cache_tokens) if engine else None
+    return ServiceConfig(service.name, service.max_connections, figures)
--- /dev/null
+++ b/lacewingcleat/platform/request_headers.py
@@ -0,0 +1,65 @@
+"""protocol: header names between callers, entries and backend servers."""
+
+import re
+from dataclasses import dataclass
+
+AUTHORIZATION = b"authorization"
+REQUEST_ID = b"x-request-id"
+DEADLINE_MS = b"x-deadline-milliseconds"
+LAST_EVENT_ID = b"last-event-id"
+TOKEN_COUNT = b"x-token-count"
+# Carries a proof by the server that made the answer.
+SIGNATURE = b"x-response-signature"
+ACCOUNT = b"x-tenant"
+# Names the server for which a request is meant; any other one refuses it.
+EXPECTED_SERVER = b"x-expect-instance"
+EXPECTED_VERSION = b"x-expect-version"
+REQUEST_PRIORITY = b"x-request-priority"
+# Present on refusals of requests that the server has not run.
+NOT_RUN = b"x-not-executed"
+# Running and waiting requests and slots, separated by commas.
+SERVER_LOAD = b"x-server-load"
+# Names the server at fault when a group answers for one of its ranks.
+FAULTY_SERVER = b"at-server"
+RETRY_AFTER = b"retry-after"
+STATUS_MISDIRECTED = 421
+MAX_DEADLINE_MS = 3_600_000
+# Headers that the entry sets itself, whatever the caller sent.
+OWN_HEADERS = frozenset(
+    {AUTHORIZATION, ACCOUNT, EXPECTED_SERVER, EXPECTED_VERSION, DEADLINE_MS}
+    | {REQUEST_PRIORITY},
+)
+_DIGITS = re.compile(rb"[0-9]{1,9}")
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """Hold the load that a server adds to its answers."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+def parse_load(value: bytes | None) -> ReportedLoad | None:
+    """Return the reported load; none if it is missing or malformed."""
+    parts = value.split(b",") if value else []
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ReportedLoad(running, waiting, slots)
+
+
+def parse_deadline_seconds(value: bytes | None) -> float | None:
+    """Return how long the caller waits; none if it does not say."""
+    if value is None or not _DIGITS.fullmatch(value.strip()):
+        return None
+    return min(int(value), MAX_DEADLINE_MS) / 1000.0
+
+
+def parse_token_count(value: bytes | None) -> tuple[int, int]:
+    """Return the tokens of the prompt and the most that may be written."""
+    parts = value.split(b",") if value else []
+    if len(parts) != 2 or not all(_DIGITS.fullmatch(part.strip()) for part in parts):
+        return 0, 0
+    return int(parts[0]), int(parts[1])
--- /dev/null
+++ b/lacewingcleat/platform/server_item.py
@@ -0,0 +1,46 @@
+"""protocol: a backend server's entry in the platform's store."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from lacewingcleat.server_record import ServerRecord
+
+SERVER_PREFIX = "servers/"
+STATE_READY = "ready"
+STATE_LEAVING = "draining"
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    born: int = 0
+
+
+_DECODER = msgspec.json.Decoder(_Entry)
+
+
+def decode_server(key: str, data: bytes) -> Result[ServerRecord, str]:
+    """Decode one entry; one that another program wrote may be malformed."""
+    try:
+        found = _DECODER.decode(data)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        return Err(str(error))
+    if found.state not in (STATE_READY, STATE_LEAVING):
+        return Err(f"unknown state {found.state[:40]!r}")
+    host, _, port = found.address.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        return Err(f"malformed address {found.address[:60]!r}")
+    return Ok(
+        ServerRecord(
+            name=key.removeprefix(SERVER_PREFIX),
+            service=found.service,
+            address=found.address,
+            zone=found.zone,
+            slots=max(1, found.slots),
+            leaving=found.state == STATE_LEAVING,
+            started_ms=found.born,
+        ),
+    )
--- /dev/null
+++ b/lacewingcleat/platform/settings_file.py
@@ -0,0 +1,67 @@
+"""protocol: the settings file that the platform writes for each process."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from lacewingcleat.direct_settings import DirectSettings, RuleBounds
+
+SETTINGS_VARIABLE = "LACEWINGCLEAT_SETTINGS"
+MS_PER_SECOND = 1000.0
+
+
+class _Bounds(msgspec.Struct):
+    revocation_ms: float
+    configuration_apply_ms: float
+    drain_timeout_ms: float
+    grace_period_s: float
+    retry_budget_ratio: float
+    retry_budget_extra: float
+    budget_window_s: float
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _Listeners(msgspec.Struct):
+    front: str
+    readiness: str
+    control: str = ""
+
+
+class _File(msgspec.Struct):
+    node_name: str
+    zone: str
+    listen_addresses: _Listeners
+    bounds: _Bounds
+    platform: _Store
+    seeds: list[str] = []
+
+
+def decode_settings(data: bytes) -> Result[DirectSettings, str]:
+    """Decode the settings of a direct entry."""
+    try:
+        found = msgspec.json.decode(data, type=_File)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        return Err(str(error))
+    bounds = found.bounds
+    return Ok(
+        DirectSettings(
+            instance=found.node_name,
+            zone=found.zone,
+            request_address=found.listen_addresses.front,
+            readiness_address=found.listen_addresses.readiness,
+            control_address=found.listen_addresses.control,
+            seed_addresses=tuple(found.seeds),
+            store_address=found.platform.address,
+            bounds=RuleBounds(
+                revocation_seconds=bounds.revocation_ms / MS_PER_SECOND,
+                apply_seconds=bounds.configuration_apply_ms / MS_PER_SECOND,
+                drain_seconds=bounds.drain_timeout_ms / MS_PER_SECOND,
+                grace_seconds=bounds.grace_period_s,
+                retry_share=bounds.retry_budget_ratio,
+                retry_extra=bounds.retry_budget_extra,
+                retry_window_seconds=bounds.budget_window_s,
+            ),
+        ),
+    )
--- /dev/null
+++ b/lacewingcleat/platform/store_calls.py
@@ -0,0 +1,82 @@
+"""protocol: reads of the platform's store and their answers."""
+
+from binascii import Error as Base64Error
+from binascii import a2b_base64
+from urllib.parse import quote
+
+import msgspec
+
+from lacewingcleat.store_items import (
+    Changed,
+    HistoryLost,
+    Listed,
+    ListRead,
+    ReadFailed,
+    StoreAnswer,
+    StoreItem,
+    StoreRead,
+    WatchRead,
+)
+
+MS_PER_SECOND = 1000
+STATUS_OK = 200
+STATUS_HISTORY_LOST = 410
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int
+    value: str = ""
+    removed: bool = False
+
+
+class _Page(msgspec.Struct):
+    items: list[_Item]
+    at: int
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    at: int
+
+
+def encode_read(prefix: str, read: StoreRead) -> str:
+    """Return path and query of a read below a prefix."""
+    match read:
+        case ListRead(after_key):
+            after = f"&after={quote(after_key, safe='/')}" if after_key else ""
+            return f"/kv-range?prefix={quote(prefix, safe='/')}{after}"
+        case WatchRead(after, wait_seconds):
+            wait = int(wait_seconds * MS_PER_SECOND)
+            place = f"prefix={quote(prefix, safe='/')}&after={after}"
+            return f"/kv-watch?{place}&wait_ms={wait}"
+
+
+def decode_answer(read: StoreRead, status: int, body: bytes) -> StoreAnswer:
+    """Decode the answer to a read."""
+    if status == STATUS_HISTORY_LOST:
+        return HistoryLost()
+    if status != STATUS_OK:
+        return ReadFailed(f"status {status}")
+    try:
+        match read:
+            case ListRead():
+                page = msgspec.json.decode(body, type=_Page)
+                return Listed(_items(page.items), page.has_more, page.at)
+            case WatchRead():
+                found = msgspec.json.decode(body, type=_Events)
+                return Changed(_items(found.events), found.at)
+    except (msgspec.MsgspecError, Base64Error, RecursionError) as error:
+        return ReadFailed(f"malformed answer: {error}")
+
+
+def _items(items: list[_Item]) -> tuple[StoreItem, ...]:
+    return tuple(
+        StoreItem(
+            item.key,
+            item.revision,
+            None if item.removed else a2b_base64(item.value),
+        )
+        for item in items
+    )
--- a/lacewingcleat/program.py
+++ b/lacewingcleat/program.py
@@ -11,6 +11,7 @@
 from twisted.internet.error import CannotListenError
 
 from lacewingcleat import __version__
+from lacewingcleat.addresses import split_address
 from lacewingcleat.documents import MAX_DOCUMENT_BYTES
 from lacewingcleat.findings import Finding
 from lacewingcleat.http_server import BoundedFactory
@@ -54,12 +55,6 @@
         print(finding, file=sys.stderr)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of an `IP:port` address."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def listen(reactor: Any, address: str, factory: BoundedFactory) -> Any:
     """Listen on an address."""
     host, port = split_address(address)
--- /dev/null
+++ b/lacewingcleat/request_access.py
@@ -0,0 +1,110 @@
+"""coordination: decide from the configuration whether a request may be served.
+
+A configuration view has an age. A key may have been removed and a route added since, so
+an old view neither lets a request with a key through nor denies it: the caller is told
+that the request did not run and may be sent again.
+"""
+
+from dataclasses import dataclass
+
+from lacewingcleat.routing_config import ConfigAccount, Route, RoutingConfig
+
+# Share of the bound on removed keys up to which a view admits keys. What is left covers
+# the time that the store needs between acknowledging a change and answering with it.
+KEY_AGE_SHARE = 0.7
+# Share of the bound on applying a configuration up to which a view may deny a request.
+DENY_AGE_SHARE = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """Serve the request.
+
+    :param account: none on public routes.
+    """
+
+    route: Route
+    account: ConfigAccount | None
+
+    @property
+    def priority(self) -> int:
+        """Return the priority of the account, else of the route."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+
+class Denial:
+    """Name the reasons for which a request is not served."""
+
+    NO_CONFIG = "no-config"
+    STALE_CONFIG = "stale-config"
+    NO_ROUTE = "no-route"
+    UNKNOWN_KEY = "unknown-key"
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """Refuse the request.
+
+    :param status: HTTP status; 503 if the view is too old to tell.
+    """
+
+    status: int
+    reason: str
+
+
+def key_age_limit(revocation_seconds: float) -> float:
+    """Return the age of a view beyond which it admits no key."""
+    return revocation_seconds * KEY_AGE_SHARE
+
+
+def decide_access(
+    config: RoutingConfig | None,
+    age: float,
+    host: str,
+    path: str,
+    key: str | None,
+    revocation_seconds: float,
+    apply_seconds: float,
+) -> Granted | Denied:
+    """Decide whether a request may be served.
+
+    :param age: seconds since the view of the configuration was surely complete.
+    :param key: key of the caller, none if there is none.
+    """
+    if config is None:
+        return Denied(503, Denial.NO_CONFIG)
+    certain = age <= apply_seconds * DENY_AGE_SHARE
+    route = config.find_route(host, path)
+    if route is None:
+        return Denied(404, Denial.NO_ROUTE) if certain else _stale()
+    if route.public or not config.needs_keys:
+        return Granted(route, None)
+    if age > key_age_limit(revocation_seconds):
+        return _stale()
+    account = config.account_by_key.get(key) if key else None
+    if account is None:
+        return Denied(401, Denial.UNKNOWN_KEY) if certain else _stale()
+    return Granted(route, account)
+
+
+def choose_service(route: Route, share: float) -> str:
+    """Return the service for a request by the weights of its route.
+
+    :param share: uniformly distributed from 0 to 1.
+    """
+    total = sum(item.weight for item in route.shares)
+    left = share * total
+    for item in route.shares:
+        left -= item.weight
+        if left < 0.0 and item.weight > 0.0:
+            return item.service
+    return next(
+        (item.service for item in reversed(route.shares) if item.weight > 0.0),
+        route.shares[-1].service,
+    )
+
+
+def _stale() -> Denied:
+    return Denied(503, Denial.STALE_CONFIG)
--- a/lacewingcleat/retries.py
+++ b/lacewingcleat/retries.py
@@ -167,17 +167,37 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class RetryPolicy:
+    """Hold the figures of a retry budget.
+
+    :param share: retries earned by each request.
+    :param per_second: retries earned however few requests there are.
+    :param burst: retries that may be saved up.
+    """
+
+    share: float = RETRY_SHARE
+    per_second: float = RETRIES_PER_SECOND
+    burst: float = RETRY_BURST
+
+
+DEFAULT_POLICY = RetryPolicy()
+
+
 class RetryBudget:
     """Limit retries of one entry to a share of its requests.
 
     Without it, retries would multiply the load in the moments of least capacity.
+
+    :param policy: the figures of the budget.
     """
 
-    __slots__ = ("_available", "_burst", "_last", "_requests")
+    __slots__ = ("_available", "_burst", "_last", "_policy", "_requests")
 
-    def __init__(self, now: float) -> None:
-        self._available = RETRY_BURST
-        self._burst = RETRY_BURST
+    def __init__(self, now: float, policy: RetryPolicy = DEFAULT_POLICY) -> None:
+        self._policy = policy
+        self._available = policy.burst
+        self._burst = policy.burst
         self._last = now
         self._requests = 0
 
@@ -202,8 +222,9 @@
         elapsed = now - self._last
         if elapsed < SETTLE_SECONDS:
             return
-        earned = max(self._requests * RETRY_SHARE, elapsed * RETRIES_PER_SECOND)
-        self._burst = max(RETRY_BURST, self._requests * RETRY_SHARE / elapsed)
+        policy = self._policy
+        earned = max(self._requests * policy.share, elapsed * policy.per_second)
+        self._burst = max(policy.burst, self._requests * policy.share / elapsed)
         self._available = min(self._burst, self._available + earned)
         self._last = now
         self._requests = 0
--- /dev/null
+++ b/lacewingcleat/routing_config.py
@@ -0,0 +1,145 @@
+"""state: one version of the operator's configuration for direct entries.
+
+A direct entry takes routes, services, client accounts and listener limits from a
+published document instead of a sheet. The records say what a request may do; they hold
+no names of the document's format.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class RequestKind(Enum):
+    """Say how often a request of a route may run."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """Give a service its weight in a route's split."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Describe the requests of one host below one path prefix.
+
+    :param timeout_seconds: time after which a final answer is due.
+    :param target_seconds: latency objective of the answer or the first event.
+    :param priority: 0 is the most urgent.
+    :param shares: the services that serve the route, by weight.
+    :param max_attempts: servers to which one request may be sent.
+    :param public: whether the route needs no key.
+    :param resumable: whether a broken stream may go on at another server.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    timeout_seconds: float
+    target_seconds: float
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    max_attempts: int
+    public: bool
+    resumable: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request that may have run may be sent again."""
+        match self.kind:
+            case RequestKind.IDEMPOTENT:
+                return True
+            case RequestKind.NON_IDEMPOTENT:
+                return False
+            case RequestKind.STREAM:
+                return self.resumable
+
+
+@dataclass(frozen=True, slots=True)
+class EngineFigures:
+    """Hold the speed of a model service's engines.
+
+    :param slots: requests that one engine writes at once.
+    :param memory_tokens: tokens that one engine can hold.
+    """
+
+    slots: int
+    memory_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceConfig:
+    """Describe a service.
+
+    :param engine: figures of model engines, none for a plain service.
+    """
+
+    name: str
+    max_connections: int
+    engine: EngineFigures | None
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigAccount:
+    """Describe a client account.
+
+    :param priority: overrides the route's priority if it is set.
+    """
+
+    name: str
+    priority: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class ListenerLimits:
+    """Bound what callers may send and how long they may take.
+
+    :param header_seconds: time for the header of a request to arrive.
+    :param idle_seconds: time for which a connection may be idle.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_seconds: float
+    idle_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingConfig:
+    """Hold one version of the configuration, indexed for look-ups.
+
+    :param routes_by_host: routes of each host, the longest prefix first.
+    :param needs_keys: whether requests on routes that are not public need a key.
+    """
+
+    version: int
+    routes_by_host: dict[str, tuple[Route, ...]]
+    service_by_name: dict[str, ServiceConfig]
+    account_by_key: dict[str, ConfigAccount]
+    needs_keys: bool
+    limits: ListenerLimits
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def index_routes(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
+    """Group routes by host, the longest prefix first."""
+    routes_by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        routes_by_host.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(found, key=lambda route: len(route.prefix), reverse=True))
+        for host, found in routes_by_host.items()
+    }
--- /dev/null
+++ b/lacewingcleat/server_choice.py
@@ -0,0 +1,159 @@
+"""coordination: choose the backend server that takes a request.
+
+The load of a server is what this entry has in flight there, what other entries say they
+have in flight there, and, for what they do not say, the load that the server added to
+its latest answer.
+"""
+
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass
+from random import Random
+
+from lacewingcleat.server_record import ServerRecord
+
+# A load in an answer describes the past; requests last about a second.
+REPORT_SECONDS = 1.0
+# Other entries tell their requests in flight several times a second.
+PEER_SECONDS = 1.5
+# Part of a slot by which a server in another zone counts as more loaded: the way there
+# and back costs about a millisecond and priced bytes, a busier engine costs more.
+OTHER_ZONE_SLOTS = 0.4
+# Requests that may wait at a server beyond its slots, as a share of its slots: a few
+# keep the server busy between two requests, more of them only wait.
+QUEUE_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ChosenServer:
+    """Name the chosen server and the load that was believed of it."""
+
+    record: ServerRecord
+    load: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServersFull:
+    """Say that each usable server has as much work as it should be given."""
+
+    least_load: float
+
+
+@dataclass(frozen=True, slots=True)
+class NoServer:
+    """Say that the service has no usable server."""
+
+
+ServerChoice = ChosenServer | ServersFull | NoServer
+
+
+@dataclass(slots=True)
+class _Load:
+    in_flight: int = 0
+    reported: int = 0
+    own_at_report: int = 0
+    reported_at: float = float("-inf")
+
+
+class ServerLoads:
+    """Estimate the requests at each server."""
+
+    __slots__ = ("_load_by_name", "_peer_count_by_name")
+
+    def __init__(self) -> None:
+        self._load_by_name: dict[str, _Load] = {}
+        # By server: what each peer has in flight there, and when it said so.
+        self._peer_count_by_name: dict[str, dict[str, tuple[int, float]]] = {}
+
+    def begin(self, name: str) -> None:
+        """Count a request that is sent to a server."""
+        self._get(name).in_flight += 1
+
+    def end(self, name: str) -> None:
+        """Count the end of a request at a server."""
+        load = self._get(name)
+        load.in_flight = max(0, load.in_flight - 1)
+
+    def in_flight_by_name(self) -> dict[str, int]:
+        """Return this entry's requests in flight, for other entries."""
+        return {
+            name: load.in_flight
+            for name, load in self._load_by_name.items()
+            if load.in_flight
+        }
+
+    def hear_report(self, name: str, requests: int, now: float) -> None:
+        """Take over the load that a server added to an answer."""
+        load = self._get(name)
+        load.reported = requests
+        load.own_at_report = load.in_flight
+        load.reported_at = now
+
+    def hear_peer(self, peer: str, count_by_name: dict[str, int], now: float) -> None:
+        """Take over what another entry has in flight."""
+        for name in self._peer_count_by_name.keys() | count_by_name.keys():
+            counts = self._peer_count_by_name.setdefault(name, {})
+            count = count_by_name.get(name, 0)
+            if count:
+                counts[peer] = (count, now)
+            else:
+                counts.pop(peer, None)
+
+    def retain(self, names: Iterable[str]) -> None:
+        """Forget servers that are gone and have nothing in flight."""
+        kept = set(names)
+        for name in [name for name in self._load_by_name if name not in kept]:
+            if not self._load_by_name[name].in_flight:
+                del self._load_by_name[name]
+        for name in [name for name in self._peer_count_by_name if name not in kept]:
+            del self._peer_count_by_name[name]
+
+    def estimate(self, name: str, now: float) -> float:
+        """Return the requests that are probably at a server."""
+        load = self._load_by_name.get(name)
+        own = load.in_flight if load else 0
+        peers = self._peer_count_by_name.get(name, {})
+        others = sum(count for count, at in peers.values() if now - at <= PEER_SECONDS)
+        if load is not None:
+            age = now - load.reported_at
+            if age < REPORT_SECONDS:
+                share = 1.0 - age / REPORT_SECONDS
+                others_then = max(0, load.reported - load.own_at_report)
+                others = max(others, round(others_then * share))
+        return float(own + others)
+
+    def _get(self, name: str) -> _Load:
+        return self._load_by_name.setdefault(name, _Load())
+
+
+def choose_server(
+    servers: Collection[ServerRecord],
+    loads: ServerLoads,
+    weight_of: Callable[[ServerRecord], float],
+    zone: str,
+    random: Random,
+    now: float,
+) -> ServerChoice:
+    """Choose the server with the most free slots.
+
+    :param servers: servers that may take the request.
+    :param weight_of: share of its slots that a server should be given, 0 to 1.
+    """
+    best: ChosenServer | None = None
+    best_score = float("inf")
+    least = float("inf")
+    for record in servers:
+        weight = weight_of(record)
+        if weight <= 0.0:
+            continue
+        load = loads.estimate(record.name, now)
+        least = min(least, load)
+        if load >= record.slots * (1.0 + QUEUE_SHARE):
+            continue
+        away = 0.0 if record.zone == zone else OTHER_ZONE_SLOTS
+        # A small random part keeps entries with equal views from choosing alike.
+        score = (load + away + random.random() * 0.5) / (record.slots * weight)
+        if score < best_score:
+            best, best_score = ChosenServer(record, load), score
+    if best is not None:
+        return best
+    return ServersFull(least) if least < float("inf") else NoServer()
--- /dev/null
+++ b/lacewingcleat/server_directory.py
@@ -0,0 +1,88 @@
+"""coordination: which backend servers exist and which of them take new requests.
+
+Entries of servers may lapse while the store is away, because their heartbeats do not
+reach it. Such servers stay in use until the store has been back for as long as a live
+server needs to register again.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lacewingcleat.server_record import ServerRecord
+
+# A live server is listed again within about 2 s of the store's return.
+LAPSED_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class _Known:
+    record: ServerRecord
+    lapsed_until: float | None = None
+
+
+class ServerDirectory:
+    """Keep the backend servers by name and by service."""
+
+    __slots__ = ("_known_by_name", "_names_by_service")
+
+    def __init__(self) -> None:
+        self._known_by_name: dict[str, _Known] = {}
+        self._names_by_service: dict[str, list[str]] = {}
+
+    def put(self, record: ServerRecord) -> ServerRecord | None:
+        """Take over a record; return the one that it replaces."""
+        known = self._known_by_name.get(record.name)
+        self._known_by_name[record.name] = _Known(record)
+        self._index()
+        return known.record if known else None
+
+    def remove(self, name: str, store_returned_at: float, now: float) -> bool:
+        """Drop a server whose entry is missing; return whether it is dropped now.
+
+        :param store_returned_at: when the store was last reached again after a while.
+        """
+        known = self._known_by_name.get(name)
+        if known is None:
+            return False
+        until = store_returned_at + LAPSED_SECONDS
+        if now < until and not known.record.leaving:
+            known.lapsed_until = until
+            return False
+        del self._known_by_name[name]
+        self._index()
+        return True
+
+    def expire(self, now: float) -> list[str]:
+        """Drop the lapsed servers that were not listed again in time."""
+        gone = [
+            name
+            for name, known in self._known_by_name.items()
+            if known.lapsed_until is not None and known.lapsed_until <= now
+        ]
+        for name in gone:
+            del self._known_by_name[name]
+        if gone:
+            self._index()
+        return gone
+
+    def get(self, name: str) -> ServerRecord | None:
+        """Return a server's record."""
+        known = self._known_by_name.get(name)
+        return known.record if known else None
+
+    def names(self) -> Iterable[str]:
+        """Return the names of all known servers."""
+        return self._known_by_name.keys()
+
+    def usable(self, service: str) -> list[ServerRecord]:
+        """Return the servers of a service that take new requests."""
+        names = self._names_by_service.get(service, ())
+        return [self._known_by_name[name].record for name in names]
+
+    def _index(self) -> None:
+        names_by_service: dict[str, list[str]] = {}
+        for name in sorted(self._known_by_name):
+            record = self._known_by_name[name].record
+            if not record.leaving:
+                names_by_service.setdefault(record.service, []).append(name)
+        self._names_by_service = names_by_service
--- /dev/null
+++ b/lacewingcleat/store_reader.py
@@ -0,0 +1,138 @@
+"""transport: read the platform's store and keep views of it current."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer, task
+
+from lacewingcleat.clock import read_now
+from lacewingcleat.decision_log import DecisionLog
+from lacewingcleat.platform.store_calls import decode_answer, encode_read
+from lacewingcleat.server_connection import (
+    Broken,
+    Finished,
+    Head,
+    Piece,
+    ServerConnection,
+    ServerPool,
+)
+from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.store_items import ReadFailed, StoreAnswer, StoreRead, WatchRead
+from lacewingcleat.store_view import StoreView, ViewChange
+
+# A slow store answers after a few hundred milliseconds. A silent connection is given up
+# in time for the next one to renew the view before keys are no longer admitted.
+ANSWER_SECONDS = 0.9
+# Used for a read that follows a failed one, since a store that is out of reach may be
+# silent and the view is renewed only by an answer.
+MAX_ANSWER_BYTES = 16 << 20
+
+
+class StoreReader:
+    """Follow one prefix of the store.
+
+    :param on_change: told what each answered read has changed.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        address: str,
+        prefix: str,
+        on_change: Callable[[ViewChange, float], None],
+        log: DecisionLog,
+    ) -> None:
+        self._reactor = reactor
+        self._prefix = prefix
+        self._on_change = on_change
+        self._log = log
+        self._pool = ServerPool(reactor)
+        self._store = ServerRecord("store", "", address, "", 1, False, 0)
+        self._connection: ServerConnection | None = None
+        self._reachable = True
+        self._address = address
+        self.view = StoreView()
+        self.calls = 0
+
+    def start(self) -> None:
+        """Begin to read."""
+        defer.ensureDeferred(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            read, wait = self.view.next_read(read_now())
+            if wait > 0.0:
+                await task.deferLater(self._reactor, wait, lambda: None)
+            sent_at = read_now()
+            answer = await self._read(read)
+            now = read_now()
+            self._note_reachable(answer, now)
+            change = self.view.accept(answer, sent_at, now)
+            if not isinstance(answer, ReadFailed):
+                self._on_change(change, now)
+
+    def _note_reachable(self, answer: StoreAnswer, now: float) -> None:
+        match answer:
+            case ReadFailed(reason):
+                if self._reachable:
+                    self._reachable = False
+                    self._log.dependency(
+                        "store", "lost", prefix=self._prefix, reason=reason
+                    )
+            case _:
+                if not self._reachable:
+                    self._reachable = True
+                    self._log.dependency(
+                        "store",
+                        "regained",
+                        prefix=self._prefix,
+                        age=round(self.view.age(now), 3),
+                    )
+
+    async def _read(self, read: StoreRead) -> StoreAnswer:
+        connection = self._connection
+        self._connection = None
+        if connection is None or not connection.open:
+            opened = await self._pool.connect(self._store)
+            if isinstance(opened, str):
+                return ReadFailed(opened)
+            connection = opened
+        self.calls += 1
+        wait = read.wait_seconds if isinstance(read, WatchRead) else 0.0
+        target = encode_read(self._prefix, read).encode()
+        headers = [(b"host", self._address.encode())]
+        connection.send(b"GET", target, headers, b"")
+        return await self._receive(connection, read, read_now() + wait + ANSWER_SECONDS)
+
+    async def _receive(
+        self,
+        connection: ServerConnection,
+        read: StoreRead,
+        until: float,
+    ) -> StoreAnswer:
+        status = 0
+        body: list[bytes] = []
+        size = 0
+        while True:
+            event = await connection.next_event(until - read_now())
+            match event:
+                case Head(found, _):
+                    status = found
+                case Piece(data):
+                    body.append(data)
+                    size += len(data)
+                    if size > MAX_ANSWER_BYTES:
+                        connection.abort()
+                        return ReadFailed("answer too large")
+                case Finished():
+                    if connection.reusable():
+                        self._connection = connection
+                    else:
+                        connection.abort()
+                    return decode_answer(read, status, b"".join(body))
+                case Broken(reason):
+                    connection.abort()
+                    return ReadFailed(reason)
+                case _:
+                    connection.abort()
+                    return ReadFailed("no answer in time")
--- /dev/null
+++ b/lacewingcleat/store_view.py
@@ -0,0 +1,187 @@
+"""coordination: follow a read-only store by listing it once and watching it.
+
+The view knows at which moment it was surely complete: when the last answered read was
+sent, since the answer covers everything that the store had acknowledged by then.
+"""
+
+from dataclasses import dataclass, field
+
+from lacewingcleat.store_items import (
+    Changed,
+    HistoryLost,
+    Listed,
+    ListRead,
+    ReadFailed,
+    StoreAnswer,
+    StoreItem,
+    StoreRead,
+    WatchRead,
+)
+
+# A silent watch proves nothing, so its length bounds the age of the view: with the
+# answer's own delay it stays below half of the shortest bound on removed keys (5 s).
+WATCH_SECONDS = 1.4
+# Reads are calls that the store counts; changes that come together share one.
+MIN_WATCH_GAP_SECONDS = 0.04
+FIRST_RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 0.4
+# A view that was older than this when it was renewed has missed heartbeats of servers.
+AWAY_SECONDS = 2.2
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class ViewChange:
+    """Name the keys that a read has changed.
+
+    :param was_away: whether the store had been out of reach for a while before it.
+    """
+
+    keys: tuple[str, ...]
+    was_away: bool
+
+
+@dataclass(slots=True)
+class _Listing:
+    """Collect the pages of one listing; pages are not a snapshot."""
+
+    started_at: float
+    at: int | None = None
+    after_key: str = ""
+    item_by_key: dict[str, StoreItem] = field(default_factory=dict)
+
+
+class StoreView:
+    """Hold the items below one prefix and decide the next read.
+
+    :ivar item_by_key: the items as last read.
+    :ivar proved_at: moment at which the view was surely complete.
+    :ivar returned_at: moment at which the store was last reached again after a while.
+    """
+
+    __slots__ = (
+        "_after",
+        "_failures",
+        "_listing",
+        "_next_at",
+        "item_by_key",
+        "proved_at",
+        "returned_at",
+    )
+
+    def __init__(self) -> None:
+        self.item_by_key: dict[str, StoreItem] = {}
+        self.proved_at = NEVER
+        self.returned_at = NEVER
+        self._after: int | None = None
+        self._listing: _Listing | None = None
+        self._failures = 0
+        self._next_at = NEVER
+
+    @property
+    def failures(self) -> int:
+        """Return how many reads in a row have failed."""
+        return self._failures
+
+    @property
+    def revision(self) -> int:
+        """Return the revision up to which changes are known."""
+        return self._after or 0
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the view was surely complete."""
+        return now - self.proved_at
+
+    def next_read(self, now: float) -> tuple[StoreRead, float]:
+        """Return the next read and the seconds to wait before it is sent."""
+        wait = max(0.0, self._next_at - now)
+        if self._after is not None and self._listing is None:
+            return WatchRead(self._after, WATCH_SECONDS), wait
+        if self._listing is None:
+            self._listing = _Listing(now + wait)
+        return ListRead(self._listing.after_key), wait
+
+    def accept(
+        self,
+        answer: StoreAnswer,
+        sent_at: float,
+        now: float,
+    ) -> ViewChange:
+        """Take in the answer to the last read.
+
+        :param sent_at: moment at which the read was sent.
+        """
+        match answer:
+            case ReadFailed():
+                self._failures += 1
+                delay = FIRST_RETRY_SECONDS * self._failures
+                self._next_at = now + min(delay, MAX_RETRY_SECONDS)
+                self._listing = None
+                return ViewChange((), False)
+            case HistoryLost():
+                self._after = None
+                self._listing = None
+                self._next_at = now
+                return ViewChange((), False)
+            case Listed(items, has_more, at):
+                return self._accept_page(items, has_more, at, sent_at, now)
+            case Changed(items, at):
+                return self._accept_changes(items, at, sent_at, now)
+
+    def _accept_page(
+        self,
+        items: tuple[StoreItem, ...],
+        has_more: bool,
+        at: int,
+        sent_at: float,
+        now: float,
+    ) -> ViewChange:
+        listing = self._listing or _Listing(sent_at)
+        self._listing = listing
+        if listing.at is None:
+            listing.at = at
+            listing.started_at = sent_at
+        listing.item_by_key.update({item.key: item for item in items})
+        if has_more and items:
+            listing.after_key = items[-1].key
+            return ViewChange((), False)
+        # Changes since the first page follow by a watch from its revision.
+        before = self.item_by_key
+        self.item_by_key = listing.item_by_key
+        self._after = listing.at
+        self._listing = None
+        changed = [
+            key
+            for key in before.keys() | self.item_by_key.keys()
+            if before.get(key) != self.item_by_key.get(key)
+        ]
+        return self._prove(sorted(changed), listing.started_at, now)
+
+    def _accept_changes(
+        self,
+        items: tuple[StoreItem, ...],
+        at: int,
+        sent_at: float,
+        now: float,
+    ) -> ViewChange:
+        changed = []
+        for item in items:
+            known = self.item_by_key.get(item.key)
+            if known is not None and known.revision >= item.revision:
+                continue
+            changed.append(item.key)
+            if item.value is None:
+                self.item_by_key.pop(item.key, None)
+            else:
+                self.item_by_key[item.key] = item
+        self._after = max(at, self._after or 0)
+        self._next_at = now + MIN_WATCH_GAP_SECONDS if items else now
+        return self._prove(changed, sent_at, now)
+
+    def _prove(self, keys: list[str], sent_at: float, now: float) -> ViewChange:
+        was_away = now - self.proved_at > AWAY_SECONDS
+        if was_away:
+            self.returned_at = now
+        self.proved_at = max(self.proved_at, sent_at)
+        self._failures = 0
+        return ViewChange(tuple(keys), was_away)
