Tell closed groups, unreachable servers and store outages apart

Cause: a server whose entry was removed stayed in use for 2 s more whenever the view was over 2.2 s old, which an ordinary watch cycle reaches (a request went to a leaving server 2,128 ms after the acknowledgement). Refusals of a closed group were tried again at another rank of the same group. Change: only failed reads count as an outage; reports name groups; a refusal that names another rank closes the group until a report opens it; failed connection attempts set a server aside.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -98,6 +98,8 @@
         connection = self._pool.take(record, read_now()) if route.repeatable else None
         if connection is None:
             opened = await self._pool.connect(record)
+            reached = not isinstance(opened, str)
+            self._state.reach.record(record.name, reached, read_now())
             if isinstance(opened, str):
                 return _unsent(record, f"connect: {opened}", failed=True)
             connection = opened
@@ -105,10 +107,12 @@
             connection.abort()
             return _unsent(record, "caller gone")
         now = read_now()
-        current = self._state.directory.get(record.name)
-        if current is None or current.leaving or now >= call.deadline:
+        if not self._state.directory.takes_requests(record.name, now):
             connection.abort()
-            return _unsent(record, "server leaving" if now < call.deadline else "late")
+            return _unsent(record, "server leaving")
+        if now >= call.deadline:
+            connection.abort()
+            return _unsent(record, "deadline passed")
         request.on_gone = lambda: _cancel(call, connection)
         call.sends += 1
         headers = build_headers(call, request, record, events, now)
@@ -161,7 +165,16 @@
                 case _:
                     return _no_answer(record, connection, event)
         self._finish(record, connection, head)
-        return _classify(record, head, b"".join(body))
+        end = _classify(record, head, b"".join(body))
+        if end.attempt.said is Said.NOT_RUN:
+            self._note_refusal(record, head)
+        return end
+
+    def _note_refusal(self, record: ServerRecord, head: Head) -> None:
+        """Learn from a rank that names another one that its group is closed."""
+        faulty = head.header(names.FAULTY_SERVER)
+        if faulty is not None and faulty.decode("latin-1") != record.name:
+            self._state.groups.record_closed(record.name, read_now())
 
     def _finish(
         self,
@@ -200,6 +213,7 @@
             connection.abort()
             return _broken(record, fault)
         events.begin_attempt()
+        last_event_at: float | None = None
         while True:
             event = await connection.next_event(until - read_now())
             match event:
@@ -212,9 +226,14 @@
                     if not whole:
                         continue
                     _pass_on(request, head, events, whole)
+                    now = read_now()
+                    if last_event_at is not None:
+                        gap = now - last_event_at
+                        self._state.groups.record_gap(record.name, gap, now)
+                    last_event_at = now
                     until = call.deadline
                     if may_move:
-                        until = min(until, read_now() + EVENT_GAP_SECONDS)
+                        until = min(until, now + EVENT_GAP_SECONDS)
                 case Finished():
                     if events.incomplete:
                         connection.abort()
@@ -297,7 +316,9 @@
     if not_run or head.status == names.STATUS_MISDIRECTED:
         wait = _seconds(head.header(names.RETRY_AFTER))
         attempt = Attempt(record.name, Sent.SOME, Said.NOT_RUN, "refused", wait)
-        return AttemptEnd(attempt, f"refused {head.status}")
+        faulty = (head.header(names.FAULTY_SERVER) or b"").decode("latin-1")
+        reason = f"refused {head.status} {faulty}".rstrip()
+        return AttemptEnd(attempt, reason)
     answer = WholeAnswer(head.status, answer_headers(head.headers), body)
     if head.status >= 500:
         attempt = Attempt(record.name, Sent.SOME, Said.UNKNOWN, "server-error")
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -27,11 +27,14 @@
 from lacewingcleat.direct_metrics import DirectMetrics
 from lacewingcleat.direct_settings import DirectSettings
 from lacewingcleat.direct_state import DirectState
+from lacewingcleat.group_watch import RankStatus
 from lacewingcleat.platform.config_item import CONFIG_KEY, decode_config
 from lacewingcleat.platform.server_item import SERVER_PREFIX, decode_server
 from lacewingcleat.platform.settings_file import SETTINGS_VARIABLE, decode_settings
+from lacewingcleat.report_reader import ReportReader
 from lacewingcleat.request_access import key_age_limit
 from lacewingcleat.server_connection import ServerPool
+from lacewingcleat.server_record import ServerRecord
 from lacewingcleat.store_reader import StoreReader
 from lacewingcleat.store_view import ViewChange
 
@@ -71,6 +74,7 @@
         self._reader = StoreReader(
             reactor, settings.store_address, "", self._take_change, log
         )
+        self._reports = ReportReader(self._pool, self._take_status, log)
         self._dispatcher = DirectDispatcher(
             settings,
             self._state,
@@ -168,6 +172,8 @@
         before = directory.put(record)
         if before is not None and before == record:
             return
+        if before is not None and before.started_ms != record.started_ms:
+            self._state.groups.forget(name)
         self._log.belief(
             "server",
             now,
@@ -178,6 +184,22 @@
             started_ms=record.started_ms,
         )
 
+    def _take_status(
+        self,
+        record: ServerRecord,
+        status: RankStatus,
+        now: float,
+    ) -> None:
+        if self._state.groups.record_status(record.name, status, now):
+            self._log.belief(
+                "group",
+                now,
+                group=status.group,
+                epoch=status.epoch,
+                open=status.is_open,
+                server=record.name,
+            )
+
     def _tick(self) -> None:
         self._reactor.callLater(TICK_SECONDS, self._tick)
         now = read_now()
@@ -185,6 +207,8 @@
             self._log.belief("server gone", now, server=name)
         for event in self._state.judge(now):
             self._log.belief("outlier", now, change=str(event))
+        for record in self._state.due_reports(now):
+            self._reports.ask(record)
         self._pool.expire(set(self._state.directory.names()), now)
         ready = self._is_ready(now)
         if ready != self._was_ready:
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -3,12 +3,14 @@
 from random import Random
 
 from lacewingcleat.direct_settings import RuleBounds
+from lacewingcleat.group_watch import GroupWatch
 from lacewingcleat.load_view import Target
 from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent
 from lacewingcleat.retries import RetryBudget, RetryPolicy
 from lacewingcleat.routing_config import RoutingConfig
 from lacewingcleat.server_choice import ServerChoice, ServerLoads, choose_server
 from lacewingcleat.server_directory import ServerDirectory
+from lacewingcleat.server_reach import ServerReach
 from lacewingcleat.server_record import ServerRecord
 
 # Entries over which the fleet's extra retries are divided. An entry need not know how
@@ -27,9 +29,11 @@
         "_zone",
         "config",
         "directory",
+        "groups",
         "loads",
         "outliers",
         "random",
+        "reach",
     )
 
     def __init__(self, zone: str, bounds: RuleBounds, random: Random) -> None:
@@ -38,7 +42,9 @@
         self._budget_by_service: dict[str, RetryBudget] = {}
         self.config: RoutingConfig | None = None
         self.directory = ServerDirectory()
+        self.groups = GroupWatch()
         self.loads = ServerLoads()
+        self.reach = ServerReach()
         self.outliers = OutlierEjection()
         self.random = random
 
@@ -72,9 +78,17 @@
         now: float,
     ) -> ServerChoice:
         """Choose the server for a request of a service."""
-        servers = self.directory.usable(service)
-        left = [record for record in servers if record.name not in excluded]
-        choice = choose_server(
+        servers = self.directory.usable(service, now)
+        closed = self._closed_groups(excluded)
+        left = [
+            record
+            for record in servers
+            if record.name not in excluded
+            and not self.reach.is_out(record.name, now)
+            and self.groups.is_open(record.name)
+            and self.groups.name_of(record.name) not in closed
+        ]
+        return choose_server(
             left,
             self.loads,
             lambda record: self._weight(record, now),
@@ -82,7 +96,25 @@
             self.random,
             now,
         )
-        return choice
+
+    def _closed_groups(self, excluded: frozenset[str]) -> set[str]:
+        """Return the groups of servers that have failed a request.
+
+        A group answers for all of its ranks, so another rank would fail it as well.
+        """
+        names = (self.groups.name_of(name) for name in excluded)
+        return {name for name in names if name}
+
+    def due_reports(self, now: float) -> list[ServerRecord]:
+        """Return the servers of model services to ask for a report now."""
+        config = self.config
+        records = {
+            record.name: record
+            for service in (config.service_by_name.values() if config else ())
+            if service.engine is not None
+            for record in self.directory.usable(service.name, now)
+        }
+        return [records[name] for name in self.groups.due(records, now)]
 
     def _weight(self, record: ServerRecord, now: float) -> float:
         return self.outliers.weight(Target(record.service, record.name), now)
@@ -95,10 +127,13 @@
         for service in config.service_by_name if config else ():
             pool = [
                 Target(service, record.name)
-                for record in self.directory.usable(service)
+                for record in self.directory.usable(service, now)
             ]
             targets += pool
             events += self.outliers.judge(pool, now)
         self.outliers.retain(targets)
-        self.loads.retain(self.directory.names())
+        names = set(self.directory.names())
+        self.loads.retain(names)
+        self.groups.retain(names)
+        self.reach.retain(names)
         return events
--- /dev/null
+++ b/lacewingcleat/http_fetch.py
@@ -0,0 +1,57 @@
+"""transport: fetch one document over a connection to a server."""
+
+from dataclasses import dataclass
+
+from lacewingcleat.clock import read_now
+from lacewingcleat.server_connection import (
+    Broken,
+    Finished,
+    Head,
+    Piece,
+    ServerConnection,
+)
+
+MAX_DOCUMENT_BYTES = 16 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Fetched:
+    """Hold an answer that arrived whole; the connection is idle again or closed."""
+
+    status: int
+    body: bytes
+
+
+async def fetch(
+    connection: ServerConnection,
+    host: str,
+    target: bytes,
+    seconds: float,
+) -> Fetched | str:
+    """Return the answer to a GET request, or why there is none in time."""
+    until = read_now() + seconds
+    connection.send(b"GET", target, [(b"host", host.encode())], b"")
+    status = 0
+    body: list[bytes] = []
+    size = 0
+    while True:
+        event = await connection.next_event(until - read_now())
+        match event:
+            case Head(found, _):
+                status = found
+            case Piece(data):
+                body.append(data)
+                size += len(data)
+                if size > MAX_DOCUMENT_BYTES:
+                    connection.abort()
+                    return "answer too large"
+            case Finished():
+                if not connection.reusable():
+                    connection.abort()
+                return Fetched(status, b"".join(body))
+            case Broken(reason):
+                connection.abort()
+                return reason
+            case _:
+                connection.abort()
+                return "no answer in time"
--- /dev/null
+++ b/lacewingcleat/platform/report_call.py
@@ -0,0 +1,37 @@
+"""protocol: the report of a model worker on the platform."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from lacewingcleat.group_watch import RankStatus
+
+REPORT_TARGET = b"/report"
+GROUP_OPEN = "open"
+
+
+class _Group(msgspec.Struct):
+    name: str
+    epoch: int = 0
+    state: str = GROUP_OPEN
+
+
+class _Report(msgspec.Struct):
+    group: _Group | None = None
+    # Over 1 if the worker is slow.
+    pace: float = 1.0
+
+
+_DECODER = msgspec.json.Decoder(_Report)
+
+
+def decode_report(body: bytes) -> Result[RankStatus, str]:
+    """Decode a report."""
+    try:
+        report = _DECODER.decode(body)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        return Err(str(error))
+    group = report.group
+    if group is None:
+        return Ok(RankStatus("", 0, True, report.pace))
+    is_open = group.state == GROUP_OPEN
+    return Ok(RankStatus(group.name, group.epoch, is_open, report.pace))
--- a/lacewingcleat/request_access.py
+++ b/lacewingcleat/request_access.py
@@ -9,9 +9,9 @@
 
 from lacewingcleat.routing_config import ConfigAccount, Route, RoutingConfig
 
-# Share of the bound on removed keys up to which a view admits keys. What is left covers
-# the time that the store needs between acknowledging a change and answering with it.
-KEY_AGE_SHARE = 0.7
+# Share of the bound on removed keys up to which a view admits keys. The age counts from
+# the moment at which the read was sent, so what is left covers only clock drift.
+KEY_AGE_SHARE = 0.92
 # Share of the bound on applying a configuration up to which a view may deny a request.
 DENY_AGE_SHARE = 0.9
 
--- a/lacewingcleat/server_connection.py
+++ b/lacewingcleat/server_connection.py
@@ -257,9 +257,22 @@
         keep_alive_seconds: float | None,
         now: float,
     ) -> None:
-        """Keep a connection after an answer, or close it."""
+        """Keep a connection after an answer if it can be used again, or close it."""
+        if not connection.reusable():
+            connection.abort()
+            return
+        self.keep(record, connection, keep_alive_seconds, now)
+
+    def keep(
+        self,
+        record: ServerRecord,
+        connection: ServerConnection,
+        keep_alive_seconds: float | None,
+        now: float,
+    ) -> None:
+        """Keep an idle connection, unless there are enough of them."""
         idle = self._idle_by_server.setdefault((record.name, record.started_ms), [])
-        if len(idle) >= MAX_IDLE_PER_SERVER or not connection.reusable():
+        if len(idle) >= MAX_IDLE_PER_SERVER or not connection.open:
             connection.abort()
             return
         if keep_alive_seconds is not None:
--- a/lacewingcleat/server_directory.py
+++ b/lacewingcleat/server_directory.py
@@ -20,6 +20,10 @@
     lapsed_until: float | None = None
 
 
+def _is_gone(known: _Known, now: float) -> bool:
+    return known.lapsed_until is not None and known.lapsed_until <= now
+
+
 class ServerDirectory:
     """Keep the backend servers by name and by service."""
 
@@ -55,9 +59,7 @@
     def expire(self, now: float) -> list[str]:
         """Drop the lapsed servers that were not listed again in time."""
         gone = [
-            name
-            for name, known in self._known_by_name.items()
-            if known.lapsed_until is not None and known.lapsed_until <= now
+            name for name, known in self._known_by_name.items() if _is_gone(known, now)
         ]
         for name in gone:
             del self._known_by_name[name]
@@ -70,14 +72,22 @@
         known = self._known_by_name.get(name)
         return known.record if known else None
 
+    def takes_requests(self, name: str, now: float) -> bool:
+        """Return whether a server may still be sent new requests."""
+        known = self._known_by_name.get(name)
+        if known is None or known.record.leaving:
+            return False
+        return not _is_gone(known, now)
+
     def names(self) -> Iterable[str]:
         """Return the names of all known servers."""
         return self._known_by_name.keys()
 
-    def usable(self, service: str) -> list[ServerRecord]:
+    def usable(self, service: str, now: float) -> list[ServerRecord]:
         """Return the servers of a service that take new requests."""
         names = self._names_by_service.get(service, ())
-        return [self._known_by_name[name].record for name in names]
+        known = [self._known_by_name[name] for name in names]
+        return [item.record for item in known if not _is_gone(item, now)]
 
     def _index(self) -> None:
         names_by_service: dict[str, list[str]] = {}
--- a/lacewingcleat/store_reader.py
+++ b/lacewingcleat/store_reader.py
@@ -7,15 +7,9 @@
 
 from lacewingcleat.clock import read_now
 from lacewingcleat.decision_log import DecisionLog
+from lacewingcleat.http_fetch import fetch
 from lacewingcleat.platform.store_calls import decode_answer, encode_read
-from lacewingcleat.server_connection import (
-    Broken,
-    Finished,
-    Head,
-    Piece,
-    ServerConnection,
-    ServerPool,
-)
+from lacewingcleat.server_connection import ServerConnection, ServerPool
 from lacewingcleat.server_record import ServerRecord
 from lacewingcleat.store_items import ReadFailed, StoreAnswer, StoreRead, WatchRead
 from lacewingcleat.store_view import StoreView, ViewChange
@@ -23,9 +17,6 @@
 # A slow store answers after a few hundred milliseconds. A silent connection is given up
 # in time for the next one to renew the view before keys are no longer admitted.
 ANSWER_SECONDS = 0.9
-# Used for a read that follows a failed one, since a store that is out of reach may be
-# silent and the view is renewed only by an answer.
-MAX_ANSWER_BYTES = 16 << 20
 
 
 class StoreReader:
@@ -100,39 +91,9 @@
         self.calls += 1
         wait = read.wait_seconds if isinstance(read, WatchRead) else 0.0
         target = encode_read(self._prefix, read).encode()
-        headers = [(b"host", self._address.encode())]
-        connection.send(b"GET", target, headers, b"")
-        return await self._receive(connection, read, read_now() + wait + ANSWER_SECONDS)
-
-    async def _receive(
-        self,
-        connection: ServerConnection,
-        read: StoreRead,
-        until: float,
-    ) -> StoreAnswer:
-        status = 0
-        body: list[bytes] = []
-        size = 0
-        while True:
-            event = await connection.next_event(until - read_now())
-            match event:
-                case Head(found, _):
-                    status = found
-                case Piece(data):
-                    body.append(data)
-                    size += len(data)
-                    if size > MAX_ANSWER_BYTES:
-                        connection.abort()
-                        return ReadFailed("answer too large")
-                case Finished():
-                    if connection.reusable():
-                        self._connection = connection
-                    else:
-                        connection.abort()
-                    return decode_answer(read, status, b"".join(body))
-                case Broken(reason):
-                    connection.abort()
-                    return ReadFailed(reason)
-                case _:
-                    connection.abort()
-                    return ReadFailed("no answer in time")
+        found = await fetch(connection, self._address, target, wait + ANSWER_SECONDS)
+        if isinstance(found, str):
+            return ReadFailed(found)
+        if connection.open:
+            self._connection = connection
+        return decode_answer(read, found.status, found.body)
--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -25,8 +25,9 @@
 MIN_WATCH_GAP_SECONDS = 0.04
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.4
-# A view that was older than this when it was renewed has missed heartbeats of servers.
-AWAY_SECONDS = 2.2
+# Servers lapse after three missed heartbeats, 3.6 s; an outage of the store that may
+# have cost them some is longer than this.
+AWAY_SECONDS = 1.5
 NEVER = float("-inf")
 
 
@@ -61,6 +62,7 @@
 
     __slots__ = (
         "_after",
+        "_failed_since",
         "_failures",
         "_listing",
         "_next_at",
@@ -76,6 +78,7 @@
         self._after: int | None = None
         self._listing: _Listing | None = None
         self._failures = 0
+        self._failed_since: float | None = None
         self._next_at = NEVER
 
     @property
@@ -114,6 +117,8 @@
         match answer:
             case ReadFailed():
                 self._failures += 1
+                if self._failed_since is None:
+                    self._failed_since = sent_at
                 delay = FIRST_RETRY_SECONDS * self._failures
                 self._next_at = now + min(delay, MAX_RETRY_SECONDS)
                 self._listing = None
@@ -179,9 +184,11 @@
         return self._prove(changed, sent_at, now)
 
     def _prove(self, keys: list[str], sent_at: float, now: float) -> ViewChange:
-        was_away = now - self.proved_at > AWAY_SECONDS
+        since = self._failed_since
+        was_away = since is not None and now - since > AWAY_SECONDS
         if was_away:
             self.returned_at = now
+        self._failed_since = None
         self.proved_at = max(self.proved_at, sent_at)
         self._failures = 0
         return ViewChange(tuple(keys), was_away)
