Exchange requests in flight between entries; try closed groups again slowly

Cause: each of eight entries saw an eighth of the load of a server, and a group that was cut off from one rank reports itself open although it refuses every request. Change: entries send each other datagrams with their requests in flight; a refusal with free slots closes the group for 1 to 3 s or until its epoch changes.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -5,6 +5,7 @@
 from lacewingcleat.caller_connection import CallerRequest
 from lacewingcleat.clock import read_now
 from lacewingcleat.connection_headers import HOP_BY_HOP
+from lacewingcleat.decision_log import DecisionLog
 from lacewingcleat.direct_call import DirectCall
 from lacewingcleat.direct_state import DirectState
 from lacewingcleat.platform import request_headers as names
@@ -33,6 +34,7 @@
 # before another server is asked.
 PATIENCE_OBJECTIVES = 3.0
 MAX_ANSWER_BYTES = 16 << 20
+STATUS_UNAVAILABLE = 503
 # A request without a header value that says otherwise gets the middle priority.
 MIDDLE_PRIORITY = 5
 
@@ -66,7 +68,13 @@
 class AttemptRunner:
     """Send requests to backend servers and read the answers."""
 
-    def __init__(self, state: DirectState, pool: ServerPool) -> None:
+    def __init__(
+        self,
+        state: DirectState,
+        pool: ServerPool,
+        log: DecisionLog,
+    ) -> None:
+        self._log = log
         self._state = state
         self._pool = pool
 
@@ -135,6 +143,7 @@
         head = await connection.next_event(until - read_now())
         if not isinstance(head, Head):
             return _no_answer(record, connection, head)
+        self._note_load(record, head)
         return await self._read_body(call, record, connection, head, until)
 
     async def _read_body(
@@ -171,10 +180,24 @@
         return end
 
     def _note_refusal(self, record: ServerRecord, head: Head) -> None:
-        """Learn from a rank that names another one that its group is closed."""
-        faulty = head.header(names.FAULTY_SERVER)
-        if faulty is not None and faulty.decode("latin-1") != record.name:
-            self._state.groups.record_closed(record.name, read_now())
+        """Learn from a refusal in spite of free slots that a group is closed."""
+        now = read_now()
+        load = names.parse_load(head.header(names.SERVER_LOAD))
+        if load is not None:
+            full = load.running + load.waiting >= load.slots
+        else:
+            full = self._state.loads.estimate(record.name, now) > record.slots
+        if full or head.status != STATUS_UNAVAILABLE:
+            return
+        if self._state.groups.record_closed(record.name, now):
+            group = self._state.groups.name_of(record.name)
+            self._log.belief("group refuses", now, group=group, server=record.name)
+
+    def _note_load(self, record: ServerRecord, head: Head) -> None:
+        load = names.parse_load(head.header(names.SERVER_LOAD))
+        if load is not None:
+            requests = load.running + load.waiting
+            self._state.loads.hear_report(record.name, requests, read_now())
 
     def _finish(
         self,
@@ -212,6 +235,8 @@
         if fault:
             connection.abort()
             return _broken(record, fault)
+        self._note_load(record, head)
+        self._state.groups.record_served(record.name)
         events.begin_attempt()
         last_event_at: float | None = None
         while True:
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -28,6 +28,8 @@
 from lacewingcleat.direct_settings import DirectSettings
 from lacewingcleat.direct_state import DirectState
 from lacewingcleat.group_watch import RankStatus
+from lacewingcleat.peer_loads import SEND_SECONDS, PeerLoad, PeerLoads
+from lacewingcleat.peer_socket import PeerSocket
 from lacewingcleat.platform.config_item import CONFIG_KEY, decode_config
 from lacewingcleat.platform.server_item import SERVER_PREFIX, decode_server
 from lacewingcleat.platform.settings_file import SETTINGS_VARIABLE, decode_settings
@@ -75,10 +77,17 @@
             reactor, settings.store_address, "", self._take_change, log
         )
         self._reports = ReportReader(self._pool, self._take_status, log)
+        self._peers = PeerLoads(
+            settings.instance,
+            settings.control_address,
+            settings.seed_addresses,
+            Random(os.urandom(8)),
+        )
+        self._peer_socket = PeerSocket(self._take_peer_load)
         self._dispatcher = DirectDispatcher(
             settings,
             self._state,
-            AttemptRunner(self._state, self._pool),
+            AttemptRunner(self._state, self._pool, log),
             log,
             self._metrics,
             self._reader.view.age,
@@ -97,6 +106,10 @@
         self._listen(self._settings.readiness_address, self._probes)
         host, _ = split_address(self._settings.readiness_address)
         self._reactor.listenTCP(METRICS_PORT, self._probes, interface=host)
+        if self._settings.control_address:
+            host, port = split_address(self._settings.control_address)
+            self._reactor.listenUDP(port, self._peer_socket, interface=host)
+            self._tell_peers()
         self._reader.start()
         self._reactor.callLater(TICK_SECONDS, self._tick)
         self._log.lifecycle("start", version=__version__, zone=self._settings.zone)
@@ -200,6 +213,18 @@
                 server=record.name,
             )
 
+    def _tell_peers(self) -> None:
+        self._reactor.callLater(SEND_SECONDS, self._tell_peers)
+        now = read_now()
+        counts = self._state.loads.in_flight_by_name()
+        message = self._peers.next_message(counts, now)
+        self._peer_socket.send(message, self._peers.targets(now))
+
+    def _take_peer_load(self, load: PeerLoad) -> None:
+        now = read_now()
+        if self._peers.hear(load, now):
+            self._state.loads.hear_peer(load.instance, load.count_by_server, now)
+
     def _tick(self) -> None:
         self._reactor.callLater(TICK_SECONDS, self._tick)
         now = read_now()
--- a/lacewingcleat/group_watch.py
+++ b/lacewingcleat/group_watch.py
@@ -11,8 +11,11 @@
 
 # A group opens again within about a second of its last rank's return.
 DOUBT_POLL_SECONDS = 0.3
-# A doubt that no report has settled is dropped, since requests are the better test.
-DOUBT_SECONDS = 3.0
+# A rank that is cut off from others reports an open group until the group is dissolved.
+# Unless the epoch has changed, a group that refused is tried again after this time,
+# which doubles while it goes on refusing.
+FIRST_CLOSED_SECONDS = 1.0
+MAX_CLOSED_SECONDS = 3.0
 # Servers whose group is unknown are asked again after this time.
 LEARN_SECONDS = 1.0
 # Smoothing of the gap between events of a group's streams.
@@ -41,7 +44,8 @@
 class _Group:
     epoch: int = 0
     is_open: bool = True
-    doubted_at: float = float("-inf")
+    closed_until: float = float("-inf")
+    closed_seconds: float = FIRST_CLOSED_SECONDS
     asked_at: float = float("-inf")
     turn: int = 0
     gap_seconds: float = 0.0
@@ -96,26 +100,32 @@
         if known and status.epoch < group.epoch:
             return False
         before = (group.is_open, group.epoch)
+        if status.epoch > group.epoch:
+            group.closed_until = float("-inf")
+            group.closed_seconds = FIRST_CLOSED_SECONDS
         group.epoch = status.epoch
-        group.is_open = status.is_open
-        group.doubted_at = float("-inf") if status.is_open else now
+        group.is_open = status.is_open and now >= group.closed_until
         return not known or before != (group.is_open, group.epoch)
 
     def record_closed(self, server: str, now: float) -> bool:
-        """Take in that a rank refused because of another; return whether that is news.
-
-        The group counts as closed until a report says that it is open.
-        """
+        """Take in a refusal of a rank with free slots; return whether it is news."""
         name = self._name_by_server.get(server)
         if not name:
             return False
         group = self._group_by_name[name]
-        group.doubted_at = now
         if not group.is_open:
             return False
         group.is_open = False
+        group.closed_until = now + group.closed_seconds
+        group.closed_seconds = min(MAX_CLOSED_SECONDS, group.closed_seconds * 2.0)
         return True
 
+    def record_served(self, server: str) -> None:
+        """Take in that a rank has begun to answer a request."""
+        name = self._name_by_server.get(server)
+        if name:
+            self._group_by_name[name].closed_seconds = FIRST_CLOSED_SECONDS
+
     def due(self, servers: Iterable[str], now: float) -> list[str]:
         """Return the servers to ask for a report now.
 
@@ -137,8 +147,6 @@
             group.asked_at = now
             group.turn += 1
             found.append(members[group.turn % len(members)])
-            if now - group.doubted_at > DOUBT_SECONDS:
-                group.is_open = True
         return found
 
     def _may_ask(self, server: str, now: float) -> bool:
