Wait while no other server could help; choose Retry-After by cause

Cause: a stream's attempt ended after 1.4 s although no other server could take it, and callers came back to a closed group after 0.35 s and were refused for good. Change: a slow attempt is moved only if a server and a retry are left; callers are told to come back when the cause has probably passed, within a third of their time.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -13,6 +13,7 @@
 from lacewingcleat.retries import Attempt, Said, Sent
 from lacewingcleat.routing_config import RequestKind
 from lacewingcleat.server_connection import (
+    AnswerEvent,
     Broken,
     Finished,
     Head,
@@ -28,6 +29,8 @@
 # Longest wait for the first event of a stream that may be resumed elsewhere; callers
 # leave after 2 s without an event.
 FIRST_EVENT_SECONDS = 1.4
+# A slow attempt that could not be moved is looked at again after this time.
+RECONSIDER_SECONDS = 0.25
 # Longest pause inside a stream that may be resumed elsewhere.
 EVENT_GAP_SECONDS = 1.2
 # Longest wait for the answer of an idempotent request, as a multiple of its objective,
@@ -140,12 +143,32 @@
         if route.repeatable and call.sends < route.max_attempts:
             patience = route.target_seconds * PATIENCE_OBJECTIVES
             until = min(until, read_now() + patience)
-        head = await connection.next_event(until - read_now())
+        head = await self._next(call, record, connection, until)
         if not isinstance(head, Head):
             return _no_answer(record, connection, head)
         self._note_load(record, head)
         return await self._read_body(call, record, connection, head, until)
 
+    async def _next(
+        self,
+        call: DirectCall,
+        record: ServerRecord,
+        connection: ServerConnection,
+        until: float,
+    ) -> AnswerEvent:
+        """Wait for the answer until the deadline while no other server could help.
+
+        :param until: moment from which another server is asked if there is one.
+        """
+        while True:
+            event = await connection.next_event(until - read_now())
+            now = read_now()
+            if not isinstance(event, TimedOut) or now >= call.deadline:
+                return event
+            if self._state.alternative_exists(call, record.name, now):
+                return event
+            until = min(call.deadline, now + RECONSIDER_SECONDS)
+
     async def _read_body(
         self,
         call: DirectCall,
@@ -226,7 +249,7 @@
         until = call.deadline
         if may_move:
             until = min(until, read_now() + FIRST_EVENT_SECONDS)
-        head = await connection.next_event(until - read_now())
+        head = await self._next(call, record, connection, until)
         if not isinstance(head, Head):
             return _no_answer(record, connection, head)
         if head.status != 200 or head.header(names.NOT_RUN) is not None:
@@ -240,7 +263,7 @@
         events.begin_attempt()
         last_event_at: float | None = None
         while True:
-            event = await connection.next_event(until - read_now())
+            event = await self._next(call, record, connection, until)
             match event:
                 case Piece(data):
                     try:
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -11,13 +11,7 @@
 from lacewingcleat.direct_attempt import AttemptEnd, AttemptRunner
 from lacewingcleat.direct_call import DirectCall, Try
 from lacewingcleat.direct_metrics import DirectMetrics
-from lacewingcleat.direct_refusal import (
-    FULL_RETRY_SECONDS,
-    NO_SERVER_RETRY_SECONDS,
-    STALE_RETRY_SECONDS,
-    OwnAnswer,
-    answer_decision,
-)
+from lacewingcleat.direct_refusal import OwnAnswer, answer_decision
 from lacewingcleat.direct_settings import DirectSettings
 from lacewingcleat.direct_state import DirectState
 from lacewingcleat.load_view import Target
@@ -32,11 +26,14 @@
     decide_retry,
     report_unsent,
 )
+from lacewingcleat.retry_after import WaitCause, retry_after_seconds
 from lacewingcleat.server_choice import ChosenServer, NoServer, ServersFull
 from lacewingcleat.server_record import ServerRecord
 
 # Connections that fail before a byte is sent are tried at this many servers at most.
 MAX_UNSENT_TRIES = 4
+# Assumed of callers that do not say how long they wait.
+DEFAULT_WAIT_SECONDS = 2.0
 
 
 class DirectDispatcher:
@@ -102,6 +99,7 @@
             self._settings.bounds.apply_seconds,
         )
         version = config.version if config else 0
+        wait = names.parse_deadline_seconds(request.header(names.DEADLINE_MS))
         if isinstance(access, Denied):
             self._log.request(
                 "denied",
@@ -112,9 +110,14 @@
                 config_version=version,
                 config_age=round(age, 3),
             )
-            retry = STALE_RETRY_SECONDS if access.status == 503 else None
+            retry = None
+            if access.status == 503:
+                # Entries that can reach the store serve the caller at once.
+                elsewhere = self._state.peers_are_fresh(now)
+                cause = WaitCause.ELSEWHERE if elsewhere else WaitCause.OUTAGE
+                until = request.arrived_at + (wait or DEFAULT_WAIT_SECONDS)
+                retry = retry_after_seconds(cause, until, self._state.random, now)
             return OwnAnswer(access.status, access.reason, retry)
-        wait = names.parse_deadline_seconds(request.header(names.DEADLINE_MS))
         timeout = access.route.timeout_seconds
         limit = request.arrived_at + timeout
         caller_deadline = request.arrived_at + wait if wait is not None else limit
@@ -171,7 +174,10 @@
                     if events.delivered:
                         request.abort()
                         return 0, f"stream broken: {end.reason}"
-                    own = answer_decision(decision, end.timed_out, FULL_RETRY_SECONDS)
+                    # The attempt was refused or never sent: the server or its
+                    # group is out of order, since full ones are not chosen.
+                    wait = self._retry_after(call, WaitCause.OUTAGE, now)
+                    own = answer_decision(decision, end.timed_out, wait)
                     self._write(request, own)
                     return own.status, own.reason
 
@@ -221,17 +227,22 @@
     ) -> tuple[int, str]:
         match choice:
             case ServersFull():
-                reason, wait = "servers-full", FULL_RETRY_SECONDS
+                reason, cause = "servers-full", WaitCause.BUSY
             case NoServer():
-                reason, wait = "no-server", NO_SERVER_RETRY_SECONDS
+                reason, cause = "no-server", WaitCause.OUTAGE
         if events.delivered:
             request.abort()
             return 0, f"stream broken: {reason}"
+        wait = self._retry_after(call, cause, read_now())
         report = report_unsent(self._facts(call, events), reason, wait)
         own = answer_decision(report, False, wait)
         self._write(request, own)
         return own.status, own.reason
 
+    def _retry_after(self, call: DirectCall, cause: WaitCause, now: float) -> float:
+        random = self._state.random
+        return retry_after_seconds(cause, call.caller_deadline, random, now)
+
     def _pass_answer(
         self,
         request: CallerRequest,
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -71,18 +71,19 @@
         self._settings_path = settings_path
         self._log = log
         self._metrics = DirectMetrics()
-        self._state = DirectState(settings.zone, settings.bounds, Random(os.urandom(8)))
-        self._pool = ServerPool(reactor)
-        self._reader = StoreReader(
-            reactor, settings.store_address, "", self._take_change, log
-        )
-        self._reports = ReportReader(self._pool, self._take_status, log)
         self._peers = PeerLoads(
             settings.instance,
             settings.control_address,
             settings.seed_addresses,
             Random(os.urandom(8)),
         )
+        random = Random(os.urandom(8))
+        self._state = DirectState(settings.zone, settings.bounds, self._peers, random)
+        self._pool = ServerPool(reactor)
+        self._reader = StoreReader(
+            reactor, settings.store_address, "", self._take_change, log
+        )
+        self._reports = ReportReader(self._pool, self._take_status, log)
         self._peer_socket = PeerSocket(self._take_peer_load)
         self._dispatcher = DirectDispatcher(
             settings,
@@ -217,7 +218,7 @@
         self._reactor.callLater(SEND_SECONDS, self._tell_peers)
         now = read_now()
         counts = self._state.loads.in_flight_by_name()
-        message = self._peers.next_message(counts, now)
+        message = self._peers.next_message(counts, self._is_fresh(now))
         self._peer_socket.send(message, self._peers.targets(now))
 
     def _take_peer_load(self, load: PeerLoad) -> None:
--- a/lacewingcleat/direct_refusal.py
+++ b/lacewingcleat/direct_refusal.py
@@ -7,13 +7,6 @@
 STATUS_NOT_RUN = 503
 STATUS_UNKNOWN = 502
 STATUS_TIMEOUT = 504
-# Delay for callers when the servers are full: about the time in which a busy engine
-# finishes one of its requests, so that a slot is free when they return.
-FULL_RETRY_SECONDS = 0.35
-# Delay when this entry cannot judge requests; another entry probably can.
-STALE_RETRY_SECONDS = 0.05
-# Delay when no server of the service is known.
-NO_SERVER_RETRY_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,16 +25,16 @@
 def answer_decision(
     decision: RetryDecision,
     timed_out: bool,
-    default_retry_seconds: float,
+    retry_after: float,
 ) -> OwnAnswer:
     """Return the answer for a request that is not sent again.
 
     :param timed_out: whether its last attempt ended because time ran out.
+    :param retry_after: seconds to wait if the request has not run.
     """
     match decision:
-        case ReportNotRun(code, retry_after):
-            wait = retry_after or default_retry_seconds
-            return OwnAnswer(STATUS_NOT_RUN, code, wait)
+        case ReportNotRun(code, _):
+            return OwnAnswer(STATUS_NOT_RUN, code, retry_after)
         case ReportUnknown(code) if timed_out:
             return OwnAnswer(STATUS_TIMEOUT, code)
         case ReportUnknown(code):
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -2,13 +2,20 @@
 
 from random import Random
 
+from lacewingcleat.direct_call import DirectCall
 from lacewingcleat.direct_settings import RuleBounds
 from lacewingcleat.group_watch import GroupWatch
 from lacewingcleat.load_view import Target
 from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent
+from lacewingcleat.peer_loads import PeerLoads
 from lacewingcleat.retries import RetryBudget, RetryPolicy
 from lacewingcleat.routing_config import RoutingConfig
-from lacewingcleat.server_choice import ServerChoice, ServerLoads, choose_server
+from lacewingcleat.server_choice import (
+    ChosenServer,
+    ServerChoice,
+    ServerLoads,
+    choose_server,
+)
 from lacewingcleat.server_directory import ServerDirectory
 from lacewingcleat.server_reach import ServerReach
 from lacewingcleat.server_record import ServerRecord
@@ -32,11 +39,18 @@
         "groups",
         "loads",
         "outliers",
+        "peers",
         "random",
         "reach",
     )
 
-    def __init__(self, zone: str, bounds: RuleBounds, random: Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        bounds: RuleBounds,
+        peers: PeerLoads,
+        random: Random,
+    ) -> None:
         self._zone = zone
         self._bounds = bounds
         self._budget_by_service: dict[str, RetryBudget] = {}
@@ -46,8 +60,20 @@
         self.loads = ServerLoads()
         self.reach = ServerReach()
         self.outliers = OutlierEjection()
+        self.peers = peers
         self.random = random
 
+    def peers_are_fresh(self, now: float) -> bool:
+        """Return whether another entry can probably judge requests."""
+        return self.peers.any_fresh(now)
+
+    def alternative_exists(self, call: DirectCall, tried: str, now: float) -> bool:
+        """Return whether a request could be moved to another server at once."""
+        if not self.budget(call.service, now).may_spend(now):
+            return False
+        choice = self.choose(call.service, call.failed_names | {tried}, now)
+        return isinstance(choice, ChosenServer)
+
     def budget(self, service: str, now: float) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self._budget_by_service.get(service)
--- a/lacewingcleat/peer_loads.py
+++ b/lacewingcleat/peer_loads.py
@@ -18,6 +18,8 @@
 # A silent peer is asked for this long before it is forgotten.
 FORGET_SECONDS = 10.0
 SEED_SECONDS = 1.0
+# Several datagrams may be lost in a row.
+FRESH_SECONDS = 1.0
 MAX_SHARED_ADDRESSES = 8
 MAX_DATAGRAM_BYTES = 8_192
 MAX_PEERS = 1_024
@@ -31,6 +33,7 @@
     :param address: control address of the sender.
     :param count_by_server: requests in flight by server.
     :param addresses: control addresses of peers that were heard lately.
+    :param fresh: whether the sender's view of the configuration admits keys.
     """
 
     instance: str
@@ -39,11 +42,13 @@
     address: str
     count_by_server: dict[str, int]
     addresses: list[str]
+    fresh: bool = False
 
 
 @dataclass(slots=True)
 class _Peer:
     heard_at: float
+    fresh: bool = False
     instance: str = ""
     incarnation: int = 0
     sequence: int = -1
@@ -109,9 +114,17 @@
         peer.instance = load.instance
         peer.incarnation = load.incarnation
         peer.sequence = load.sequence
+        peer.fresh = load.fresh
         return True
 
-    def next_message(self, count_by_server: dict[str, int], now: float) -> PeerLoad:
+    def any_fresh(self, now: float) -> bool:
+        """Return whether a peer said lately that it can judge requests."""
+        return any(
+            peer.fresh and now - peer.heard_at <= FRESH_SECONDS
+            for peer in self._peer_by_address.values()
+        )
+
+    def next_message(self, count_by_server: dict[str, int], fresh: bool) -> PeerLoad:
         """Return the datagram to send now."""
         self._sequence += 1
         heard = [
@@ -125,6 +138,7 @@
             self._address,
             count_by_server,
             self._random.sample(heard, shared),
+            fresh,
         )
 
     def targets(self, now: float) -> list[str]:
