Log first event and longest gap of each stream

Cause: late answers could not be told apart by slow first events and long gaps. Change: the line of a request carries both.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -275,8 +275,11 @@
                         continue
                     _pass_on(request, head, events, whole)
                     now = read_now()
+                    if call.first_event_at is None:
+                        call.first_event_at = now
                     if last_event_at is not None:
                         gap = now - last_event_at
+                        call.longest_gap = max(call.longest_gap, gap)
                         self._state.groups.record_gap(record.name, gap, now)
                     last_event_at = now
                     until = call.deadline
--- a/lacewingcleat/direct_call.py
+++ b/lacewingcleat/direct_call.py
@@ -27,6 +27,8 @@
     :ivar deadline: moment at which the final answer is due.
     :ivar caller_deadline: moment until which the caller waits.
     :ivar sends: servers to which the request was written.
+    :ivar first_event_at: moment at which the first event was passed on.
+    :ivar longest_gap: longest time between two events that were passed on.
     :ivar config_version: version of the configuration that admitted it.
     """
 
@@ -44,4 +46,5 @@
     failed_names: frozenset[str] = frozenset()
     tries: list[Try] = field(default_factory=list)
     cancelled: bool = False
-    queued_seconds: float = 0.0
+    first_event_at: float | None = None
+    longest_gap: float = 0.0
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -287,6 +287,8 @@
             reason=reason,
             ms=round(seconds * 1000.0, 1),
             events=events.delivered,
+            first_ms=_ms(call.first_event_at, call.arrived_at),
+            gap_ms=round(call.longest_gap * 1000.0, 1),
             config_version=call.config_version,
             config_age=round(call.config_age, 3),
             tries=[
@@ -297,6 +299,10 @@
         )
 
 
+def _ms(moment: float | None, since: float) -> float | None:
+    return None if moment is None else round((moment - since) * 1000.0, 1)
+
+
 def _host(value: bytes | None) -> str:
     text = (value or b"").decode("latin-1").strip().lower()
     host, colon, port = text.rpartition(":")
