Change expert maps only for busy groups

Change: counts are read and maps switched only when a group's events come later than 0.68 of the pause that callers accept; a switch has to lower the mean skew by 0.35.

--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -37,6 +37,7 @@
         "config",
         "directory",
         "groups",
+        "least_gap_seconds",
         "loads",
         "outliers",
         "peers",
@@ -55,6 +56,7 @@
         self._bounds = bounds
         self._budget_by_service: dict[str, RetryBudget] = {}
         self.config: RoutingConfig | None = None
+        self.least_gap_seconds = 0.0
         self.directory = ServerDirectory()
         self.groups = GroupWatch()
         self.loads = ServerLoads()
@@ -95,6 +97,7 @@
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
+        self.least_gap_seconds = config.least_gap_seconds()
         return True
 
     def choose(
--- a/lacewingcleat/expert_demand.py
+++ b/lacewingcleat/expert_demand.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 # Half-life of the counts: demand stays for a few seconds at a time.
-HALF_LIFE_SECONDS = 3.0
+HALF_LIFE_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lacewingcleat/group_watch.py
+++ b/lacewingcleat/group_watch.py
@@ -95,10 +95,9 @@
         name = self._name_by_server.get(server)
         return name is None or not name or self._group_by_name[name].is_open
 
-    def gap_seconds(self, server: str, now: float) -> float | None:
+    def gap_of(self, name: str, now: float) -> float | None:
         """Return the usual gap between events of a group's streams, if it is known."""
-        name = self._name_by_server.get(server)
-        group = self._group_by_name.get(name) if name else None
+        group = self._group_by_name.get(name)
         if group is None or now - group.gap_at > GAP_SECONDS:
             return None
         return group.gap_seconds
--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -31,7 +31,7 @@
 from lacewingcleat.platform.report_call import REPORT_TARGET
 from lacewingcleat.rendezvous import rank_by_rendezvous
 from lacewingcleat.replica_placement import MapShape, RankExperts
-from lacewingcleat.replica_plan import ReplicaPlanner
+from lacewingcleat.replica_plan import ReplicaPlanner, is_worthwhile
 from lacewingcleat.routing_config import EngineFigures
 from lacewingcleat.server_connection import ServerPool
 from lacewingcleat.server_record import ServerRecord
@@ -255,6 +255,10 @@
         if left is not None:
             self._log.belief("map left", read_now(), group=name, outcome=left.reason)
             return
+        now = read_now()
+        gap = self._state.groups.gap_of(name, now)
+        if not is_worthwhile(gap, self._state.least_gap_seconds):
+            return
         if not await self._read_demand(group, port, size):
             return
         version = states[0].mapping
--- a/lacewingcleat/platform/config_item.py
+++ b/lacewingcleat/platform/config_item.py
@@ -36,6 +36,7 @@
     kind: str
     timeout_ms: float
     target_latency_ms: float = 1000.0
+    target_gap_ms: float = 0.0
     priority: int = 5
     # A route names either one service or a split over several.
     service: str = ""
@@ -124,6 +125,7 @@
         kind=KIND_BY_WORD[route.kind],
         timeout_seconds=route.timeout_ms / MS_PER_SECOND,
         target_seconds=route.target_latency_ms / MS_PER_SECOND,
+        gap_seconds=route.target_gap_ms / MS_PER_SECOND,
         priority=route.priority,
         shares=tuple(shares) or (ServiceShare(route.service, 1.0),),
         max_attempts=route.max_attempts,
--- a/lacewingcleat/replica_plan.py
+++ b/lacewingcleat/replica_plan.py
@@ -12,15 +12,29 @@
 
 # A new map must lower the mean skew of the sets by this much: a switch costs orders,
 # copies and a second of passes that take 15 in 100 longer.
-MIN_SKEW_GAIN = 0.12
+MIN_SKEW_GAIN = 0.35
 # Choices behind the estimate below which it is mostly chance.
 MIN_CHOICES = 400.0
+# Maps are changed only for groups whose events come later than this share of the
+# pause that callers accept: an idle group gains nothing that its callers notice.
+BUSY_GAP_SHARE = 0.68
 # Pause after a switch or an attempt at one.
-PAUSE_SECONDS = 1.0
+PAUSE_SECONDS = 4.0
 # Pause after an attempt that failed; doubles up to the second figure.
 BACKOFF_SECONDS = (2.0, 20.0)
 
 
+def is_worthwhile(gap_seconds: float | None, target_gap_seconds: float) -> bool:
+    """Return whether a group is so busy that a better map would serve its callers.
+
+    :param gap_seconds: usual gap between events of its streams, none without streams.
+    :param target_gap_seconds: gap that callers accept, 0 if they do not say.
+    """
+    if gap_seconds is None:
+        return False
+    return gap_seconds >= BUSY_GAP_SHARE * target_gap_seconds
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaPlan:
     """Propose a map.
--- a/lacewingcleat/routing_config.py
+++ b/lacewingcleat/routing_config.py
@@ -31,6 +31,8 @@
 
     :param timeout_seconds: time after which a final answer is due.
     :param target_seconds: latency objective of the answer or the first event.
+    :param gap_seconds: longest pause between events that is still on time, 0 if the
+        route does not say.
     :param priority: 0 is the most urgent.
     :param shares: the services that serve the route, by weight.
     :param max_attempts: servers to which one request may be sent.
@@ -44,6 +46,7 @@
     kind: RequestKind
     timeout_seconds: float
     target_seconds: float
+    gap_seconds: float
     priority: int
     shares: tuple[ServiceShare, ...]
     max_attempts: int
@@ -134,6 +137,16 @@
     needs_keys: bool
     limits: ListenerLimits
 
+    def least_gap_seconds(self) -> float:
+        """Return the shortest pause that a streaming route allows, 0 without one."""
+        gaps = [
+            route.gap_seconds
+            for routes in self.routes_by_host.values()
+            for route in routes
+            if route.gap_seconds > 0.0
+        ]
+        return min(gaps, default=0.0)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
         for route in self.routes_by_host.get(host, ()):
