--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -37,7 +37,7 @@
 from lacewingcleat.server_record import ServerRecord
 
 # Demand on experts stays for a few seconds; each round costs reads that are counted.
-ROUND_SECONDS = 2.0
+ROUND_SECONDS = 2.5
 # Ranks of a group whose counts are read; requests are spread evenly over the ranks.
 COUNTED_RANKS = 2
 # Ranks answer orders and reads within a few milliseconds.
--- a/lacewingcleat/replica_plan.py
+++ b/lacewingcleat/replica_plan.py
@@ -17,7 +17,7 @@
 MIN_CHOICES = 400.0
 # Maps are changed only for groups whose events come later than this share of the
 # pause that callers accept: an idle group gains nothing that its callers notice.
-BUSY_GAP_SHARE = 0.68
+BUSY_GAP_SHARE = 0.58
 # Pause after a switch or an attempt at one.
 PAUSE_SECONDS = 4.0
 # Pause after an attempt that failed; doubles up to the second figure.
