Blame no rank for the pause of its group; take holds over sooner

Change: late answers of a rank in a group do not count against it; a hold is taken over after 0.8 s.

--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -23,6 +23,7 @@
     ResumeAt,
     RetryElsewhere,
     ReturnResult,
+    Said,
     decide_retry,
     report_unsent,
 )
@@ -158,7 +159,7 @@
                 case RetryElsewhere(excluded, may_have_run):
                     call.failed_names = excluded
                     call.may_have_run = may_have_run
-                    call.lost += end.attempt.said.value != "not-run"
+                    call.lost += end.attempt.said is not Said.NOT_RUN
                     self._metrics.retries.labels(end.reason[:40]).inc()
                     continue
                 case ResumeAt(_, excluded):
@@ -211,13 +212,21 @@
         now = read_now()
         sent = call.sends > sends
         call.tries.append(Try(record.name, load, now - began, sent, end.reason))
-        if not call.cancelled:
+        if not call.cancelled and self._tells_of_server(record, end):
             target = Target(record.service, record.name)
-            if end.server_failed or end.attempt.said.value != "not-run":
-                outliers = self._state.outliers
-                outliers.record_result(target, not end.server_failed, began, now)
+            outliers = self._state.outliers
+            outliers.record_result(target, not end.server_failed, began, now)
         return end
 
+    def _tells_of_server(self, record: ServerRecord, end: AttemptEnd) -> bool:
+        """Return whether the end of an attempt says something of this one server.
+
+        The ranks of a group pause together, so a late answer blames none of them.
+        """
+        if end.timed_out and self._state.groups.name_of(record.name):
+            return False
+        return end.server_failed or end.attempt.said is not Said.NOT_RUN
+
     def _give_up(
         self,
         call: DirectCall,
--- a/lacewingcleat/group_map_switch.py
+++ b/lacewingcleat/group_map_switch.py
@@ -39,10 +39,10 @@
 MOST_LEAD_STEPS = 26
 # After this time from the hold a switch is taken back, since the group may be waiting.
 ARM_SECONDS = 0.8
-# A release is sent only within this time of the hold: another leader takes a hold over
-# when it has seen it for longer than `ORPHAN_SECONDS`.
+# A release is sent only within this time of the hold. Another leader takes a hold over
+# that it has seen for `ORPHAN_SECONDS`; the higher token keeps the two apart.
 RELEASE_SECONDS = 1.2
-ORPHAN_SECONDS = 1.4
+ORPHAN_SECONDS = 0.8
 # Tries to take a switch back before the next round goes on with it.
 MAX_TRIES = 12
 # A version that no map has, so that disarming it changes nothing.
--- /dev/null
+++ b/tests/test_direct_dispatch.py
@@ -0,0 +1,52 @@
+"""What a direct entry learns of servers from the ends of attempts."""
+
+from random import Random
+from typing import Any
+
+from testtools import TestCase
+
+from lacewingcleat.direct_attempt import AttemptEnd
+from lacewingcleat.direct_dispatch import DirectDispatcher
+from lacewingcleat.direct_settings import RuleBounds
+from lacewingcleat.direct_state import DirectState
+from lacewingcleat.group_watch import RankStatus
+from lacewingcleat.peer_loads import PeerLoads
+from lacewingcleat.retries import Attempt, Said, Sent
+from tests.builders_direct import make_record
+
+BOUNDS = RuleBounds(5.0, 2.0, 2.0, 8.0, 0.2, 92.0, 10.0, True)
+
+
+def make_dispatcher(state: DirectState) -> DirectDispatcher:
+    """Make a dispatcher that decides and never sends."""
+    nothing: Any = None
+    return DirectDispatcher(nothing, state, nothing, nothing, nothing, nothing)
+
+
+class LearningTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        peers = PeerLoads("me", "10.0.0.1:1", (), Random(1))
+        self.state = DirectState("z", BOUNDS, peers, Random(1))
+        self.dispatcher = make_dispatcher(self.state)
+
+    def _tells(self, said: Said, timed_out: bool = False, failed: bool = False) -> bool:
+        attempt = Attempt("i-1", Sent.SOME, said)
+        end = AttemptEnd(attempt, "", timed_out=timed_out, server_failed=failed)
+        return self.dispatcher._tells_of_server(make_record(), end)
+
+    def test_a_paused_group_blames_no_rank(self) -> None:
+        """Guards against ejecting sound ranks after their group was held.
+
+        Seen as up to five of 16 ranks ejected for 10 s after a hold of 3.7 s.
+        """
+        self.assertTrue(self._tells(Said.NOTHING, timed_out=True, failed=True))
+        status = RankStatus("g", 1, 0, 8, True, 1.0)
+        self.state.groups.record_status("i-1", status, 0.0)
+        self.assertFalse(self._tells(Said.NOTHING, timed_out=True, failed=True))
+        self.assertTrue(self._tells(Said.BROKEN, failed=True))
+
+    def test_a_refusal_is_no_fault(self) -> None:
+        """Guards against ejecting servers that are only full."""
+        self.assertFalse(self._tells(Said.NOT_RUN))
+        self.assertTrue(self._tells(Said.COMPLETE))
