Say in logs why a request was not sent again; divide retries by known entries

Cause: a 502 could not be told apart from one without a retry left, and entries used a twelfth of the extra retries although there are eight of them. Change: the line of a request has the time allowed and the retries left; the extra retries are divided by the most entries known, eight at least.

--- a/lacewingcleat/ctl_main.py
+++ b/lacewingcleat/ctl_main.py
@@ -21,6 +21,7 @@
     make_fleet_report,
 )
 from lacewingcleat.http_relay import RelayClient
+from lacewingcleat.log_history import find_history
 from lacewingcleat.program import (
     EXIT_FINDINGS,
     EXIT_OK,
@@ -46,6 +47,8 @@
             return _check(options.files)
         case "diff":
             return _diff(options.old, options.new)
+        case "history":
+            return _history(options.request, options.files)
         case "status":
             return _run(_status(options.admin, options.json))
         case _:
@@ -60,6 +63,13 @@
     diff = commands.add_parser("diff", help="say what a sheet changes")
     diff.add_argument("old", metavar="OLD")
     diff.add_argument("new", metavar="NEW")
+    history = commands.add_parser(
+        "history", help="print what log lines say of one request"
+    )
+    history.add_argument("request", help="identifier of the request")
+    history.add_argument(
+        "files", nargs="*", metavar="FILE", help="log files; standard input by default"
+    )
     status = commands.add_parser("status", help="show the state of processes")
     status.add_argument("admin", nargs="+", metavar="IP:PORT", help="admin addresses")
     status.add_argument("--json", action="store_true", help="print JSON")
@@ -95,6 +105,22 @@
     return exit_code
 
 
+def _history(request: str, files: Sequence[str]) -> int:
+    texts: list[str] = []
+    for file in files:
+        text = read_text(file)
+        if text is None:
+            return EXIT_USAGE
+        texts += text.splitlines()
+    lines = find_history(texts if files else sys.stdin, request)
+    for line in lines:
+        sys.stdout.write(f"{line}\n")
+    if lines:
+        return EXIT_OK
+    sys.stderr.write(f"no line names request {request}\n")
+    return EXIT_FINDINGS
+
+
 def _find(text: str, file: str) -> list[Finding]:
     """Return the findings of a sheet, or of settings, told apart by their members."""
     parsed = parse_document(text, file)
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -295,9 +295,11 @@
             status=status,
             reason=reason,
             ms=round(seconds * 1000.0, 1),
+            allowed_ms=_ms(call.deadline, call.arrived_at),
             events=events.delivered,
             first_ms=_ms(call.first_event_at, call.arrived_at),
             gap_ms=round(call.longest_gap * 1000.0, 1),
+            retries_left=round(self._state.budget(call.service, now).available, 1),
             config_version=call.config_version,
             config_age=round(call.config_age, 3),
             tries=[
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -20,9 +20,9 @@
 from lacewingcleat.server_reach import ServerReach
 from lacewingcleat.server_record import ServerRecord
 
-# Entries over which the fleet's extra retries are divided. An entry need not know how
-# many there are: with more of them each has fewer requests and seldom uses its part.
-BUDGET_ENTRIES = 12.0
+# Entries over which the fleet's extra retries are divided at least, since an entry that
+# has just started or is cut off knows few others.
+LEAST_BUDGET_ENTRIES = 8
 # Part of the allowed share that is used, since windows of entries do not coincide.
 SHARE_USED = 0.6
 
@@ -78,20 +78,29 @@
 
     def budget(self, service: str, now: float) -> RetryBudget:
         """Return the retry budget of a service."""
+        policy = self._retry_policy()
         budget = self._budget_by_service.get(service)
         if budget is None:
-            bounds = self._bounds
-            extra = bounds.retry_extra / BUDGET_ENTRIES
-            # A window sees the saved burst and what is earned meanwhile.
-            policy = RetryPolicy(
-                share=bounds.retry_share * SHARE_USED,
-                per_second=extra / 2.0 / bounds.retry_window_seconds,
-                burst=extra / 2.0,
-            )
-            budget = RetryBudget(now, policy)
-            self._budget_by_service[service] = budget
+            budget = self._budget_by_service[service] = RetryBudget(now, policy)
+        budget.adopt(policy)
         return budget
 
+    def _retry_policy(self) -> RetryPolicy:
+        """Return this entry's part of the fleet's retries.
+
+        The most entries ever known count, so that a part of the fleet that is cut off
+        does not use the retries of the whole.
+        """
+        bounds = self._bounds
+        entries = max(LEAST_BUDGET_ENTRIES, self.peers.most + 1)
+        extra = bounds.retry_extra / entries
+        # A window sees the saved burst and what is earned meanwhile.
+        return RetryPolicy(
+            share=bounds.retry_share * SHARE_USED,
+            per_second=extra / 2.0 / bounds.retry_window_seconds,
+            burst=extra / 2.0,
+        )
+
     def take_config(self, config: RoutingConfig) -> bool:
         """Put a configuration in force unless it is older than the present one."""
         if self.config is not None and config.version <= self.config.version:
--- a/lacewingcleat/peer_loads.py
+++ b/lacewingcleat/peer_loads.py
@@ -58,6 +58,7 @@
     """Keep the known peers and decide whom to tell.
 
     :param address: control address of this entry.
+    :ivar most: the most peers that were known at a time.
     """
 
     __slots__ = (
@@ -70,6 +71,7 @@
         "_seeds",
         "_sequence",
         "_turn",
+        "most",
     )
 
     def __init__(
@@ -88,6 +90,7 @@
         self._peer_by_address: dict[str, _Peer] = {}
         self._seeded_at = float("-inf")
         self._turn = 0
+        self.most = 0
 
     @property
     def count(self) -> int:
@@ -107,6 +110,7 @@
             room = len(self._peer_by_address) < MAX_PEERS
             if address != self._address and room:
                 self._peer_by_address.setdefault(address, _Peer(now))
+        self.most = max(self.most, len(self._peer_by_address))
         known = peer.incarnation == load.incarnation
         if known and load.sequence <= peer.sequence:
             return False
--- a/lacewingcleat/retries.py
+++ b/lacewingcleat/retries.py
@@ -201,6 +201,17 @@
         self._last = now
         self._requests = 0
 
+    def adopt(self, policy: RetryPolicy) -> None:
+        """Take over other figures; retries that were saved up stay."""
+        if policy != self._policy:
+            self._policy = policy
+            self._burst = policy.burst
+
+    @property
+    def available(self) -> float:
+        """Return the retries that were left when the budget was last used."""
+        return self._available
+
     def count_request(self, now: float) -> None:
         """Count a request of a caller."""
         self._settle(now)
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -8,9 +8,9 @@
 from lacewingcleat.direct_attempt import AttemptEnd
 from lacewingcleat.direct_dispatch import DirectDispatcher
 from lacewingcleat.direct_settings import RuleBounds
-from lacewingcleat.direct_state import DirectState
+from lacewingcleat.direct_state import LEAST_BUDGET_ENTRIES, DirectState
 from lacewingcleat.group_watch import RankStatus
-from lacewingcleat.peer_loads import PeerLoads
+from lacewingcleat.peer_loads import PeerLoad, PeerLoads
 from lacewingcleat.retries import Attempt, Said, Sent
 from tests.builders_direct import make_record
 
@@ -46,6 +46,20 @@
         self.assertFalse(self._tells(Said.NOTHING, timed_out=True, failed=True))
         self.assertTrue(self._tells(Said.BROKEN, failed=True))
 
+    def test_the_entries_share_the_extra_retries(self) -> None:
+        """Guards against a fleet that together sends more again than it may."""
+        for entries in (1, 8, 35):
+            peers = self.state.peers
+            for number in range(entries - 1):
+                address = f"10.1.0.{number}:1"
+                peers.hear(PeerLoad("p", 1, entries, address, {}, []), 0.0)
+            budget = self.state.budget("s", 0.0)
+            spent = 0
+            for tenth in range(100):
+                spent += budget.spend(tenth / 10.0)
+            fleet = spent * max(entries, LEAST_BUDGET_ENTRIES)
+            self.assertLessEqual(fleet, BOUNDS.retry_extra, entries)
+
     def test_a_refusal_is_no_fault(self) -> None:
         """Guards against ejecting servers that are only full."""
         self.assertFalse(self._tells(Said.NOT_RUN))
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,6 +6,7 @@
 from prometheus_client import CollectorRegistry
 from testtools import TestCase
 
+from lacewingcleat.direct_metrics import DirectMetrics
 from lacewingcleat.metrics import AgentMetrics, EntryMetrics
 from lacewingcleat.relay_figures import relay_figures
 from lacewingcleat.sheet_relay import SheetRelay
@@ -24,6 +25,7 @@
     registries: list[CollectorRegistry] = [
         EntryMetrics().registry,
         AgentMetrics().registry,
+        DirectMetrics().registry,
     ]
     for registry in registries:
         for family in registry.collect():
