Restart store reads after an error; adopt seeds on reload; export more figures

Cause: read as a newcomer, an error in a handler of the store's answers would have ended the reads for good, an error after an answer had begun could not end it, SIGHUP changed nothing, and counted calls and lost datagrams were not exported. Change: reads start again with a logged error, an answer that has begun is aborted, seeds are taken over on reload, and the figures are metrics.

--- a/lacewingcleat/caller_connection.py
+++ b/lacewingcleat/caller_connection.py
@@ -35,6 +35,7 @@
         "_connection",
         "answered",
         "arrived_at",
+        "begun",
         "body",
         "gone",
         "headers",
@@ -57,6 +58,7 @@
         self.headers = headers
         self.arrived_at = arrived_at
         self.body = b""
+        self.begun = False
         self.answered = False
         self.gone = False
         self.on_gone: Callable[[], None] | None = None
@@ -66,7 +68,9 @@
         return next((value for key, value in self.headers if key == name), None)
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write a whole answer."""
+        """Write a whole answer, or end the connection if another one has begun."""
+        if self.begun:
+            self.abort()
         if self.gone or self.answered:
             return
         self.answered = True
@@ -77,6 +81,7 @@
         """Begin an answer whose length is not known."""
         if self.gone:
             return
+        self.begun = True
         self._connection.begin_stream(status, headers, data)
 
     def send(self, data: bytes) -> None:
@@ -288,10 +293,6 @@
         if self.open:
             self.transport.abortConnection()
 
-    def readConnectionLost(self) -> None:
-        """End the connection when the caller has closed its side."""
-        self.transport.loseConnection()
-
     def connectionLost(self, reason: Failure | None = None) -> None:
         """Tell whoever handles the request that the caller is gone."""
         self.open = False
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -156,6 +156,13 @@
             self._metrics.open_requests.set(self._callers.open_requests)
             self._metrics.store_calls.set(self._reader.calls)
             self._metrics.lost_log_lines.set(self._log.lost_lines)
+            self._metrics.map_orders.set(self._maps.orders)
+            self._metrics.peers.set(self._peers.count)
+            self._metrics.reports.set(self._reports.calls)
+            self._metrics.server_connections.set(self._pool.opened)
+            malformed, unsent = self._peer_socket.malformed, self._peer_socket.unsent
+            self._metrics.lost_datagrams.labels("malformed").set(malformed)
+            self._metrics.lost_datagrams.labels("unsent").set(unsent)
             request.respond(200, [], generate_latest(self._metrics.registry))
             return
         request.respond(200 if self._is_ready(now) else 503, [], b"")
@@ -287,11 +294,12 @@
             self._reactor.stop()
 
     def reload(self) -> None:
-        """Read the settings file again; addresses stay until the next start."""
+        """Read the settings file again; all but the seeds wait for the next start."""
         settings = read_settings(self._settings_path)
         if isinstance(settings, str):
             self._log.failure("reload", error=settings)
             return
+        self._peers.adopt_seeds(settings.seed_addresses)
         self._log.lifecycle("reload", changed=settings != self._settings)
 
 
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -10,13 +10,18 @@
 
     __slots__ = (
         "config_age",
+        "lost_datagrams",
         "lost_log_lines",
+        "map_orders",
         "open_requests",
+        "peers",
         "registry",
+        "reports",
         "requests",
         "resumes",
         "retries",
         "seconds",
+        "server_connections",
         "store_calls",
     )
 
@@ -60,6 +65,32 @@
             "Calls to the platform's store since the start.",
             registry=self.registry,
         )
+        self.server_connections = Gauge(
+            "lacewing_direct_server_connections",
+            "Connections opened to backend servers since the start.",
+            registry=self.registry,
+        )
+        self.reports = Gauge(
+            "lacewing_direct_reports",
+            "Reports asked of backend servers since the start.",
+            registry=self.registry,
+        )
+        self.map_orders = Gauge(
+            "lacewing_direct_map_orders",
+            "Orders given to ranks since the start.",
+            registry=self.registry,
+        )
+        self.peers = Gauge(
+            "lacewing_direct_peers",
+            "Entries that are known.",
+            registry=self.registry,
+        )
+        self.lost_datagrams = Gauge(
+            "lacewing_direct_lost_datagrams",
+            "Datagrams that could not be read or sent since the start.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.lost_log_lines = Gauge(
             "lacewing_direct_lost_log_lines",
             "Log lines dropped since the start.",
--- a/lacewingcleat/peer_loads.py
+++ b/lacewingcleat/peer_loads.py
@@ -83,7 +83,8 @@
     ) -> None:
         self._instance = instance
         self._address = address
-        self._seeds = [seed for seed in seeds if seed != address]
+        self._seeds: list[str] = []
+        self.adopt_seeds(seeds)
         self._random = random
         self._incarnation = random.getrandbits(53)
         self._sequence = 0
@@ -92,6 +93,10 @@
         self._turn = 0
         self.most = 0
 
+    def adopt_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take over the control addresses at which peers are looked for."""
+        self._seeds = [seed for seed in seeds if seed != self._address]
+
     @property
     def count(self) -> int:
         """Return how many peers are known."""
--- a/lacewingcleat/platform/store_calls.py
+++ b/lacewingcleat/platform/store_calls.py
@@ -1,6 +1,5 @@
 """protocol: reads of the platform's store and their answers."""
 
-from binascii import Error as Base64Error
 from binascii import a2b_base64
 from urllib.parse import quote
 
@@ -67,7 +66,7 @@
             case WatchRead():
                 found = msgspec.json.decode(body, type=_Events)
                 return Changed(_items(found.events), found.at)
-    except (msgspec.MsgspecError, Base64Error, RecursionError) as error:
+    except (ValueError, RecursionError) as error:
         return ReadFailed(f"malformed answer: {error}")
 
 
--- a/lacewingcleat/store_reader.py
+++ b/lacewingcleat/store_reader.py
@@ -17,6 +17,7 @@
 # A slow store answers after a few hundred milliseconds. A silent connection is given up
 # in time for the next one to renew the view before keys are no longer admitted.
 ANSWER_SECONDS = 0.9
+RESTART_SECONDS = 0.5
 
 
 class StoreReader:
@@ -47,7 +48,13 @@
 
     def start(self) -> None:
         """Begin to read."""
-        defer.ensureDeferred(self._run())
+        running = defer.ensureDeferred(self._run())
+        running.addErrback(self._restart)
+
+    def _restart(self, failure: Any) -> None:
+        """Go on after an error of this program; without reads no key is admitted."""
+        self._log.failure("store reads ended", traceback=failure.getTraceback())
+        self._reactor.callLater(RESTART_SECONDS, self.start)
 
     async def _run(self) -> None:
         while True:
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -404,3 +404,22 @@
             caller.join(5.0)
             self.assertEqual([200], found)
             self.assertEqual(0, entry.process.wait(9.0))
+
+    def test_metrics_are_served(self) -> None:
+        """Guards against a process whose failures can only be read from its logs."""
+        with _fleet(StandInServer("i-1")) as (entry, _):
+            entry.call("/get/x")
+            connection = HTTPConnection("127.0.0.1", entry.ready_port, timeout=5)
+            connection.request("GET", "/metrics")
+            text = connection.getresponse().read().decode()
+            connection.close()
+            self.assertIn(
+                'lacewing_direct_requests_total{reason="",status="200"}', text
+            )
+
+    def test_the_process_goes_on_after_a_reload(self) -> None:
+        """Guards against a signal that ends the process or its listeners."""
+        with _fleet(StandInServer("i-1")) as (entry, _):
+            entry.process.send_signal(signal.SIGHUP)
+            self.assertTrue(_wait_for(lambda: entry.lines("reload")))
+            self.assertEqual(200, entry.call("/get/x")[0].status)
