End a stopping entry only after its answers are written

Ruled out: the grace period, which had 3 s left. Change: the process ends when all callers' connections are closed.

--- a/lacewingcleat/caller_connection.py
+++ b/lacewingcleat/caller_connection.py
@@ -275,7 +275,7 @@
     def _linger(self) -> None:
         self._lingering = True
         self.transport.loseWriteConnection()
-        self._wait(LINGER_SECONDS, self.abort)
+        self._wait(LINGER_SECONDS, self.transport.loseConnection)
 
     def _time_out(self) -> None:
         self._reject(408)
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -289,7 +289,8 @@
             self._port = None
         self._callers.close_idle()
         limit = self._settings.bounds.grace_seconds - GRACE_MARGIN_SECONDS
-        if self._callers.open_requests == 0 or elapsed >= limit:
+        # A request that has been answered may still have bytes to write.
+        if not self._callers.connections or elapsed >= limit:
             self._log.lifecycle("stopped", open_requests=self._callers.open_requests)
             self._reactor.stop()
 
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -423,3 +423,32 @@
             entry.process.send_signal(signal.SIGHUP)
             self.assertTrue(_wait_for(lambda: entry.lines("reload")))
             self.assertEqual(200, entry.call("/get/x")[0].status)
+
+    def test_an_answer_under_way_survives_the_end_of_the_process(self) -> None:
+        """Guards against an exit before the last bytes of an answer are written.
+
+        Seen as a stream cut off 6 ms after its server had ended it (a day of mixed
+        troubles, seed 788280648062).
+        """
+        size = 12 << 20
+
+        def large(request: Received, stream: socket.socket) -> bool:
+            stream.sendall(answer_for(request, 200, b"x" * size))
+            return True
+
+        with _fleet(StandInServer("i-1", large)) as (entry, _):
+            caller = socket.create_connection(("127.0.0.1", entry.port), 10)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+            caller.sendall(
+                b"GET /get/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q\r\n"
+                b"Authorization: Bearer k\r\n\r\n"
+            )
+            time.sleep(0.5)
+            entry.process.send_signal(signal.SIGTERM)
+            time.sleep(3.5)
+            received = 0
+            while data := caller.recv(1 << 20):
+                received += len(data)
+            caller.close()
+            self.assertGreater(received, size)
+            self.assertEqual(0, entry.process.wait(9.0))
