Wait for a removed server in the test of refused orders

Change: the test waits for both lines; its assertions stay. Conclusion: a race of the test, not of the entry.

--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -233,7 +233,8 @@
             self.assertIsNot(None, response.getheader("Retry-After"))
             store.put("servers/i-3", third.entry("s"))
             store.remove("servers/i-2")
-            _wait_for(lambda: len(entry.lines("server")) == 3)
+            self.assertTrue(_wait_for(lambda: len(entry.lines("server")) == 3))
+            self.assertTrue(_wait_for(lambda: entry.lines("server missing")))
             for number in range(5):
                 response, _ = entry.call(
                     "/order/x", "POST", b"x", request_id=f"o{number}"
