Remove members of the direct entry that nothing uses

Cause: read once more, five members had no caller: two properties of the store view, the look-up of a server's record, the weight of the demand estimate and the parser of token counts. Change: they are removed; behaviour is the same. Conclusion: less to read.

--- a/lacewingcleat/expert_demand.py
+++ b/lacewingcleat/expert_demand.py
@@ -55,8 +55,3 @@
             part = new[index * self._experts : (index + 1) * self._experts]
             for expert, count in enumerate(part):
                 loads[expert] = loads[expert] * kept + count
-
-    @property
-    def total(self) -> float:
-        """Return the weight of the counts behind the estimate."""
-        return sum(self.loads[0]) if self.loads else 0.0
--- a/lacewingcleat/platform/request_headers.py
+++ b/lacewingcleat/platform/request_headers.py
@@ -7,7 +7,6 @@
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-milliseconds"
 LAST_EVENT_ID = b"last-event-id"
-TOKEN_COUNT = b"x-token-count"
 # Carries a proof by the server that made the answer.
 SIGNATURE = b"x-response-signature"
 ACCOUNT = b"x-tenant"
@@ -55,11 +54,3 @@
     if value is None or not _DIGITS.fullmatch(value.strip()):
         return None
     return min(int(value), MAX_DEADLINE_MS) / 1000.0
-
-
-def parse_token_count(value: bytes | None) -> tuple[int, int]:
-    """Return the tokens of the prompt and the most that may be written."""
-    parts = value.split(b",") if value else []
-    if len(parts) != 2 or not all(_DIGITS.fullmatch(part.strip()) for part in parts):
-        return 0, 0
-    return int(parts[0]), int(parts[1])
--- a/lacewingcleat/server_directory.py
+++ b/lacewingcleat/server_directory.py
@@ -67,11 +67,6 @@
             self._index()
         return gone
 
-    def get(self, name: str) -> ServerRecord | None:
-        """Return a server's record."""
-        known = self._known_by_name.get(name)
-        return known.record if known else None
-
     def takes_requests(self, name: str, now: float) -> bool:
         """Return whether a server may still be sent new requests."""
         known = self._known_by_name.get(name)
--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -81,16 +81,6 @@
         self._failed_since: float | None = None
         self._next_at = NEVER
 
-    @property
-    def failures(self) -> int:
-        """Return how many reads in a row have failed."""
-        return self._failures
-
-    @property
-    def revision(self) -> int:
-        """Return the revision up to which changes are known."""
-        return self._after or 0
-
     def age(self, now: float) -> float:
         """Return the seconds since the view was surely complete."""
         return now - self.proved_at
