Bound an example of the routing test by the stated time to a first token

Cause: Hypothesis stops an example after 200 ms of wall time by default, which measures the machine: one example of up to thirty choices took 265 ms on a busy machine and 47 ms when repeated, with the same choices. Change: the limit of an example is the stated 1.1 s to a first token. Conclusion: the test fails on a wrong or a slow choice, not on a busy machine.

--- a/tests/test_group_routing.py
+++ b/tests/test_group_routing.py
@@ -2,7 +2,7 @@
 from dataclasses import replace
 from random import Random
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 
@@ -27,6 +27,9 @@
 )
 
 CALL = ServiceRequest("desk", "acme", idempotent=True)
+# Stated limit on the time to a first token; thirty choices in one example stay below it
+# on a busy machine too. What one choice costs is bounded by `python -m bench.run`.
+FIRST_TOKEN_MS = 1100
 
 
 def _report_all(router: GroupRouter, count: int, now: float) -> None:
@@ -320,6 +323,7 @@
         targets = {send(router, make_request(), 1.0, 1).choice.target for _ in range(3)}
         self.assertNotIn(first, targets)
 
+    @settings(deadline=FIRST_TOKEN_MS)
     @given(st.data())
     def test_any_order_of_input_gives_a_valid_choice(self, data: st.DataObject) -> None:
         """Guards against a choice of an excluded, leaving or unknown target."""
