Compare a few random servers in each choice of a direct entry

A run with the believed and the reported loads in the log shows servers with 12 requests for 5 slots beside idle ones: 30 entries hear of each other's requests 0.2 to 0.4 s late and choose the same server that looks idle. Change: an entry compares five servers drawn at random, all of them only if none of the five can be chosen. python -m bench.direct_serving plays the entries with this module against random choice, least known load and two choices.

--- a/lacewingcleat/server_choice.py
+++ b/lacewingcleat/server_choice.py
@@ -5,7 +5,7 @@
 its latest answer.
 """
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -21,6 +21,10 @@
 # Requests that may wait at a server beyond its slots, as a share of its slots: a few
 # keep the server busy between two requests, more of them only wait.
 QUEUE_SHARE = 0.5
+# Servers that are compared for a request. Entries learn of each other's requests some
+# tenths of a second late and would all choose the same idle server; a few servers drawn
+# at random keep them apart (`python -m bench.direct_serving`).
+CHOICES = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,18 +130,36 @@
 
 
 def choose_server(
-    servers: Collection[ServerRecord],
+    servers: Sequence[ServerRecord],
     loads: ServerLoads,
     weight_of: Callable[[ServerRecord], float],
     zone: str,
     random: Random,
     now: float,
 ) -> ServerChoice:
-    """Choose the server with the most free slots.
+    """Choose the server with the most free slots of a few that are drawn at random.
+
+    All are compared if none of the few can be chosen.
 
     :param servers: servers that may take the request.
     :param weight_of: share of its slots that a server should be given, 0 to 1.
     """
+    if len(servers) > CHOICES:
+        few = random.sample(servers, CHOICES)
+        choice = _choose_least(few, loads, weight_of, zone, random, now)
+        if isinstance(choice, ChosenServer):
+            return choice
+    return _choose_least(servers, loads, weight_of, zone, random, now)
+
+
+def _choose_least(
+    servers: Sequence[ServerRecord],
+    loads: ServerLoads,
+    weight_of: Callable[[ServerRecord], float],
+    zone: str,
+    random: Random,
+    now: float,
+) -> ServerChoice:
     best: ChosenServer | None = None
     best_score = float("inf")
     least = float("inf")
