Let changes of the store that come together share a read

Change: the next watch starts 0.3 s after one that brought changes, instead of 0.04 s. Conclusion: a change after a quiet time is still seen at once.

--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -21,8 +21,10 @@
 # A silent watch proves nothing, so its length bounds the age of the view: with the
 # answer's own delay it stays below half of the shortest bound on removed keys (5 s).
 WATCH_SECONDS = 1.4
-# Reads are calls that the store counts; changes that come together share one.
-MIN_WATCH_GAP_SECONDS = 0.04
+# The store counts reads; the changes that follow a first one, such as the entries of
+# servers that start together, share a read. Adds to the time in which a configuration
+# comes into force, 2 s on the strictest site.
+MIN_WATCH_GAP_SECONDS = 0.3
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.4
 # Servers lapse after three missed heartbeats, 3.6 s; an outage of the store that may
