Limit a model group by the gaps of its streams; move requests to free slots only

The log shows first events after about 1 s, spent in queues, and gaps of 120 to 133 ms where callers accept 120; a third of the tries are moved after 1.4 s to another full server, and their callers leave 0.6 s later. Change: pace_limit lowers the share of its slots that a group is given while its gaps are above 0.95 of the accepted one; a server takes a fifth of its slots beyond them instead of half; a late request is moved only to a server with a free slot.

--- a/bench/direct_serving.py
+++ b/bench/direct_serving.py
@@ -20,6 +20,7 @@
 import numpy as np
 from tabulate import tabulate
 
+from lacewingcleat.pace_limit import MOST_SHARE
 from lacewingcleat.peer_loads import FANOUT, SEND_SECONDS
 from lacewingcleat.server_choice import ChosenServer, ServerLoads, choose_server
 from lacewingcleat.server_record import ServerRecord
@@ -96,6 +97,10 @@
     return choose_least_known(random.sample(servers, 2), loads, zone, random, now)
 
 
+def _limit(record: ServerRecord) -> float:
+    return record.slots * MOST_SHARE
+
+
 def choose_as_entry(
     servers: Sequence[ServerRecord],
     loads: ServerLoads,
@@ -104,7 +109,9 @@
     now: float,
 ) -> ServerRecord | None:
     """Choose as the program does; none if it would refuse the request."""
-    choice = choose_server(servers, loads, lambda record: 1.0, zone, random, now)
+    choice = choose_server(
+        servers, loads, lambda record: 1.0, _limit, zone, random, now
+    )
     return choice.record if isinstance(choice, ChosenServer) else None
 
 
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -261,6 +261,14 @@
             self._log.belief("server gone", now, server=name)
         for event in self._state.judge(now):
             self._log.belief("outlier", now, change=str(event))
+        for group, share, gap in self._state.adjust_pace(now):
+            self._log.belief(
+                "group pace",
+                now,
+                group=group,
+                share=round(share, 2),
+                gap_ms=round(gap * 1000.0, 1),
+            )
         for record in self._state.due_reports(now):
             self._reports.ask(record)
         self._pool.expire(set(self._state.directory.names()), now)
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -1,5 +1,6 @@
 """coordination: what a direct entry knows, and the decisions it takes from it."""
 
+import math
 from random import Random
 
 from lacewingcleat.direct_call import DirectCall
@@ -7,6 +8,7 @@
 from lacewingcleat.group_watch import GroupWatch
 from lacewingcleat.load_view import Target
 from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent
+from lacewingcleat.pace_limit import PaceLimit
 from lacewingcleat.peer_loads import PeerLoads
 from lacewingcleat.retries import RetryBudget, RetryPolicy
 from lacewingcleat.routing_config import EngineFigures, RoutingConfig
@@ -40,6 +42,7 @@
         "least_gap_seconds",
         "loads",
         "outliers",
+        "pace",
         "peers",
         "random",
         "reach",
@@ -62,6 +65,7 @@
         self.loads = ServerLoads()
         self.reach = ServerReach()
         self.outliers = OutlierEjection()
+        self.pace = PaceLimit()
         self.peers = peers
         self.random = random
 
@@ -74,7 +78,12 @@
         if not self.budget(call.service, now).may_spend(now):
             return False
         choice = self.choose(call.service, call.failed_names | {tried}, now)
-        return isinstance(choice, ChosenServer)
+        match choice:
+            case ChosenServer(record, load):
+                # Where every slot is taken the request would begin to wait anew.
+                return load < record.slots
+            case _:
+                return False
 
     def budget(self, service: str, now: float) -> RetryBudget:
         """Return the retry budget of a service."""
@@ -130,6 +139,7 @@
             left,
             self.loads,
             lambda record: self._weight(record, now),
+            self._limit,
             self._zone,
             self.random,
             now,
@@ -174,6 +184,26 @@
         }
         return [records[name] for name in self.groups.due(records, now)]
 
+    def _limit(self, record: ServerRecord) -> float:
+        """Return the requests from which on a server is full.
+
+        Rounded up or down at random, so that the share holds on average over servers
+        of few slots.
+        """
+        share = self.pace.share(self.groups.name_of(record.name))
+        return math.floor(record.slots * share + self.random.random())
+
+    def adjust_pace(self, now: float) -> list[tuple[str, float, float]]:
+        """Adjust the shares of all groups; return group, share and gap of changes."""
+        names = self.groups.names()
+        self.pace.retain(names)
+        changes = []
+        for name in sorted(names):
+            gap = self.groups.gap_of(name, now)
+            if self.pace.adjust(name, gap, self.least_gap_seconds, now):
+                changes.append((name, self.pace.share(name), gap or 0.0))
+        return changes
+
     def _weight(self, record: ServerRecord, now: float) -> float:
         return self.outliers.weight(Target(record.service, record.name), now)
 
--- a/lacewingcleat/group_watch.py
+++ b/lacewingcleat/group_watch.py
@@ -77,6 +77,10 @@
         """Return the group of a server, none if it is not known."""
         return self._name_by_server.get(server)
 
+    def names(self) -> set[str]:
+        """Return the names of the known groups."""
+        return set(self._group_by_name)
+
     def size_of(self, name: str) -> int:
         """Return the number of ranks of a group, 0 if it is not known."""
         group = self._group_by_name.get(name)
--- a/lacewingcleat/server_choice.py
+++ b/lacewingcleat/server_choice.py
@@ -18,9 +18,6 @@
 # Part of a slot by which a server in another zone counts as more loaded: the way there
 # and back costs about a millisecond and priced bytes, a busier engine costs more.
 OTHER_ZONE_SLOTS = 0.4
-# Requests that may wait at a server beyond its slots, as a share of its slots: a few
-# keep the server busy between two requests, more of them only wait.
-QUEUE_SHARE = 0.5
 # Servers that are compared for a request. Entries learn of each other's requests some
 # tenths of a second late and would all choose the same idle server; a few servers drawn
 # at random keep them apart (`python -m bench.direct_serving`).
@@ -133,6 +130,7 @@
     servers: Sequence[ServerRecord],
     loads: ServerLoads,
     weight_of: Callable[[ServerRecord], float],
+    limit_of: Callable[[ServerRecord], float],
     zone: str,
     random: Random,
     now: float,
@@ -143,19 +141,21 @@
 
     :param servers: servers that may take the request.
     :param weight_of: share of its slots that a server should be given, 0 to 1.
+    :param limit_of: requests from which on a server is full.
     """
     if len(servers) > CHOICES:
         few = random.sample(servers, CHOICES)
-        choice = _choose_least(few, loads, weight_of, zone, random, now)
+        choice = _choose_least(few, loads, weight_of, limit_of, zone, random, now)
         if isinstance(choice, ChosenServer):
             return choice
-    return _choose_least(servers, loads, weight_of, zone, random, now)
+    return _choose_least(servers, loads, weight_of, limit_of, zone, random, now)
 
 
 def _choose_least(
     servers: Sequence[ServerRecord],
     loads: ServerLoads,
     weight_of: Callable[[ServerRecord], float],
+    limit_of: Callable[[ServerRecord], float],
     zone: str,
     random: Random,
     now: float,
@@ -169,7 +169,7 @@
             continue
         load = loads.estimate(record.name, now)
         least = min(least, load)
-        if load >= record.slots * (1.0 + QUEUE_SHARE):
+        if load >= limit_of(record):
             continue
         away = 0.0 if record.zone == zone else OTHER_ZONE_SLOTS
         # A small random part keeps entries with equal views from choosing alike.
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -6,13 +6,15 @@
 from testtools import TestCase
 
 from lacewingcleat.direct_attempt import AttemptEnd
+from lacewingcleat.direct_call import DirectCall
 from lacewingcleat.direct_dispatch import DirectDispatcher
 from lacewingcleat.direct_settings import RuleBounds
 from lacewingcleat.direct_state import LEAST_BUDGET_ENTRIES, DirectState
 from lacewingcleat.group_watch import RankStatus
 from lacewingcleat.peer_loads import PeerLoad, PeerLoads
+from lacewingcleat.request_access import Granted
 from lacewingcleat.retries import Attempt, Said, Sent
-from tests.builders_direct import make_record
+from tests.builders_direct import make_record, make_route
 
 BOUNDS = RuleBounds(5.0, 2.0, 2.0, 8.0, 0.2, 92.0, 10.0, True)
 
@@ -46,6 +48,22 @@
         self.assertFalse(self._tells(Said.NOTHING, timed_out=True, failed=True))
         self.assertTrue(self._tells(Said.BROKEN, failed=True))
 
+    def test_a_late_request_moves_only_to_a_free_slot(self) -> None:
+        """Guards against requests that give up their place in a queue for a worse one.
+
+        Seen on an overloaded group: moved after 1.4 s, given up by the caller at 2 s.
+        """
+        granted = Granted(make_route(), None)
+        call = DirectCall("q", granted, "s", 0.0, 9.0, 9.0, 1, 0.0)
+        for name in ("i-1", "i-2"):
+            self.state.directory.put(make_record(name))
+        slots = make_record().slots
+        for _ in range(slots - 1):
+            self.state.loads.begin("i-2")
+        self.assertTrue(self.state.alternative_exists(call, "i-1", 0.0))
+        self.state.loads.begin("i-2")
+        self.assertFalse(self.state.alternative_exists(call, "i-1", 0.0))
+
     def test_the_entries_share_the_extra_retries(self) -> None:
         """Guards against a fleet that together sends more again than it may."""
         for entries in (1, 8, 35):
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -4,6 +4,7 @@
 
 from testtools import TestCase
 
+from lacewingcleat.pace_limit import MOST_SHARE
 from lacewingcleat.server_choice import (
     PEER_SECONDS,
     ChosenServer,
@@ -17,12 +18,16 @@
 from tests.builders_direct import make_record
 
 
+def _limit(record: ServerRecord) -> float:
+    return record.slots * MOST_SHARE
+
+
 def _choose(
     loads: ServerLoads,
     *records: ServerRecord,
     weight: float = 1.0,
 ) -> ServerChoice:
-    return choose_server(records, loads, lambda _: weight, "z", Random(1), 1.0)
+    return choose_server(records, loads, lambda _: weight, _limit, "z", Random(1), 1.0)
 
 
 class ServerChoiceTest(TestCase):
