--- a/lacewingcleat/pace_limit.py
+++ b/lacewingcleat/pace_limit.py
@@ -20,7 +20,7 @@
 LOW_GAP = 0.88
 # A group this much slower than accepted has a slow rank; fewer streams would not make
 # them timely, and more are served late.
-HOPELESS_GAP = 1.4
+SLOW_RANK_GAP = 1.4
 # The gap follows a change of the share within a second or two, as streams end.
 ADJUST_SECONDS = 0.5
 FALL = 0.06
@@ -58,7 +58,7 @@
         :param gap: seconds between events, none if nothing is known of late.
         :param accepted_gap: longest timely gap, 0 if callers accept any.
         """
-        if gap is None or accepted_gap <= 0.0 or gap > HOPELESS_GAP * accepted_gap:
+        if gap is None or accepted_gap <= 0.0 or gap > SLOW_RANK_GAP * accepted_gap:
             return self._pace_by_group.pop(group, None) is not None
         pace = self._pace_by_group.get(group)
         if pace is None:
