Give orders of a map switch to all ranks in one loop

Cause: arming, releasing, taking back and fencing each had a loop that repeats an order until all ranks accept it; they differed only in when they give up. Change: one loop takes the rounds and the answers that end it. Result: tests of the switch pass, the search over lost and late orders included. Conclusion: no change of behavior.

--- a/lacewingcleat/group_map_switch.py
+++ b/lacewingcleat/group_map_switch.py
@@ -10,7 +10,7 @@
 that has accepted the higher token refuses the late order.
 """
 
-from collections.abc import Awaitable, Mapping, Sequence
+from collections.abc import Awaitable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from math import ceil
 from typing import Protocol
@@ -49,6 +49,7 @@
 NO_VERSION = 1
 # Reason of a round that found a released switch whose pass has not begun.
 ARMED = "armed"
+REFUSALS = frozenset({OrderAnswer.FENCED, OrderAnswer.CONFLICT})
 
 
 class RankPort(Protocol):
@@ -192,14 +193,9 @@
     ) -> bool:
         """Arm all ranks; return whether each has accepted."""
         order = FencedOrder(ArmMap(version, target), epoch, token)
-        missing = set(self._ranks)
-        while missing and self._port.now() - held_at < ARM_SECONDS:
-            answers = await self._port.order(dict.fromkeys(sorted(missing), order))
-            found = set(answers.values())
-            if OrderAnswer.FENCED in found or OrderAnswer.CONFLICT in found:
-                return False
-            missing -= _accepted(answers)
-        return not missing
+        rounds = self._rounds(held_at, ARM_SECONDS)
+        outcome = await self._repeat(self._ranks, order, rounds, REFUSALS)
+        return outcome is OrderAnswer.ACCEPTED
 
     async def _release(
         self,
@@ -210,15 +206,14 @@
         held_at: float,
     ) -> SwitchEnd:
         order = FencedOrder(ReleasePass(target), epoch, token)
-        while self._port.now() - held_at < RELEASE_SECONDS:
-            answers = await self._port.order({0: order})
-            match answers.get(0, OrderAnswer.UNKNOWN):
-                case OrderAnswer.ACCEPTED:
-                    return SwitchEnd(True, "released")
-                case OrderAnswer.UNKNOWN:
-                    continue
-                case other:
-                    return SwitchEnd(False, f"release: {other.value}")
+        rounds = self._rounds(held_at, RELEASE_SECONDS)
+        match await self._repeat((0,), order, rounds, REFUSALS):
+            case OrderAnswer.ACCEPTED:
+                return SwitchEnd(True, "released")
+            case OrderAnswer.FENCED | OrderAnswer.CONFLICT as refusal:
+                return SwitchEnd(False, f"release: {refusal.value}")
+            case OrderAnswer.UNKNOWN:
+                pass
         # This process was frozen, or no answer came: the release may still come about.
         return await self._take_over(version, target, epoch, token + 1)
 
@@ -256,15 +251,14 @@
         Each rank has to accept the higher token, so that no late order arms it.
         """
         order = FencedOrder(DisarmMap(version), epoch, token)
-        missing = set(self._ranks)
-        for _ in range(MAX_TRIES):
-            answers = await self._port.order(dict.fromkeys(sorted(missing), order))
-            if OrderAnswer.FENCED in answers.values():
-                return SwitchEnd(False, "taking back: fenced")
-            missing -= _accepted(answers)
-            if not missing:
+        fenced = frozenset({OrderAnswer.FENCED})
+        match await self._repeat(self._ranks, order, range(MAX_TRIES), fenced):
+            case OrderAnswer.ACCEPTED:
                 return await self._release_disarmed(target, epoch, token)
-        return SwitchEnd(False, "taking back: unfinished")
+            case OrderAnswer.FENCED:
+                return SwitchEnd(False, "taking back: fenced")
+            case _:
+                return SwitchEnd(False, "taking back: unfinished")
 
     async def _release_disarmed(
         self,
@@ -273,25 +267,43 @@
         token: int,
     ) -> SwitchEnd:
         order = FencedOrder(ReleasePass(target), epoch, token)
-        for _ in range(MAX_TRIES):
-            answers = await self._port.order({0: order})
-            if answers.get(0) is OrderAnswer.ACCEPTED:
-                return SwitchEnd(False, "taken back")
+        outcome = await self._repeat((0,), order, range(MAX_TRIES), frozenset())
+        if outcome is OrderAnswer.ACCEPTED:
+            return SwitchEnd(False, "taken back")
         return SwitchEnd(False, "taking back: unfinished")
 
     async def _fence(self, rank: int, epoch: int, token: int) -> bool:
         """Make a rank refuse orders with lower tokens without changing anything."""
         order = FencedOrder(DisarmMap(NO_VERSION), epoch, token)
-        for _ in range(MAX_TRIES):
-            answers = await self._port.order({rank: order})
-            match answers.get(rank, OrderAnswer.UNKNOWN):
-                case OrderAnswer.ACCEPTED:
-                    return True
-                case OrderAnswer.FENCED | OrderAnswer.CONFLICT:
-                    return False
-                case OrderAnswer.UNKNOWN:
-                    continue
-        return False
+        outcome = await self._repeat((rank,), order, range(MAX_TRIES), REFUSALS)
+        return outcome is OrderAnswer.ACCEPTED
+
+    def _rounds(self, held_at: float, seconds: float) -> Iterator[None]:
+        """Yield until some seconds after the hold have passed."""
+        while self._port.now() - held_at < seconds:
+            yield
+
+    async def _repeat(
+        self,
+        ranks: Sequence[int],
+        order: FencedOrder,
+        rounds: Iterable[object],
+        stop_at: frozenset[OrderAnswer],
+    ) -> OrderAnswer:
+        """Give an order until each rank has accepted it.
+
+        Returns the first answer of `stop_at`, or `UNKNOWN` if the rounds end before.
+        """
+        missing = set(ranks)
+        for _ in rounds:
+            answers = await self._port.order(dict.fromkeys(sorted(missing), order))
+            for answer in answers.values():
+                if answer in stop_at:
+                    return answer
+            missing -= _accepted(answers)
+            if not missing:
+                return OrderAnswer.ACCEPTED
+        return OrderAnswer.UNKNOWN
 
     async def settle(
         self,
