Take or open a connection to a server in one place

Cause: the readers of reports and of map states each took an idle connection or else opened one, with the same lines. Change: ServerPool.obtain does both. Result: tests of the direct entry and the map switch pass. Conclusion: no change of behavior.

--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -86,13 +86,13 @@
     ) -> Fetched | str:
         """Call one rank."""
         record = self._server_by_rank[rank]
-        # An order on a kept connection that dies would leave its outcome open.
-        connection = self._pool.take(record, read_now()) if body is None else None
-        if connection is None:
-            opened = await self._pool.connect(record)
-            if isinstance(opened, str):
-                return opened
-            connection = opened
+        if body is None:
+            connection = await self._pool.obtain(record, read_now())
+        else:
+            # An order on a kept connection that dies would leave its outcome open.
+            connection = await self._pool.connect(record)
+        if isinstance(connection, str):
+            return connection
         found = await fetch(connection, record.address, target, ANSWER_SECONDS, body)
         if isinstance(found, Fetched):
             self._pool.keep(record, connection, None, read_now())
--- a/lacewingcleat/report_reader.py
+++ b/lacewingcleat/report_reader.py
@@ -49,13 +49,10 @@
         asking.addBoth(lambda _: self._asked.discard(record.name))
 
     async def _ask(self, record: ServerRecord) -> None:
-        connection = self._pool.take(record, read_now())
-        if connection is None:
-            opened = await self._pool.connect(record)
-            if isinstance(opened, str):
-                self._note(record, f"connect: {opened}")
-                return
-            connection = opened
+        connection = await self._pool.obtain(record, read_now())
+        if isinstance(connection, str):
+            self._note(record, f"connect: {connection}")
+            return
         self.calls += 1
         found = await fetch(connection, record.address, REPORT_TARGET, REPORT_SECONDS)
         if isinstance(found, str):
--- a/lacewingcleat/server_connection.py
+++ b/lacewingcleat/server_connection.py
@@ -238,6 +238,10 @@
             connection.abort()
         return None
 
+    async def obtain(self, record: ServerRecord, now: float) -> ServerConnection | str:
+        """Return an idle connection or open one; return the reason if that fails."""
+        return self.take(record, now) or await self.connect(record)
+
     async def connect(self, record: ServerRecord) -> ServerConnection | str:
         """Open a connection; return the reason if that fails."""
         host, port = split_address(record.address)
