Hear the load of an answer through one method; remove an unused constant

Cause: the end of an answer repeated the lines that take over the server's load, and a constant for a missing priority was used by nothing. Change: the end of an answer calls the method; the constant is gone. Conclusion: no change of behavior.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -38,8 +38,6 @@
 PATIENCE_OBJECTIVES = 3.0
 MAX_ANSWER_BYTES = 16 << 20
 STATUS_UNAVAILABLE = 503
-# A request without a header value that says otherwise gets the middle priority.
-MIDDLE_PRIORITY = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,12 +226,9 @@
         connection: ServerConnection,
         head: Head,
     ) -> None:
-        now = read_now()
-        load = names.parse_load(head.header(names.SERVER_LOAD))
-        if load is not None:
-            self._state.loads.hear_report(record.name, load.running + load.waiting, now)
+        self._note_load(record, head)
         seconds = _keep_alive_seconds(head.header(b"keep-alive"))
-        self._pool.give_back(record, connection, seconds, now)
+        self._pool.give_back(record, connection, seconds, read_now())
 
     async def _read_stream(
         self,
