Choose among few and all servers by one function; find a rank's spare replica once

Cause: the choice among a few servers had a second function with the same parameters, and the placement of replicas found the least used one of a rank for each expert tried. Change: the choice calls itself with the few servers; the least used replicas are found once for each step. Result: tests of choice, of the played load and of placement pass. Conclusion: the same choices and maps.

--- a/lacewingcleat/replica_placement.py
+++ b/lacewingcleat/replica_placement.py
@@ -94,13 +94,16 @@
     times = [sum(shares[expert] for expert in rank) for rank in current]
     hot = max(range(shape.ranks), key=times.__getitem__)
     heavy = sorted(current[hot], key=shares.__getitem__, reverse=True)
+    dropped_by_rank = [
+        _dropped(experts, rank, shares, shape) for rank, experts in enumerate(current)
+    ]
     best: _Step | None = None
     for expert in heavy[:EXPERTS_TRIED]:
         smaller = loads[expert] / (counts[expert] + 1)
         for rank in range(shape.ranks):
             if expert in current[rank]:
                 continue
-            dropped = _dropped(current[rank], rank, shares, shape)
+            dropped = dropped_by_rank[rank]
             full = len(current[rank]) >= shape.places
             if full and dropped is None:
                 continue
--- a/lacewingcleat/server_choice.py
+++ b/lacewingcleat/server_choice.py
@@ -145,21 +145,9 @@
     """
     if len(servers) > CHOICES:
         few = random.sample(servers, CHOICES)
-        choice = _choose_least(few, loads, weight_of, limit_of, zone, random, now)
+        choice = choose_server(few, loads, weight_of, limit_of, zone, random, now)
         if isinstance(choice, ChosenServer):
             return choice
-    return _choose_least(servers, loads, weight_of, limit_of, zone, random, now)
-
-
-def _choose_least(
-    servers: Sequence[ServerRecord],
-    loads: ServerLoads,
-    weight_of: Callable[[ServerRecord], float],
-    limit_of: Callable[[ServerRecord], float],
-    zone: str,
-    random: Random,
-    now: float,
-) -> ServerChoice:
     best: ChosenServer | None = None
     best_score = float("inf")
     least = float("inf")
