Decode the platform's JSON documents through one function

Cause: five decoders of the adapter caught the same errors in the same lines; only one of them also caught text that is no UTF-8. Change: decode_json does it for all of them, with that error included. Result: tests of the adapter, any bytes at each decoder included, and of the direct entry pass. Conclusion: the same answers for all documents that were decoded before.

--- /dev/null
+++ b/lacewingcleat/platform/json_body.py
@@ -0,0 +1,16 @@
+"""protocol: JSON documents of the platform, which any program may have written."""
+
+from typing import TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+T = TypeVar("T")
+
+
+def decode_json(data: bytes, type_: type[T]) -> Result[T, str]:
+    """Decode a document, or say what is wrong with it."""
+    try:
+        return Ok(msgspec.json.decode(data, type=type_))
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        return Err(str(error))
--- a/lacewingcleat/platform/order_call.py
+++ b/lacewingcleat/platform/order_call.py
@@ -14,6 +14,7 @@
     RankMapState,
     ReleasePass,
 )
+from lacewingcleat.platform.json_body import decode_json
 from lacewingcleat.platform.report_call import GROUP_OPEN
 
 ORDER_TARGET = b"/order"
@@ -91,10 +92,10 @@
 
 def decode_map_state(body: bytes) -> Result[RankMapState, str]:
     """Decode what a report says of a rank's map."""
-    try:
-        report = msgspec.json.decode(body, type=_Report)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        return Err(str(error))
+    decoded = decode_json(body, _Report)
+    if isinstance(decoded, Err):
+        return decoded
+    report = decoded.ok_value
     armed = report.armed
     return Ok(
         RankMapState(
@@ -114,18 +115,18 @@
 
 def decode_counts(body: bytes) -> Result[RankCounts, str]:
     """Decode the counts of a rank."""
-    try:
-        found = msgspec.json.decode(body, type=_Counts)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        return Err(str(error))
+    decoded = decode_json(body, _Counts)
+    if isinstance(decoded, Err):
+        return decoded
+    found = decoded.ok_value
     return Ok(RankCounts(found.epoch, found.counts))
 
 
 def decode_lists(body: bytes) -> Result[tuple[int, list[set[int]]], str]:
     """Decode version and experts by set of the map that a rank uses."""
-    try:
-        found = msgspec.json.decode(body, type=_Mapping)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        return Err(str(error))
+    decoded = decode_json(body, _Mapping)
+    if isinstance(decoded, Err):
+        return decoded
+    found = decoded.ok_value
     mapping = found.mapping
     return Ok((mapping.version, [set(experts) for experts in mapping.experts]))
--- a/lacewingcleat/platform/report_call.py
+++ b/lacewingcleat/platform/report_call.py
@@ -4,6 +4,7 @@
 from result import Err, Ok, Result
 
 from lacewingcleat.group_watch import RankStatus
+from lacewingcleat.platform.json_body import decode_json
 
 REPORT_TARGET = b"/report"
 GROUP_OPEN = "open"
@@ -23,15 +24,12 @@
     pace: float = 1.0
 
 
-_DECODER = msgspec.json.Decoder(_Report)
-
-
 def decode_report(body: bytes) -> Result[RankStatus, str]:
     """Decode a report."""
-    try:
-        report = _DECODER.decode(body)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        return Err(str(error))
+    decoded = decode_json(body, _Report)
+    if isinstance(decoded, Err):
+        return decoded
+    report = decoded.ok_value
     group = report.group
     if group is None:
         return Ok(RankStatus("", 0, 0, 0, True, report.pace))
--- a/lacewingcleat/platform/server_item.py
+++ b/lacewingcleat/platform/server_item.py
@@ -3,6 +3,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from lacewingcleat.platform.json_body import decode_json
 from lacewingcleat.server_record import ServerRecord
 
 SERVER_PREFIX = "servers/"
@@ -19,15 +20,12 @@
     born: int = 0
 
 
-_DECODER = msgspec.json.Decoder(_Entry)
-
-
 def decode_server(key: str, data: bytes) -> Result[ServerRecord, str]:
     """Decode one entry; one that another program wrote may be malformed."""
-    try:
-        found = _DECODER.decode(data)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
-        return Err(str(error))
+    decoded = decode_json(data, _Entry)
+    if isinstance(decoded, Err):
+        return decoded
+    found = decoded.ok_value
     if found.state not in (STATE_READY, STATE_LEAVING):
         return Err(f"unknown state {found.state[:40]!r}")
     host, _, port = found.address.rpartition(":")
--- a/lacewingcleat/platform/settings_file.py
+++ b/lacewingcleat/platform/settings_file.py
@@ -4,6 +4,7 @@
 from result import Err, Ok, Result
 
 from lacewingcleat.direct_settings import DirectSettings, RuleBounds
+from lacewingcleat.platform.json_body import decode_json
 
 SETTINGS_VARIABLE = "LACEWINGCLEAT_SETTINGS"
 MS_PER_SECOND = 1000.0
@@ -41,10 +42,10 @@
 
 def decode_settings(data: bytes) -> Result[DirectSettings, str]:
     """Decode the settings of a direct entry."""
-    try:
-        found = msgspec.json.decode(data, type=_File)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        return Err(str(error))
+    decoded = decode_json(data, _File)
+    if isinstance(decoded, Err):
+        return decoded
+    found = decoded.ok_value
     bounds = found.bounds
     return Ok(
         DirectSettings(
