Switch expert maps also where engines check no fencing tokens

Change: each order carries the epoch and the number of orders that its rank must have begun before (compare-and-swap), on all engines. A leader that takes over a held pass begins an order at rank 0 first, then at the others with the numbers read before. The fencing tokens go; one switch for both kinds of engines.

--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -122,9 +122,7 @@
             self._reactor.listenUDP(port, self._peer_socket, interface=host)
             self._send_load()
         self._store_reader.start()
-        # Without fencing, engines would carry out delayed orders of a former leader.
-        if self._settings.bounds.fencing_enforced:
-            self._map_driver.start()
+        self._map_driver.start()
         self._reactor.callLater(TICK_INTERVAL_SECONDS, self._tick)
         self._log.lifecycle("start", version=__version__, zone=self._settings.zone)
 
--- a/lacewingcleat/direct_settings.py
+++ b/lacewingcleat/direct_settings.py
@@ -14,7 +14,6 @@
     :param retry_ratio: retries allowed per request of a service.
     :param extra_retries: additional retries allowed in each window, over all entries.
     :param retry_window_seconds: length of the windows of the retry budget.
-    :param fencing_enforced: whether engines refuse orders with an outdated token.
     """
 
     revocation_seconds: float
@@ -24,7 +23,6 @@
     retry_ratio: float
     extra_retries: float
     retry_window_seconds: float
-    fencing_enforced: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/lacewingcleat/group_map_switch.py
+++ b/lacewingcleat/group_map_switch.py
@@ -1,31 +1,41 @@
 """coordination: switch all ranks of a group to a new expert map at the same pass.
 
-A switch prepares the map on all ranks, holds a future pass, arms all ranks for that
-pass and releases it once each rank has confirmed that it is armed. No pass can start
-with different maps while the pass is held. The hold is therefore released only when all
-ranks are armed, or when none is armed and no late order can arm one.
-
-An order without an answer may still be applied seconds later. Each step that rolls a
-switch back therefore uses a higher fencing token than the orders before it: a rank that
-has accepted the higher token refuses the late order.
+A switch prepares the map on all ranks, holds a future pass at rank 0, arms all ranks
+for that pass and releases it once each rank has confirmed that it is armed. No pass can
+start with different maps while the pass is held.
+
+An order without an answer may still be applied seconds later, and a leader may wake up
+after another one has taken over. Engines need not check fencing tokens, so each order
+carries the number of orders that its rank must have begun before (a compare-and-swap).
+Two rules keep the ranks' maps equal:
+
+* A leader takes over a held pass by beginning an order at rank 0 first. From then on
+  rank 0 refuses the release of the former leader.
+* It then begins an order at each other rank, with the numbers that it read before the
+  takeover, and releases the pass only after that. Late orders of the former leader are
+  void, and no order of this one can reach a switch that began after its takeover.
 """
 
-from collections.abc import Awaitable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from math import ceil
 from typing import Protocol
 
 from lacewingcleat.map_orders import (
     ArmMap,
+    ConditionalOrder,
     DisarmMap,
-    FencedOrder,
     HoldPass,
+    MapOrder,
     OrderAnswer,
     PrepareMap,
     RankMapState,
     ReleasePass,
 )
 
+# Experts by layer set and rank.
+ExpertMap = tuple[tuple[tuple[int, ...], ...], ...]
+
 # Copying a map's replicas over the links between engines takes about 1 s.
 PREPARE_TIMEOUT_SECONDS = 6.0
 PREPARE_POLL_INTERVAL_SECONDS = 0.4
@@ -40,18 +50,18 @@
 # A switch whose ranks are not all armed this long after the hold is rolled back, since
 # the group may already be blocked.
 ARM_TIMEOUT_SECONDS = 0.8
-# A release is sent only within this time after the hold. Another leader takes over a
-# hold that it has observed for `ORPHAN_AGE_SECONDS`; its higher token fences off the
-# orders of the first leader.
-RELEASE_TIMEOUT_SECONDS = 1.2
+# A release of unknown outcome is repeated for this time after the hold. Repeating it is
+# harmless: rank 0 refuses it once it has been applied or another leader has taken over.
+RELEASE_TIMEOUT_SECONDS = 2.0
+# Another leader takes over a hold that it has observed for this long.
 ORPHAN_AGE_SECONDS = 0.8
 # Attempts to roll a switch back in one round; the next round continues.
-MAX_ROLLBACK_ATTEMPTS = 12
-# A version that no map uses, so that disarming it has no effect.
-UNUSED_VERSION = 1
+MAX_ROLLBACK_ATTEMPTS = 6
+# Attempts to get an answer to one order.
+MAX_ORDER_ATTEMPTS = 4
 # Reason returned if a switch has been released and its pass has not started yet.
 REASON_ARMED = "armed"
-REFUSALS = frozenset({OrderAnswer.FENCED, OrderAnswer.CONFLICT})
+CONFIRMED = frozenset({OrderAnswer.BEGUN, OrderAnswer.ACCEPTED})
 
 
 class RankClient(Protocol):
@@ -68,7 +78,7 @@
 
     def order(
         self,
-        orders: Mapping[int, FencedOrder],
+        orders: Mapping[int, ConditionalOrder],
     ) -> Awaitable[dict[int, OrderAnswer]]:
         """Send orders to several ranks concurrently and return their answers."""
 
@@ -79,10 +89,12 @@
 
     :param switched: whether the held pass was released with all ranks armed.
     :param reason: outcome in words, for the log.
+    :param version: version of the new map, 0 for a rollback.
     """
 
     switched: bool
     reason: str
+    version: int = 0
 
 
 class HoldTracker:
@@ -109,85 +121,101 @@
     """Execute and roll back map switches of one group.
 
     :param size: number of ranks.
+    :param current: map that the ranks use.
+    :param next_version: returns a map version above a given one that no other leader
+        uses.
     :param hold_tracker: holds that were observed in earlier rounds.
     """
 
     def __init__(
-        self, client: RankClient, size: int, hold_tracker: HoldTracker
+        self,
+        client: RankClient,
+        size: int,
+        current: ExpertMap,
+        next_version: Callable[[int], int],
+        hold_tracker: HoldTracker,
     ) -> None:
         self._client = client
         self._ranks = tuple(range(size))
+        self._current = current
+        self._next_version = next_version
         self._hold_tracker = hold_tracker
 
     async def switch(
         self,
-        version: int,
-        experts: tuple[tuple[tuple[int, ...], ...], ...],
+        experts: ExpertMap,
         states: Mapping[int, RankMapState],
-        token: int,
         step_seconds: float,
     ) -> SwitchResult:
         """Switch the group to a map.
 
         :param states: states of all ranks, just read, with no rank armed or held.
-        :param token: fencing token above all that this process has used; `token + 1`
-            may be used as well.
         :param step_seconds: duration of a pass, 0 if the group is idle.
         """
         epoch = states[0].epoch
-        prepared = await self._prepare(version, experts, epoch, token)
+        version = self._next_version(_highest_version(states))
+        prepared = await self._prepare(version, experts, states)
         if prepared is None:
-            return SwitchResult(False, "not prepared")
+            return SwitchResult(False, "not prepared", version)
+        sequence_by_rank = {rank: s.sequence for rank, s in prepared.items()}
         hold_step = max(state.step for state in prepared.values()) + _hold_lead_steps(
             step_seconds
         )
         held_at = self._client.now()
-        hold = FencedOrder(HoldPass(hold_step), epoch, token)
+        hold = ConditionalOrder(HoldPass(hold_step), epoch, sequence_by_rank[0])
         answers = await self._client.order({0: hold})
         match answers.get(0, OrderAnswer.UNKNOWN):
-            case OrderAnswer.ACCEPTED:
-                pass
+            case OrderAnswer.BEGUN | OrderAnswer.ACCEPTED as answer:
+                sequence_by_rank[0] += answer is OrderAnswer.BEGUN
             case OrderAnswer.UNKNOWN:
-                # The hold may have been applied. No rank is armed, so that it has only
-                # to be released.
-                return await self._resolve_hold(version, hold_step, epoch, token + 1)
-            case refusal:
-                return SwitchResult(False, f"hold: {refusal.value}")
-        if not await self._arm(version, hold_step, epoch, token, held_at):
-            return await self._roll_back(version, hold_step, epoch, token + 1)
-        return await self._release(version, hold_step, epoch, token, held_at)
+                # The hold may have been applied, or may be later.
+                return await self._cancel(hold_step, epoch)
+            case OrderAnswer.CONFLICT:
+                return SwitchResult(False, "hold: conflict", version)
+        armed = await self._arm(version, hold_step, epoch, sequence_by_rank, held_at)
+        if not armed:
+            return await self._cancel(hold_step, epoch)
+        return await self._release(
+            version, hold_step, epoch, sequence_by_rank[0], held_at
+        )
 
     async def _prepare(
         self,
         version: int,
-        experts: tuple[tuple[tuple[int, ...], ...], ...],
-        epoch: int,
-        token: int,
+        experts: ExpertMap,
+        states: Mapping[int, RankMapState],
     ) -> dict[int, RankMapState] | None:
+        """Prepare a map on all ranks; return their states, None if it failed."""
+        epoch = states[0].epoch
         deadline = self._client.now() + PREPARE_TIMEOUT_SECONDS
-        pending_ranks = set(self._ranks)
-        order = FencedOrder(PrepareMap(version, experts), epoch, token)
+        pending = dict(states)
         while self._client.now() < deadline:
-            answers = await self._client.order(
-                dict.fromkeys(sorted(pending_ranks), order)
+            await self._client.order(
+                {
+                    rank: ConditionalOrder(
+                        PrepareMap(version, experts), epoch, state.sequence
+                    )
+                    for rank, state in sorted(pending.items())
+                }
             )
-            if OrderAnswer.FENCED in answers.values():
-                return None
             await self._client.sleep(PREPARE_POLL_INTERVAL_SECONDS)
-            states = await self._read_states(epoch)
-            if states is None:
+            latest = await self._read_states(epoch)
+            if latest is None:
                 continue
-            if any(state.held_step is not None for state in states.values()):
+            if any(state.held_step is not None for state in latest.values()):
                 return None
-            unprepared_ranks = [
-                rank
-                for rank, state in states.items()
-                if state.prepared_version != version
-            ]
-            if not unprepared_ranks:
-                return states
             # A rank that is still copying refuses the repeated order as a conflict.
-            pending_ranks = set(unprepared_ranks)
+            pending = {
+                rank: state
+                for rank, state in latest.items()
+                if state.prepared_version != version
+            }
+            if not pending:
+                return latest
+            prepared_versions = (s.prepared_version or 0 for s in pending.values())
+            if max(prepared_versions) > version:
+                # Another leader prepares a newer map.
+                return None
         return None
 
     async def _read_states(self, epoch: int) -> dict[int, RankMapState] | None:
@@ -204,172 +232,185 @@
         version: int,
         hold_step: int,
         epoch: int,
-        token: int,
+        sequence_by_rank: dict[int, int],
         held_at: float,
     ) -> bool:
-        """Arm all ranks; return whether all have accepted."""
-        order = FencedOrder(ArmMap(version, hold_step), epoch, token)
-        attempts = self._attempts_until(held_at, ARM_TIMEOUT_SECONDS)
-        outcome = await self._send_until_accepted(
-            self._ranks, order, attempts, REFUSALS
-        )
-        return outcome is OrderAnswer.ACCEPTED
+        """Arm all ranks; return whether all are known to be armed.
+
+        :param sequence_by_rank: is updated for the ranks that are armed.
+        """
+        pending = set(self._ranks)
+        unconfirmed: set[int] = set()
+        while self._client.now() - held_at < ARM_TIMEOUT_SECONDS:
+            answers = await self._client.order(
+                {
+                    rank: ConditionalOrder(
+                        ArmMap(version, hold_step), epoch, sequence_by_rank[rank]
+                    )
+                    for rank in sorted(pending - unconfirmed)
+                }
+            )
+            for rank, answer in answers.items():
+                match answer:
+                    case OrderAnswer.BEGUN | OrderAnswer.ACCEPTED:
+                        sequence_by_rank[rank] += answer is OrderAnswer.BEGUN
+                        pending.discard(rank)
+                    case OrderAnswer.CONFLICT:
+                        # An earlier order without an answer may have armed the rank.
+                        unconfirmed.add(rank)
+                    case OrderAnswer.UNKNOWN:
+                        pass
+            if not pending:
+                return True
+            if pending == unconfirmed:
+                await self._client.sleep(PREPARE_POLL_INTERVAL_SECONDS / 2.0)
+                states = await self._client.read(sorted(pending))
+                for rank, state in states.items():
+                    if state.epoch == epoch and state.armed_version == version:
+                        sequence_by_rank[rank] = state.sequence
+                        pending.discard(rank)
+                        unconfirmed.discard(rank)
+                if not pending:
+                    return True
+        return False
 
     async def _release(
         self,
         version: int,
         hold_step: int,
         epoch: int,
-        token: int,
+        sequence: int,
         held_at: float,
     ) -> SwitchResult:
-        order = FencedOrder(ReleasePass(hold_step), epoch, token)
-        attempts = self._attempts_until(held_at, RELEASE_TIMEOUT_SECONDS)
-        match await self._send_until_accepted((0,), order, attempts, REFUSALS):
-            case OrderAnswer.ACCEPTED:
-                return SwitchResult(True, "released")
-            case OrderAnswer.FENCED | OrderAnswer.CONFLICT as refusal:
-                return SwitchResult(False, f"release: {refusal.value}")
-            case OrderAnswer.UNKNOWN:
-                pass
+        order = ConditionalOrder(ReleasePass(hold_step), epoch, sequence)
+        may_be_released = False
+        while self._client.now() - held_at < RELEASE_TIMEOUT_SECONDS:
+            answers = await self._client.order({0: order})
+            match answers.get(0, OrderAnswer.UNKNOWN):
+                case OrderAnswer.BEGUN | OrderAnswer.ACCEPTED:
+                    return SwitchResult(True, "released", version)
+                case OrderAnswer.CONFLICT if may_be_released:
+                    return SwitchResult(False, "release: not confirmed", version)
+                case OrderAnswer.CONFLICT:
+                    return SwitchResult(False, "release: conflict", version)
+                case OrderAnswer.UNKNOWN:
+                    may_be_released = True
         # The time limit passed, for example since this process was suspended, or no
-        # answer arrived: the rank may have applied the release or may still do so.
-        return await self._resolve_hold(version, hold_step, epoch, token + 1)
-
-    async def _resolve_hold(
-        self,
-        version: int,
-        hold_step: int,
-        epoch: int,
-        token: int,
-    ) -> SwitchResult:
-        """Roll back a switch that may or may not have been released.
-
-        :param token: above the tokens of all earlier orders of the switch.
-        """
-        if not await self._raise_token(0, epoch, token):
-            return SwitchResult(False, "rollback: rank 0 unreachable or refuses")
-        # The rank now refuses any earlier release. After this delay its reported state
-        # includes a release that it applied before.
-        await self._client.sleep(MAX_STATE_AGE_SECONDS)
-        states = await self._client.read((0,))
-        if 0 not in states or states[0].epoch != epoch:
-            return SwitchResult(
-                False, "rollback: rank 0 unreachable or in another epoch"
-            )
-        if states[0].held_step != hold_step:
-            return SwitchResult(False, "rollback: pass is not held")
-        return await self._roll_back(version, hold_step, epoch, token)
+        # answer arrived.
+        return await self._cancel(hold_step, epoch)
+
+    async def _cancel(self, hold_step: int, epoch: int) -> SwitchResult:
+        """Roll back a switch of this leader, whatever part of it has been applied."""
+        for _ in range(MAX_ROLLBACK_ATTEMPTS):
+            # The states read after this delay include all orders that were applied.
+            await self._client.sleep(MAX_STATE_AGE_SECONDS)
+            states = await self._client.read(self._ranks)
+            if any(state.epoch != epoch for state in states.values()):
+                return SwitchResult(False, "rollback: another epoch")
+            if len(states) != len(self._ranks):
+                continue
+            if states[0].held_step == hold_step:
+                if await self._roll_back(states, hold_step):
+                    return SwitchResult(False, "rolled back")
+                continue
+            if states[0].armed_version is not None:
+                return SwitchResult(False, REASON_ARMED)
+            # No pass is held now; a late hold is void once this order has begun.
+            if await self._begin_any({0: states[0]}):
+                return SwitchResult(False, "rolled back")
+        return SwitchResult(False, "rollback: not completed")
 
     async def _roll_back(
-        self,
-        version: int,
-        hold_step: int,
-        epoch: int,
-        token: int,
-    ) -> SwitchResult:
-        """Disarm all ranks while the pass is held, then release the pass.
+        self, states: Mapping[int, RankMapState], hold_step: int
+    ) -> bool:
+        """Take over a held pass, disarm all ranks and release the pass.
 
-        Each rank has to accept the higher token first, so that no late order arms it.
+        :param states: states of all ranks, read before any order of this rollback.
+        :return: whether the pass was released; otherwise the states are out of date.
         """
-        order = FencedOrder(DisarmMap(version), epoch, token)
-        fenced = frozenset({OrderAnswer.FENCED})
-        match await self._send_until_accepted(
-            self._ranks, order, range(MAX_ROLLBACK_ATTEMPTS), fenced
-        ):
-            case OrderAnswer.ACCEPTED:
-                return await self._release_disarmed(hold_step, epoch, token)
-            case OrderAnswer.FENCED:
-                return SwitchResult(False, "rollback: fenced")
-            case _:
-                return SwitchResult(False, "rollback: not all ranks disarmed")
-
-    async def _release_disarmed(
-        self,
-        hold_step: int,
-        epoch: int,
-        token: int,
-    ) -> SwitchResult:
-        order = FencedOrder(ReleasePass(hold_step), epoch, token)
-        outcome = await self._send_until_accepted(
-            (0,), order, range(MAX_ROLLBACK_ATTEMPTS), frozenset()
+        if not await self._begin_any({0: states[0]}):
+            return False
+        others = {rank: state for rank, state in states.items() if rank != 0}
+        if not await self._begin_any(others):
+            return False
+        order = ConditionalOrder(
+            ReleasePass(hold_step), states[0].epoch, states[0].sequence + 1
         )
-        if outcome is OrderAnswer.ACCEPTED:
-            return SwitchResult(False, "rolled back")
-        return SwitchResult(False, "rollback: pass not released")
+        answers = await self._send({0: order})
+        return answers[0] in CONFIRMED
+
+    async def _begin_any(self, states: Mapping[int, RankMapState]) -> bool:
+        """Make ranks begin an order that leaves them disarmed; return whether all did.
 
-    async def _raise_token(self, rank: int, epoch: int, token: int) -> bool:
-        """Make a rank refuse lower tokens, without a change to its map or hold."""
-        order = FencedOrder(DisarmMap(UNUSED_VERSION), epoch, token)
-        outcome = await self._send_until_accepted(
-            (rank,), order, range(MAX_ROLLBACK_ATTEMPTS), REFUSALS
+        Earlier orders that have not been applied are void afterwards.
+        """
+        version = self._next_version(_highest_version(states))
+        answers = await self._send(
+            {
+                rank: ConditionalOrder(
+                    self._neutral_order(state, version), state.epoch, state.sequence
+                )
+                for rank, state in states.items()
+            }
         )
-        return outcome is OrderAnswer.ACCEPTED
+        return all(answer is OrderAnswer.BEGUN for answer in answers.values())
 
-    def _attempts_until(self, held_at: float, timeout_seconds: float) -> Iterator[None]:
-        """Yield until the given time has passed since the hold."""
-        while self._client.now() - held_at < timeout_seconds:
-            yield
+    def _neutral_order(self, state: RankMapState, version: int) -> MapOrder:
+        """Return an order that begins at a rank and leaves its map unchanged.
 
-    async def _send_until_accepted(
-        self,
-        ranks: Sequence[int],
-        order: FencedOrder,
-        attempts: Iterable[object],
-        stop_answers: frozenset[OrderAnswer],
-    ) -> OrderAnswer:
-        """Send an order repeatedly until each rank has accepted it.
-
-        Returns the first answer that is in `stop_answers`, or `UNKNOWN` if not all
-        ranks have accepted after the last round.
+        An armed rank refuses to prepare a map, and preparing the map in use copies
+        nothing.
         """
-        pending_ranks = set(ranks)
-        for _ in attempts:
-            answers = await self._client.order(
-                dict.fromkeys(sorted(pending_ranks), order)
+        if state.armed_version is not None:
+            return DisarmMap(state.armed_version)
+        return PrepareMap(version, self._current)
+
+    async def _send(
+        self, orders: Mapping[int, ConditionalOrder]
+    ) -> dict[int, OrderAnswer]:
+        """Send orders, repeating those without an answer; return the last answers."""
+        answers = dict.fromkeys(orders, OrderAnswer.UNKNOWN)
+        for _ in range(MAX_ORDER_ATTEMPTS):
+            pending = _ranks_with(answers, OrderAnswer.UNKNOWN)
+            if not pending:
+                break
+            answers |= await self._client.order(
+                {rank: orders[rank] for rank in pending}
             )
-            for answer in answers.values():
-                if answer in stop_answers:
-                    return answer
-            pending_ranks -= _accepting_ranks(answers)
-            if not pending_ranks:
-                return OrderAnswer.ACCEPTED
-        return OrderAnswer.UNKNOWN
-
-    async def recover(
-        self,
-        states: Mapping[int, RankMapState],
-        token: int,
-    ) -> SwitchResult | None:
+        return answers
+
+    async def recover(self, states: Mapping[int, RankMapState]) -> SwitchResult | None:
         """Roll back another leader's unfinished switch; return None if there is none.
 
         :param states: states of all ranks, just read.
-        :param token: fencing token above all that this process has used.
         """
-        now = self._client.now()
         held_step_by_rank = {
             r: s.held_step for r, s in states.items() if s.held_step is not None
         }
-        age = self._hold_tracker.observe(held_step_by_rank, now)
+        age = self._hold_tracker.observe(held_step_by_rank, self._client.now())
         if not held_step_by_rank:
-            armed_ranks = [
-                rank for rank, s in states.items() if s.armed_version is not None
-            ]
-            return SwitchResult(False, REASON_ARMED) if armed_ranks else None
+            is_armed = any(s.armed_version is not None for s in states.values())
+            return SwitchResult(False, REASON_ARMED) if is_armed else None
         if age < ORPHAN_AGE_SECONDS:
             return SwitchResult(False, "held by another leader")
-        rank, step = next(iter(sorted(held_step_by_rank.items())))
-        if rank != 0 or len(held_step_by_rank) > 1:
+        if set(held_step_by_rank) != {0}:
             return SwitchResult(False, "held at a rank other than rank 0")
-        versions = {
-            s.armed_version for s in states.values() if s.armed_version is not None
-        }
-        version = max(versions, default=UNUSED_VERSION)
-        return await self._resolve_hold(version, step, states[0].epoch, token)
+        if await self._roll_back(states, held_step_by_rank[0]):
+            return SwitchResult(False, "rolled back")
+        return SwitchResult(False, "rollback: not completed")
+
+
+def _ranks_with(
+    answers: Mapping[int, OrderAnswer], answer: OrderAnswer
+) -> Iterable[int]:
+    return sorted(rank for rank, each in answers.items() if each is answer)
 
 
-def _accepting_ranks(answers: Mapping[int, OrderAnswer]) -> set[int]:
-    return {r for r, answer in answers.items() if answer is OrderAnswer.ACCEPTED}
+def _highest_version(states: Mapping[int, RankMapState]) -> int:
+    return max(
+        max(s.map_version, s.prepared_version or 0, s.armed_version or 0)
+        for s in states.values()
+    )
 
 
 def _hold_lead_steps(step_seconds: float) -> int:
--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -1,8 +1,8 @@
 """transport: rebalance the expert maps of the groups that this entry leads.
 
 The leader of a group is chosen by rendezvous hashing over the reachable entries. In a
-network partition a group may have two leaders; the fencing tokens and the rules of
-`group_map_switch` make this safe.
+network partition a group may have two leaders; the rules of `group_map_switch` make
+this safe.
 """
 
 from collections.abc import Callable, Mapping, Sequence
@@ -22,7 +22,7 @@
     RankClient,
 )
 from lacewingcleat.http_fetch import FetchedResponse, fetch
-from lacewingcleat.map_orders import FencedOrder, OrderAnswer, RankMapState
+from lacewingcleat.map_orders import ConditionalOrder, OrderAnswer, RankMapState
 from lacewingcleat.platform.order_call import (
     COUNTS_TARGET,
     EXPERTS_TARGET,
@@ -53,12 +53,9 @@
 # Ranks normally answer orders and reads within a few milliseconds.
 RANK_TIMEOUT_SECONDS = 0.2
 MS_PER_SECOND = 1000
-# Tokens are wall clock milliseconds times this, plus a random number per process below
-# it. Versions and tokens of two leaders thus differ even in the same millisecond.
-TOKENS_PER_MS = 1000
-# Added to the token after each order refused as fenced. 10 s is more than the wall
-# clocks of two entries differ.
-FENCED_TOKEN_INCREMENT = 10_000 * TOKENS_PER_MS
+# Versions of maps are wall clock milliseconds times this, plus a random number per
+# process below it. Versions of two leaders thus differ even in the same millisecond.
+VERSIONS_PER_MS = 1000
 
 
 class HttpRankClient(RankClient):
@@ -121,7 +118,7 @@
 
     async def order(
         self,
-        orders: Mapping[int, FencedOrder],
+        orders: Mapping[int, ConditionalOrder],
     ) -> dict[int, OrderAnswer]:
         """Send orders to several ranks concurrently and return their answers."""
         self.order_count += len(orders)
@@ -188,9 +185,8 @@
         self._log = log
         self._group_by_name: dict[str, _GroupState] = {}
         self._last_round_at_by_group: dict[str, float] = {}
-        self._token_offset = state.random.randrange(TOKENS_PER_MS)
-        self._last_token = 0
-        self._fenced_count = 0
+        self._version_offset = state.random.randrange(VERSIONS_PER_MS)
+        self._last_version = 0
         self.order_count = 0
 
     def start(self) -> None:
@@ -280,14 +276,27 @@
         group = self._group_by_name.get(name)
         if group is None or group.shape != shape:
             group = self._group_by_name[name] = _GroupState(shape, read_now())
-        switch = GroupMapSwitch(client, size, group.hold_tracker)
         states = await client.read(range(size))
         if len(states) != size or len({s.epoch for s in states.values()}) != 1:
             return
         if not all(state.is_open for state in states.values()):
             return
         self._update_step_seconds(group, states)
-        recovery = await switch.recover(states, self._next_token())
+        version = states[0].map_version
+        if any(state.map_version != version for state in states.values()):
+            return
+        if version != group.planner.version and not await self._adopt_map(
+            name, group, client, version
+        ):
+            return
+        switch = GroupMapSwitch(
+            client,
+            size,
+            group.planner.current_map(),
+            self._next_version,
+            group.hold_tracker,
+        )
+        recovery = await switch.recover(states)
         group.has_unfinished_switch = (
             recovery is not None and recovery.reason != REASON_ARMED
         )
@@ -304,12 +313,6 @@
             return
         if not await self._read_demand(group, client, size):
             return
-        version = states[0].map_version
-        if any(state.map_version != version for state in states.values()):
-            return
-        if version != group.planner.version:
-            await self._adopt_map(name, group, client, version)
-            return
         await self._switch_map(name, group, switch, states)
 
     def _update_step_seconds(
@@ -342,8 +345,11 @@
         group: _GroupState,
         client: HttpRankClient,
         version: int,
-    ) -> None:
-        """Read back the map that the ranks use if another leader has installed it."""
+    ) -> bool:
+        """Read back the map that the ranks use if another leader has installed it.
+
+        Return whether all ranks have answered.
+        """
         experts_by_set: list[ExpertsByRank] = [
             [] for _ in range(group.shape.layer_sets)
         ]
@@ -351,11 +357,12 @@
             response = await client.fetch(rank, EXPERTS_TARGET, None)
             lists = self._decode_lists(response)
             if isinstance(lists, Err) or lists.ok_value[0] != version:
-                return
+                return False
             for index, experts in enumerate(lists.ok_value[1]):
                 experts_by_set[index].append(experts)
         group.planner.adopt(version, experts_by_set)
         self._log.belief("map adopted", read_now(), group=name, version=version)
+        return True
 
     def _decode_lists(
         self,
@@ -375,24 +382,17 @@
         plan = group.planner.plan(group.demand.loads, read_now())
         if plan is None:
             return
-        token = self._next_token()
-        # The switch may use the next token too, so it is reserved here.
-        self._last_token = token + 1
-        version = token
-        result = await switch.switch(
-            version, plan.experts, states, token, group.step_seconds
-        )
+        result = await switch.switch(plan.experts, states, group.step_seconds)
         now = read_now()
         if result.switched:
-            group.planner.record_switch(version, plan, now)
+            group.planner.record_switch(result.version, plan, now)
         else:
             group.planner.record_failure(now)
-            self._fenced_count += "fenced" in result.reason
         self._log.belief(
             "map switch",
             now,
             group=name,
-            version=version,
+            version=result.version,
             epoch=states[0].epoch,
             outcome=result.reason,
             switched=result.switched,
@@ -402,14 +402,13 @@
             step_ms=round(group.step_seconds * 1000.0, 1),
         )
 
-    def _next_token(self) -> int:
-        """Return a fencing token above all earlier ones of this process.
+    def _next_version(self, above: int) -> int:
+        """Return a map version above a given one and all earlier ones of this process.
 
-        Tokens are derived from the wall clock, so that they also exceed the tokens of
-        earlier leaders.
+        Versions are derived from the wall clock, so that they normally exceed those of
+        earlier leaders; ranks refuse lower ones.
         """
         wall_ms = int(read_wall().timestamp() * MS_PER_SECOND)
-        token = wall_ms * TOKENS_PER_MS + self._token_offset
-        token += self._fenced_count * FENCED_TOKEN_INCREMENT
-        self._last_token = max(self._last_token + 2, token)
-        return self._last_token
+        version = wall_ms * VERSIONS_PER_MS + self._version_offset
+        self._last_version = max(self._last_version + 1, above + 1, version)
+        return self._last_version
--- a/lacewingcleat/map_orders.py
+++ b/lacewingcleat/map_orders.py
@@ -51,23 +51,32 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FencedOrder:
-    """Attach the group's epoch and a fencing token to an order.
+class ConditionalOrder:
+    """Attach to an order the conditions under which a rank accepts it.
 
-    :param token: ranks refuse an order whose token is lower than one they have seen.
+    A rank counts the orders that it has begun. An order of unknown outcome can take
+    effect only while that count is the expected one, so it is void as soon as the rank
+    has begun another order.
+
+    :param epoch: formation of the group for which the order is meant.
+    :param sequence: number of orders that the rank has begun in this epoch.
     """
 
     order: MapOrder
     epoch: int
-    token: int
+    sequence: int
 
 
 class OrderAnswer(Enum):
-    """Represent a rank's answer to an order; `UNKNOWN` if there was none."""
+    """Represent a rank's answer to an order; `UNKNOWN` if there was none.
+
+    `BEGUN` and `ACCEPTED` confirm the state that the order asks for; only a `BEGUN`
+    order is certain to have been counted by the rank.
+    """
 
+    BEGUN = "begun"
     ACCEPTED = "accepted"
     CONFLICT = "conflict"
-    FENCED = "fenced"
     UNKNOWN = "unknown"
 
 
@@ -80,6 +89,7 @@
     :param prepared_version: map version that is prepared, or None.
     :param armed_version: map version that is armed, or None.
     :param held_step: pass that is held, or None.
+    :param sequence: number of orders that the rank has begun in this epoch.
     """
 
     group: str
@@ -92,3 +102,4 @@
     prepared_version: int | None
     armed_version: int | None
     held_step: int | None
+    sequence: int = 0
--- a/lacewingcleat/platform/order_call.py
+++ b/lacewingcleat/platform/order_call.py
@@ -6,8 +6,8 @@
 from lacewingcleat.expert_demand import RankSelectionCounts
 from lacewingcleat.map_orders import (
     ArmMap,
+    ConditionalOrder,
     DisarmMap,
-    FencedOrder,
     HoldPass,
     OrderAnswer,
     PrepareMap,
@@ -38,6 +38,8 @@
     size: int
     step: int
     mapping: int
+    # Number of orders that the rank has accepted since it started.
+    sequence: int
     prepared: int | None = None
     armed: int | _Armed | None = None
     held: int | None = None
@@ -59,10 +61,13 @@
     mapping: _Lists
 
 
-def encode_order(fenced: FencedOrder) -> bytes:
-    """Encode an order with its epoch and fencing token as a JSON document."""
-    order = fenced.order
-    body: dict[str, object] = {"epoch": fenced.epoch, "fencing_token": fenced.token}
+def encode_order(conditional: ConditionalOrder) -> bytes:
+    """Encode an order with the conditions for its acceptance as a JSON document."""
+    order = conditional.order
+    body: dict[str, object] = {
+        "epoch": conditional.epoch,
+        "expected": conditional.sequence,
+    }
     match order:
         case PrepareMap(version, experts):
             body |= {"operation": "prepare", "version": version, "mapping": experts}
@@ -80,11 +85,11 @@
 def decode_order_response(status: int) -> OrderAnswer:
     """Decode the HTTP status of the response to an order."""
     match status:
-        case 200 | 202:
+        case 202:
+            return OrderAnswer.BEGUN
+        case 200:
             return OrderAnswer.ACCEPTED
-        case 412:
-            return OrderAnswer.FENCED
-        case 400 | 409 | 421:
+        case 400 | 409 | 412 | 421:
             return OrderAnswer.CONFLICT
         case _:
             return OrderAnswer.UNKNOWN
@@ -109,6 +114,7 @@
             prepared_version=report.prepared,
             armed_version=armed.version if isinstance(armed, _Armed) else armed,
             held_step=report.held,
+            sequence=report.sequence,
         ),
     )
 
--- a/lacewingcleat/platform/settings_file.py
+++ b/lacewingcleat/platform/settings_file.py
@@ -18,7 +18,6 @@
     retry_budget_ratio: float
     retry_budget_extra: float
     budget_window_s: float
-    fencing_enforced: bool = False
 
 
 class _Store(msgspec.Struct):
@@ -64,7 +63,6 @@
                 retry_ratio=bounds.retry_budget_ratio,
                 extra_retries=bounds.retry_budget_extra,
                 retry_window_seconds=bounds.budget_window_s,
-                fencing_enforced=bounds.fencing_enforced,
             ),
         ),
     )
--- a/lacewingcleat/replica_plan.py
+++ b/lacewingcleat/replica_plan.py
@@ -74,6 +74,10 @@
         self.version = version
         self.current = experts
 
+    def current_map(self) -> tuple[tuple[tuple[int, ...], ...], ...]:
+        """Return the map in use as experts by layer set and rank."""
+        return _freeze(self.current)
+
     def plan(self, loads: list[list[float]], now: float) -> ReplicaPlan | None:
         """Return a map that justifies a switch, none if there is no such map.
 
@@ -96,11 +100,7 @@
             )
             for new, old in zip(proposed_experts, current_experts, strict=True)
         )
-        experts = tuple(
-            tuple(tuple(sorted(rank)) for rank in experts_by_rank)
-            for experts_by_rank in proposed
-        )
-        return ReplicaPlan(experts, skew_before, skew_after, copies)
+        return ReplicaPlan(_freeze(proposed), skew_before, skew_after, copies)
 
     def record_switch(self, version: int, plan: ReplicaPlan, now: float) -> None:
         """Record that the group has switched to a proposed map."""
@@ -122,6 +122,13 @@
         )
 
 
+def _freeze(maps: list[ExpertsByRank]) -> tuple[tuple[tuple[int, ...], ...], ...]:
+    return tuple(
+        tuple(tuple(sorted(rank)) for rank in experts_by_rank)
+        for experts_by_rank in maps
+    )
+
+
 def _mean_skew(maps: list[ExpertsByRank], loads: list[list[float]]) -> float:
     skews = [
         skew(experts_by_rank, load)
--- a/tests/builders_direct.py
+++ b/tests/builders_direct.py
@@ -6,9 +6,10 @@
 
 from lacewingcleat.map_orders import (
     ArmMap,
+    ConditionalOrder,
     DisarmMap,
-    FencedOrder,
     HoldPass,
+    MapOrder,
     OrderAnswer,
     PrepareMap,
     RankMapState,
@@ -90,9 +91,9 @@
 
 @dataclass
 class SimulatedRank:
-    """Represent the state of a rank whose engine checks fencing tokens."""
+    """Represent the state of a rank whose engine counts the orders it begins."""
 
-    token: int = 0
+    sequence: int = 0
     mapping: int = 0
     prepared: int | None = None
     armed: tuple[int, int] | None = None
@@ -126,9 +127,10 @@
         self.delayed_share = delayed_share
         self.now = 0.0
         self.step = 0
+        self.epoch = 1
         self.pass_seconds = 0.05
         self.next_pass_at = 0.0
-        self.delayed_orders: list[tuple[float, int, FencedOrder]] = []
+        self.delayed_orders: list[tuple[float, int, ConditionalOrder]] = []
         self.history: list[tuple[float, list[RankMapState]]] = []
         self.idle_rate = 0.0
         self.idle_until = 0.0
@@ -173,13 +175,17 @@
         if len({rank.mapping for rank in self.ranks}) > 1:
             raise MixedMapsError(f"pass {step}")
 
-    def apply(self, number: int, fenced: FencedOrder) -> OrderAnswer:
-        """Apply an order to a rank."""
+    def apply(self, number: int, conditional: ConditionalOrder) -> OrderAnswer:
+        """Apply an order to a rank if its conditions hold."""
         rank = self.ranks[number]
-        if fenced.token < rank.token:
-            return OrderAnswer.FENCED
-        rank.token = fenced.token
-        match fenced.order:
+        if conditional.epoch != self.epoch or conditional.sequence != rank.sequence:
+            return OrderAnswer.CONFLICT
+        answer = self._apply_order(rank, conditional.order)
+        rank.sequence += answer is OrderAnswer.BEGUN
+        return answer
+
+    def _apply_order(self, rank: SimulatedRank, order: MapOrder) -> OrderAnswer:
+        match order:
             case PrepareMap(version, _):
                 if version <= max(rank.versions) or rank.armed is not None:
                     return OrderAnswer.CONFLICT
@@ -192,23 +198,33 @@
                     return OrderAnswer.CONFLICT
                 rank.armed = (version, step)
             case DisarmMap(version):
-                if rank.armed is not None and rank.armed[0] == version:
-                    rank.armed = None
+                if rank.armed is None or rank.armed[0] != version:
+                    return OrderAnswer.ACCEPTED
+                rank.armed = None
             case HoldPass(step):
                 if step <= self.step or rank.held not in (None, step):
                     return OrderAnswer.CONFLICT
                 rank.held = step
             case ReleasePass(step):
-                if rank.held == step:
-                    rank.held = None
-        return OrderAnswer.ACCEPTED
+                if rank.held != step:
+                    return OrderAnswer.ACCEPTED
+                rank.held = None
+        return OrderAnswer.BEGUN
+
+    def restart_rank(self, number: int) -> None:
+        """Form the group again after a rank has restarted."""
+        self.epoch += 1
+        for rank in self.ranks:
+            rank.mapping = 0
+            rank.prepared = rank.armed = rank.held = None
+        self.ranks[number] = SimulatedRank()
 
     def _state(self, number: int) -> RankMapState:
         rank = self.ranks[number]
         armed = rank.armed[0] if rank.armed else None
         return RankMapState(
             "g",
-            1,
+            self.epoch,
             number,
             len(self.ranks),
             True,
@@ -217,6 +233,7 @@
             rank.prepared,
             armed,
             rank.held,
+            rank.sequence,
         )
 
 
@@ -243,7 +260,7 @@
 
     async def order(
         self,
-        orders: Mapping[int, FencedOrder],
+        orders: Mapping[int, ConditionalOrder],
     ) -> dict[int, OrderAnswer]:
         """Apply orders, lose them or delay them by 2 to 12 s."""
         self.group.before_order()
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -16,7 +16,7 @@
 from lacewingcleat.retries import Attempt, ResponseKind, SendProgress
 from tests.builders_direct import make_record, make_route
 
-BOUNDS = PlatformBounds(5.0, 2.0, 2.0, 8.0, 0.2, 92.0, 10.0, True)
+BOUNDS = PlatformBounds(5.0, 2.0, 2.0, 8.0, 0.2, 92.0, 10.0)
 
 
 def make_dispatcher(state: DirectState) -> DirectDispatcher:
--- a/tests/test_group_map_switch.py
+++ b/tests/test_group_map_switch.py
@@ -1,6 +1,5 @@
 """Test expert map switches in a simulated group that loses and delays orders."""
 
-from collections.abc import Iterator
 from random import Random
 
 from hypothesis import given, settings
@@ -13,28 +12,52 @@
     HoldTracker,
     SwitchResult,
 )
-from lacewingcleat.map_orders import ArmMap, FencedOrder, HoldPass, PrepareMap
+from lacewingcleat.map_orders import (
+    ArmMap,
+    ConditionalOrder,
+    HoldPass,
+    OrderAnswer,
+    PrepareMap,
+    ReleasePass,
+)
 from tests.builders_direct import SimulatedGroup, SimulatedRankClient, run_coroutine
 
 EXPERTS = (((0,), (1,)),)
+FIRST_MAP = (((1,), (0,)),)
 SIZE = 4
 
 
-def _switch(group: SimulatedGroup, version: int, token: int) -> SwitchResult:
-    port = SimulatedRankClient(group)
-    switch = GroupMapSwitch(port, SIZE, HoldTracker())
-    states = run_coroutine(port.read(range(SIZE)))
-    result = run_coroutine(
-        switch.switch(version, EXPERTS, states, token, group.pass_seconds)
+class Versions:
+    """Hand out map versions, like the leaders of one group with equal clocks."""
+
+    def __init__(self, first: int = 10) -> None:
+        self._next = first
+
+    def next_version(self, above: int) -> int:
+        version = max(self._next, above + 1)
+        self._next = version + 1
+        return version
+
+
+def _make_switch(
+    group: SimulatedGroup, versions: Versions, holds: HoldTracker
+) -> GroupMapSwitch:
+    return GroupMapSwitch(
+        SimulatedRankClient(group), SIZE, FIRST_MAP, versions.next_version, holds
     )
+
+
+def _switch(group: SimulatedGroup, versions: Versions) -> SwitchResult:
+    switch = _make_switch(group, versions, HoldTracker())
+    states = run_coroutine(SimulatedRankClient(group).read(range(SIZE)))
+    result = run_coroutine(switch.switch(EXPERTS, states, group.pass_seconds))
     assert isinstance(result, SwitchResult)
     return result
 
 
-def _recover(group: SimulatedGroup, token: int, orphans: HoldTracker) -> object:
-    port = SimulatedRankClient(group)
-    states = run_coroutine(port.read(range(SIZE)))
-    return run_coroutine(GroupMapSwitch(port, SIZE, orphans).recover(states, token))
+def _recover(group: SimulatedGroup, versions: Versions, holds: HoldTracker) -> object:
+    states = run_coroutine(SimulatedRankClient(group).read(range(SIZE)))
+    return run_coroutine(_make_switch(group, versions, holds).recover(states))
 
 
 class GroupMapSwitchTest(TestCase):
@@ -47,10 +70,10 @@
         """Guards against a switch that delays the passes of the group."""
         group = self._group()
         before = group.step
-        end = _switch(group, 10, 100)
+        end = _switch(group, Versions())
         self.assertTrue(end.switched, end.reason)
         group.advance(2.0)
-        self.assertEqual({10}, {rank.mapping for rank in group.ranks})
+        self.assertEqual({end.version}, {rank.mapping for rank in group.ranks})
         self.assertGreater(group.step, before + 30)
 
     def test_no_rank_switches_if_one_refuses_to_prepare(self) -> None:
@@ -60,7 +83,7 @@
         """
         group = self._group()
         group.ranks[2].versions.add(99)
-        end = _switch(group, 10, 100)
+        end = _switch(group, Versions())
         group.advance(2.0)
         self.assertFalse(end.switched)
         self.assertEqual({0}, {rank.mapping for rank in group.ranks})
@@ -72,19 +95,101 @@
         """
         group = self._group()
         for number in range(SIZE):
-            group.apply(number, FencedOrder(PrepareMap(10, EXPERTS), 1, 100))
+            group.apply(number, ConditionalOrder(PrepareMap(10, EXPERTS), 1, 0))
         target = group.step + 10
-        group.apply(0, FencedOrder(HoldPass(target), 1, 100))
-        group.apply(1, FencedOrder(ArmMap(10, target), 1, 100))
+        group.apply(0, ConditionalOrder(HoldPass(target), 1, 1))
+        group.apply(1, ConditionalOrder(ArmMap(10, target), 1, 1))
         group.advance(1.0)
-        orphans = HoldTracker()
-        _recover(group, 200, orphans)
+        versions, orphans = Versions(20), HoldTracker()
+        _recover(group, versions, orphans)
         group.advance(ORPHAN_AGE_SECONDS)
-        _recover(group, 202, orphans)
+        _recover(group, versions, orphans)
         group.advance(1.0)
         self.assertGreater(group.step, target)
         self.assertEqual({0}, {rank.mapping for rank in group.ranks})
 
+    def test_late_orders_of_a_replaced_leader_are_void(self) -> None:
+        """Guards against mixed maps after a takeover of a held pass.
+
+        The orders that arm rank 2 and release the pass arrive after another leader has
+        taken over: the engines know no fencing tokens.
+        """
+        group = self._group()
+        for number in range(SIZE):
+            group.apply(number, ConditionalOrder(PrepareMap(10, EXPERTS), 1, 0))
+        target = group.step + 10
+        group.apply(0, ConditionalOrder(HoldPass(target), 1, 1))
+        for number in (0, 1, 3):
+            sequence = 2 if number == 0 else 1
+            group.apply(number, ConditionalOrder(ArmMap(10, target), 1, sequence))
+        late_arm = ConditionalOrder(ArmMap(10, target), 1, 1)
+        late_release = ConditionalOrder(ReleasePass(target), 1, 3)
+        group.advance(1.0)
+        versions, orphans = Versions(20), HoldTracker()
+        _recover(group, versions, orphans)
+        group.advance(ORPHAN_AGE_SECONDS)
+        client_order = SimulatedRankClient.order
+
+        async def order_after_late_ones(client, orders):  # type: ignore[no-untyped-def]
+            answers = await client_order(client, orders)
+            group.apply(0, late_release)
+            group.apply(2, late_arm)
+            return answers
+
+        self.patch(SimulatedRankClient, "order", order_after_late_ones)
+        for _ in range(2):
+            _recover(group, versions, orphans)
+            group.advance(1.0)
+        self.assertGreater(group.step, target)
+        self.assertEqual({0}, {rank.mapping for rank in group.ranks})
+
+    def test_no_rank_switches_if_one_refuses_to_arm(self) -> None:
+        """Guards against releasing a pass for which one rank is not armed.
+
+        Another leader prepares a map at rank 2 between the hold and the arming.
+        """
+        group = self._group()
+        order_count = iter(range(100))
+
+        def prepare_elsewhere() -> None:
+            if next(order_count) == 2:
+                group.apply(2, ConditionalOrder(PrepareMap(50, EXPERTS), 1, 1))
+
+        group.before_order = prepare_elsewhere
+        end = _switch(group, Versions())
+        group.advance(1.0)
+        self.assertFalse(end.switched)
+        self.assertEqual({None}, {rank.held for rank in group.ranks})
+        self.assertEqual({0}, {rank.mapping for rank in group.ranks})
+
+    def test_a_hold_without_an_answer_cannot_be_applied_later(self) -> None:
+        """Guards against a group that is blocked by an order of a switch given up."""
+        group = self._group()
+        lost: list[ConditionalOrder] = []
+        client_order = SimulatedRankClient.order
+
+        async def lose_hold(client, orders):  # type: ignore[no-untyped-def]
+            if not lost and isinstance(orders[min(orders)].order, HoldPass):
+                lost.append(orders[0])
+                return {0: OrderAnswer.UNKNOWN}
+            return await client_order(client, orders)
+
+        self.patch(SimulatedRankClient, "order", lose_hold)
+        end = _switch(group, Versions())
+        self.assertFalse(end.switched)
+        # A hold is refused once its pass has begun, so the group counts as idle here.
+        group.step = 0
+        self.assertIs(OrderAnswer.CONFLICT, group.apply(0, lost[0]))
+
+    def test_a_recent_hold_is_left_to_its_leader(self) -> None:
+        """Guards against two leaders that keep rolling back each other's switches."""
+        group = self._group()
+        group.apply(0, ConditionalOrder(HoldPass(group.step + 5), 1, 0))
+        group.advance(0.5)
+        result = _recover(group, Versions(), HoldTracker())
+        self.assertEqual(SwitchResult(False, "held by another leader"), result)
+        self.assertEqual(1, group.ranks[0].sequence)
+
     def test_suspended_leader_rolls_its_hold_back(self) -> None:
         """Guards against a hold that outlasts the suspension of the leader.
 
@@ -98,7 +203,7 @@
                 group.advance(4.0)
 
         group.before_order = freeze
-        end = _switch(group, 10, 100)
+        end = _switch(group, Versions())
         group.advance(1.0)
         self.assertFalse(end.switched)
         self.assertEqual({None}, {rank.held for rank in group.ranks})
@@ -110,6 +215,7 @@
         lost=st.sampled_from([0.1, 0.3, 0.5, 0.7]),
         idle=st.sampled_from([0.0, 1.0, 6.0]),
         second=st.booleans(),
+        restarts=st.booleans(),
     )
     def test_maps_never_mix(
         self,
@@ -117,6 +223,7 @@
         lost: float,
         idle: float,
         second: bool,
+        restarts: bool,
     ) -> None:
         """Guards against ranks with different maps in one pass.
 
@@ -125,29 +232,31 @@
         group = self._group(seed, lost)
         group.idle_rate = idle
         orphans = HoldTracker()
-        tokens = iter(range(1_000, 1_000_000, 10))
+        versions = Versions()
         if second:
-            group.sender_pause = lambda: self._run_second_leader(group, tokens)
-        for number in range(1, 6):
-            _switch(group, number * 10, next(tokens))
+            group.sender_pause = lambda: self._run_second_leader(group, versions)
+        for _ in range(5):
+            _switch(group, versions)
+            if restarts and group.random.random() < 0.5:
+                group.restart_rank(group.random.randrange(SIZE))
             for _ in range(3):
                 group.advance(group.random.uniform(0.5, 3.0))
-                _recover(group, next(tokens), orphans)
+                _recover(group, versions, orphans)
         group.sender_pause = None
         group.loss_rate = 0.0
         group.idle_rate = 0.0
         group.advance(15.0)
         for _ in range(6):
-            _recover(group, next(tokens), orphans)
+            _recover(group, versions, orphans)
             group.advance(3.0)
         before = group.step
         group.advance(1.0)
         self.assertGreater(group.step, before)
 
-    def _run_second_leader(self, group: SimulatedGroup, tokens: Iterator[int]) -> None:
+    def _run_second_leader(self, group: SimulatedGroup, versions: Versions) -> None:
         """Let a second leader act while the first one is frozen."""
         orphans = HoldTracker()
         for _ in range(3):
-            _recover(group, next(tokens), orphans)
+            _recover(group, versions, orphans)
             group.advance(ORPHAN_AGE_SECONDS * 0.6)
-        _switch(group, 1_000 + next(tokens), next(tokens))
+        _switch(group, versions)
