Keep lock-step groups on time: limit by long passes, faster maps, prompt announcements

Cause: the limit of a group followed the typical pass, while one long pass makes all streams late; maps followed the demand after 7 s and placement stopped as soon as two ranks were equally hot; prompts of several entries met at one rank, as entries learned of each other's requests up to 0.2 s late. Conclusion: the group no longer has a second stable state; moves of the demand that come before the map has followed the last one still cost most.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -1,5 +1,6 @@
 """transport: one attempt of a direct entry at a backend server."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lacewingcleat.caller_connection import CallerRequest
@@ -68,14 +69,19 @@
 
 
 class AttemptRunner:
-    """Send requests to backend servers and read the responses."""
+    """Send requests to backend servers and read the responses.
+
+    :param on_begin: called when a server has been chosen for an attempt.
+    """
 
     def __init__(
         self,
         state: DirectState,
         pool: ServerConnectionPool,
         log: DecisionLog,
+        on_begin: Callable[[], None],
     ) -> None:
+        self._on_begin = on_begin
         self._log = log
         self._state = state
         self._pool = pool
@@ -90,6 +96,7 @@
         """Run one attempt at a server and count it in the load of the server."""
         loads = self._state.loads
         loads.begin_request(record.name)
+        self._on_begin()
         try:
             return await self._run_attempt(context, request, record, events)
         finally:
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -28,7 +28,12 @@
 from lacewingcleat.direct_settings import DirectSettings
 from lacewingcleat.direct_state import DirectState
 from lacewingcleat.group_tracker import RankStatus
-from lacewingcleat.load_gossip import SEND_INTERVAL_SECONDS, LoadGossip, PeerLoad
+from lacewingcleat.load_gossip import (
+    ANNOUNCE_DELAY_SECONDS,
+    SEND_INTERVAL_SECONDS,
+    LoadGossip,
+    PeerLoad,
+)
 from lacewingcleat.load_socket import LoadSocket
 from lacewingcleat.map_driver import MapDriver
 from lacewingcleat.platform.config_item import CONFIG_KEY, decode_config
@@ -96,7 +101,7 @@
         self._dispatcher = DirectDispatcher(
             settings,
             self._state,
-            AttemptRunner(self._state, self._pool, log),
+            AttemptRunner(self._state, self._pool, log, self._announce_request),
             log,
             self._metrics,
             self._store_reader.view.age,
@@ -108,6 +113,7 @@
         self._stopping_since: float | None = None
         self._was_ready = False
         self._caller_port: Any = None
+        self._announcement: Any = None
 
     def start(self) -> None:
         """Start listening and reading the store."""
@@ -250,6 +256,20 @@
 
     def _send_load(self) -> None:
         self._reactor.callLater(SEND_INTERVAL_SECONDS, self._send_load)
+        self._send_counts()
+
+    def _announce_request(self) -> None:
+        """Announce a new request, together with those that follow at once."""
+        if self._announcement is None and self._settings.control_address:
+            self._announcement = self._reactor.callLater(
+                ANNOUNCE_DELAY_SECONDS, self._send_announcement
+            )
+
+    def _send_announcement(self) -> None:
+        self._announcement = None
+        self._send_counts()
+
+    def _send_counts(self) -> None:
         now = read_now()
         counts = self._state.loads.in_flight_by_name()
         message = self._peers.next_message(counts, self._is_ready(now))
@@ -269,13 +289,17 @@
             self._log.belief("server gone", now, server=name)
         for event in self._state.update_outliers(now):
             self._log.belief("outlier", now, change=str(event))
-        for group, share, event_interval in self._state.adjust_concurrency(now):
+        for group, share, occupancy, pace in self._state.adjust_concurrency(now):
             self._log.belief(
                 "group pace",
                 now,
                 group=group,
                 share=round(share, 2),
-                gap_ms=round(event_interval * 1000.0, 1),
+                occupancy=round(occupancy, 2),
+                gap_ms=round(pace.typical_interval * 1000.0, 1) if pace else None,
+                longest_gap_ms=round(pace.longest_interval * 1000.0, 1)
+                if pace
+                else None,
             )
         for record in self._state.servers_to_poll(now):
             self._report_poller.poll(record)
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -1,9 +1,10 @@
 """coordination: state of a direct entry and the routing decisions based on it."""
 
 import math
+from collections.abc import Iterable
 from random import Random
 
-from lacewingcleat.adaptive_concurrency import AdaptiveConcurrencyLimit
+from lacewingcleat.adaptive_concurrency import AdaptiveConcurrencyLimit, GroupPace
 from lacewingcleat.connection_backoff import ConnectionBackoff
 from lacewingcleat.direct_settings import PlatformBounds
 from lacewingcleat.group_tracker import GroupTracker
@@ -211,28 +212,38 @@
         )
         return math.floor(record.slots * share + self.random.random())
 
-    def adjust_concurrency(self, now: float) -> list[tuple[str, float, float]]:
+    def adjust_concurrency(
+        self, now: float
+    ) -> list[tuple[str, float, float, GroupPace | None]]:
         """Adjust the slot shares of all groups.
 
-        :returns: group, share and event interval in seconds of each changed group.
+        :returns: group, share, occupancy and pace of each changed group.
         """
-        names = self.groups.group_names()
-        self.concurrency_limit.retain(names)
+        self.concurrency_limit.retain(self.groups.group_names())
         changes = []
-        for name in sorted(names):
-            event_interval = self.groups.find_event_interval(name, now)
+        for name, members, _ in self.model_groups(now):
+            pace = self.groups.find_pace(name, now)
+            occupancy = self._occupancy(members.values(), now)
             if self.concurrency_limit.adjust(
-                name, event_interval, self.max_event_interval_seconds, now
+                name,
+                self.groups.find_epoch(name),
+                pace,
+                occupancy,
+                self.max_event_interval_seconds,
+                now,
             ):
-                changes.append(
-                    (
-                        name,
-                        self.concurrency_limit.slot_share(name),
-                        event_interval or 0.0,
-                    )
-                )
+                share = self.concurrency_limit.slot_share(name)
+                changes.append((name, share, occupancy, pace))
         return changes
 
+    def _occupancy(self, records: Iterable[ServerRecord], now: float) -> float:
+        """Return the estimated number of requests per slot of some servers."""
+        slots, requests = 0, 0.0
+        for record in records:
+            slots += record.slots
+            requests += self.loads.estimate(record.name, now)
+        return requests / slots if slots else 0.0
+
     def _weight(self, record: ServerRecord, now: float) -> float:
         return self.outliers.weight(Target(record.service, record.name), now)
 
--- a/lacewingcleat/expert_demand.py
+++ b/lacewingcleat/expert_demand.py
@@ -3,8 +3,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-# Demand for an expert persists for a few seconds; older counts are decayed.
-DEMAND_HALF_LIFE_SECONDS = 5.0
+# Demand for an expert persists for as long as the prompts in flight, a few seconds;
+# older counts are decayed.
+DEMAND_HALF_LIFE_SECONDS = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,7 +22,7 @@
 class ExpertDemandEstimator:
     """Estimate the load of each expert of one group.
 
-    Requests are spread evenly over the ranks, so the counts of a few ranks suffice.
+    Requests are spread evenly over the ranks, so the counts of some ranks suffice.
 
     :param layer_sets: number of layer sets, that is sets of layers that share a map.
     :param experts: number of experts per layer set.
--- a/lacewingcleat/group_map_switch.py
+++ b/lacewingcleat/group_map_switch.py
@@ -38,7 +38,7 @@
 
 # Copying a map's replicas over the links between engines takes about 1 s.
 PREPARE_TIMEOUT_SECONDS = 6.0
-PREPARE_POLL_INTERVAL_SECONDS = 0.4
+PREPARE_POLL_INTERVAL_SECONDS = 0.25
 # A rank's reported state can be some hundred milliseconds old.
 MAX_STATE_AGE_SECONDS = 0.5
 # The held pass is this far ahead, so that orders and their answers arrive before it and
@@ -389,7 +389,7 @@
         }
         age = self._hold_tracker.observe(held_step_by_rank, self._client.now())
         if not held_step_by_rank:
-            is_armed = any(s.armed_version is not None for s in states.values())
+            is_armed = is_switch_pending(states)
             return SwitchResult(False, REASON_ARMED) if is_armed else None
         if age < ORPHAN_AGE_SECONDS:
             return SwitchResult(False, "held by another leader")
@@ -400,6 +400,13 @@
         return SwitchResult(False, "rollback: not completed")
 
 
+def is_switch_pending(states: Mapping[int, RankMapState]) -> bool:
+    """Return whether a switch has been released and its pass has not started yet."""
+    return all(s.held_step is None for s in states.values()) and any(
+        s.armed_version is not None for s in states.values()
+    )
+
+
 def _ranks_with(
     answers: Mapping[int, OrderAnswer], answer: OrderAnswer
 ) -> Iterable[int]:
--- a/lacewingcleat/group_tracker.py
+++ b/lacewingcleat/group_tracker.py
@@ -6,10 +6,13 @@
 when it opens again.
 """
 
+from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
+from lacewingcleat.adaptive_concurrency import GroupPace
+
 # Poll interval of a closed group, which opens within about a second of the return of
 # its last missing rank.
 CLOSED_POLL_SECONDS = 0.3
@@ -20,9 +23,16 @@
 MAX_BACKOFF_SECONDS = 3.0
 # Poll interval of a server whose group is unknown.
 UNKNOWN_POLL_SECONDS = 1.0
-# Weight of a new sample in the moving average of the interval between stream events.
-INTERVAL_SMOOTHING = 0.1
-# The average is discarded after this time without samples, as the load may have
+# Intervals between stream events count for this time. It spans ten passes or more, each
+# of which yields an interval for each stream.
+INTERVAL_WINDOW_SECONDS = 1.5
+# Share of the intervals that are at most as long as the one taken for the longest. The
+# longest pass of the window contributes one interval in fifteen; a single stream that
+# was delayed on its way contributes fewer.
+LONGEST_INTERVAL_QUANTILE = 0.95
+# Maximum number of intervals that are kept for a group.
+MAX_INTERVALS = 512
+# The intervals are discarded after this time without new ones, as the load may have
 # changed.
 INTERVAL_TTL_SECONDS = 3.0
 
@@ -56,8 +66,9 @@
     backoff_seconds: float = INITIAL_BACKOFF_SECONDS
     polled_at: float = float("-inf")
     poll_index: int = 0
-    event_interval_seconds: float = 0.0
-    interval_updated_at: float = float("-inf")
+    intervals: deque[tuple[float, float]] = field(
+        default_factory=lambda: deque(maxlen=MAX_INTERVALS)
+    )
 
 
 class GroupTracker:
@@ -89,6 +100,11 @@
         group = self._group_by_name.get(name)
         return group.rank_count if group else 0
 
+    def find_epoch(self, name: str) -> int:
+        """Return the formation number of a group, 0 if the group is unknown."""
+        group = self._group_by_name.get(name)
+        return group.epoch if group else 0
+
     def servers_by_rank(self, name: str) -> dict[int, str]:
         """Return the known servers of a group, indexed by rank."""
         return {
@@ -102,25 +118,31 @@
         name = self._group_name_by_server.get(server)
         return name is None or not name or self._group_by_name[name].is_open
 
-    def find_event_interval(self, name: str, now: float) -> float | None:
-        """Return the average interval between stream events, None without samples."""
+    def find_pace(self, name: str, now: float) -> GroupPace | None:
+        """Return how fast a group produces events, None without recent ones."""
         group = self._group_by_name.get(name)
-        if group is None or now - group.interval_updated_at > INTERVAL_TTL_SECONDS:
+        if group is None or not group.intervals:
             return None
-        return group.event_interval_seconds
+        if now - group.intervals[-1][0] > INTERVAL_TTL_SECONDS:
+            group.intervals.clear()
+            return None
+        while (
+            len(group.intervals) > 1
+            and now - group.intervals[0][0] > INTERVAL_WINDOW_SECONDS
+        ):
+            group.intervals.popleft()
+        seconds = sorted(interval for _, interval in group.intervals)
+        last = len(seconds) - 1
+        return GroupPace(
+            seconds[last // 2], seconds[round(last * LONGEST_INTERVAL_QUANTILE)]
+        )
 
     def record_event_interval(self, server: str, seconds: float, now: float) -> None:
         """Add a sample of the time between two events of a stream."""
         name = self._group_name_by_server.get(server)
         group = self._group_by_name.get(name) if name else None
-        if group is None:
-            return
-        if now - group.interval_updated_at > INTERVAL_TTL_SECONDS:
-            group.event_interval_seconds = seconds
-        group.event_interval_seconds += INTERVAL_SMOOTHING * (
-            seconds - group.event_interval_seconds
-        )
-        group.interval_updated_at = now
+        if group is not None:
+            group.intervals.append((now, seconds))
 
     def record_status(self, server: str, status: RankStatus, now: float) -> bool:
         """Apply a report; return whether it changes the state of the group."""
@@ -137,6 +159,7 @@
         if status.epoch > group.epoch:
             group.backoff_until = float("-inf")
             group.backoff_seconds = INITIAL_BACKOFF_SECONDS
+            group.intervals.clear()
         group.epoch = status.epoch
         group.is_open = status.is_open and now >= group.backoff_until
         return not was_known or previous_state != (group.is_open, group.epoch)
--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -20,6 +20,7 @@
     GroupMapSwitch,
     HoldTracker,
     RankClient,
+    is_switch_pending,
 )
 from lacewingcleat.http_fetch import FetchedResponse, fetch
 from lacewingcleat.map_orders import ConditionalOrder, OrderAnswer, RankMapState
@@ -36,20 +37,27 @@
 from lacewingcleat.platform.report_call import REPORT_TARGET
 from lacewingcleat.rendezvous import rank_by_rendezvous
 from lacewingcleat.replica_placement import ExpertsByRank, MapShape
-from lacewingcleat.replica_plan import ReplicaPlanner, is_map_change_worthwhile
+from lacewingcleat.replica_plan import (
+    ReplicaPlanner,
+    is_map_change_worthwhile,
+    make_shape,
+)
 from lacewingcleat.routing_config import EngineCapacity
 from lacewingcleat.server_connection import ServerConnectionPool
 from lacewingcleat.server_record import ServerRecord
 
-# The demand per expert changes over several seconds, and the reads of each round count
-# towards the control traffic.
-REBALANCE_INTERVAL_SECONDS = 2.5
+# Prompts run for a few seconds and demand changes with them. The reads of each round
+# count towards the control traffic.
+REBALANCE_INTERVAL_SECONDS = 0.7
 # Interval of the leadership check. A new leader starts a round at once; a leader that
 # has found an unfinished switch of another leader starts a round at each check.
-LEADERSHIP_CHECK_SECONDS = 0.5
-# Number of ranks whose expert counts are read. Requests are spread evenly over the
-# ranks, so a few ranks represent the group.
-SAMPLED_RANKS = 2
+LEADERSHIP_CHECK_SECONDS = 0.35
+# Number of ranks whose expert counts are read in a round. Requests are spread evenly
+# over the ranks, so some ranks represent the group.
+SAMPLED_RANKS = 4
+# After a switch the ranks report the new map only when the held pass has begun, which
+# is most of a second ahead, and reports are some hundred milliseconds old.
+SETTLE_SECONDS = 0.9
 # Ranks normally answer orders and reads within a few milliseconds.
 RANK_TIMEOUT_SECONDS = 0.2
 MS_PER_SECOND = 1000
@@ -266,13 +274,7 @@
         size: int,
         engine: EngineCapacity,
     ) -> None:
-        shape = MapShape(
-            size,
-            engine.layer_sets,
-            engine.experts_per_set,
-            engine.expert_slots,
-            engine.max_added_experts,
-        )
+        shape = make_shape(size, engine)
         group = self._group_by_name.get(name)
         if group is None or group.shape != shape:
             group = self._group_by_name[name] = _GroupState(shape, read_now())
@@ -285,6 +287,9 @@
         version = states[0].map_version
         if any(state.map_version != version for state in states.values()):
             return
+        if is_switch_pending(states):
+            # The ranks change their maps within the next passes.
+            return
         if version != group.planner.version and not await self._adopt_map(
             name, group, client, version
         ):
@@ -306,9 +311,9 @@
             )
             return
         now = read_now()
-        token_interval = self._state.groups.find_event_interval(name, now)
-        if not is_map_change_worthwhile(
-            token_interval, self._state.max_event_interval_seconds
+        pace = self._state.groups.find_pace(name, now)
+        if pace is None or not is_map_change_worthwhile(
+            pace.typical_interval, self._state.max_event_interval_seconds
         ):
             return
         if not await self._read_demand(group, client, size):
@@ -386,6 +391,9 @@
         now = read_now()
         if result.switched:
             group.planner.record_switch(result.version, plan, now)
+            self._last_round_at_by_group[name] = (
+                now + SETTLE_SECONDS - REBALANCE_INTERVAL_SECONDS
+            )
         else:
             group.planner.record_failure(now)
         self._log.belief(
--- a/lacewingcleat/platform/config_item.py
+++ b/lacewingcleat/platform/config_item.py
@@ -17,6 +17,7 @@
 
 CONFIG_KEY = "op/config"
 MS_PER_SECOND = 1000.0
+BITS_PER_BYTE = 8
 KIND_BY_NAME = {
     "idempotent": RequestKind.IDEMPOTENT,
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
@@ -53,6 +54,9 @@
     experts: int = 0
     placements: int = 0
     spare: int = 0
+    expert_mb: float = 0.0
+    # Bandwidth between the engines, not of the machines' own links.
+    link_mbps: float = 0.0
 
 
 class _Service(msgspec.Struct):
@@ -147,5 +151,8 @@
         experts_per_set=engine.experts,
         expert_slots=engine.placements,
         max_added_experts=engine.spare,
+        expert_copy_seconds=engine.expert_mb * BITS_PER_BYTE / engine.link_mbps
+        if engine.link_mbps > 0.0
+        else 0.0,
     )
     return ServiceConfig(service.name, service.max_connections, figures)
--- a/lacewingcleat/replica_plan.py
+++ b/lacewingcleat/replica_plan.py
@@ -6,20 +6,24 @@
     ExpertsByRank,
     MapShape,
     first_map,
-    improve_replicas,
+    improve_maps,
     skew,
 )
+from lacewingcleat.routing_config import EngineCapacity
 
 # Minimum reduction of the mean skew over the layer sets. A switch costs orders, copies
 # and one second of forward passes that take 15 % longer.
-MIN_SKEW_GAIN = 0.35
+MIN_SKEW_GAIN = 0.2
 # With fewer expert selections than this, the estimate is mostly sampling noise.
 MIN_SELECTIONS = 400.0
 # Maps change only for groups whose event interval exceeds this share of the interval
 # that callers accept. Callers of a lightly loaded group would not notice a better map.
 MIN_EVENT_INTERVAL_SHARE = 0.58
 # Minimum time from a switch to the next plan.
-SWITCH_COOLDOWN_SECONDS = 4.0
+SWITCH_COOLDOWN_SECONDS = 1.0
+# Maximum time that a rank copies experts for one switch. Passes take 15 % longer while
+# a rank copies, and the demand moves on until the map is in use.
+MAX_COPY_SECONDS = 1.0
 # Initial and maximum backoff after a failed switch; it doubles with each failure.
 BACKOFF_BOUNDS_SECONDS = (2.0, 20.0)
 
@@ -38,6 +42,21 @@
     return event_interval_seconds >= MIN_EVENT_INTERVAL_SHARE * target_interval_seconds
 
 
+def make_shape(ranks: int, engine: EngineCapacity) -> MapShape:
+    """Return the dimensions of the maps of a group of engines."""
+    copies = engine.layer_sets * engine.max_added_experts
+    if engine.expert_copy_seconds > 0.0:
+        copies = min(copies, int(MAX_COPY_SECONDS / engine.expert_copy_seconds))
+    return MapShape(
+        ranks,
+        engine.layer_sets,
+        engine.experts_per_set,
+        engine.expert_slots,
+        engine.max_added_experts,
+        max(1, copies),
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaPlan:
     """Represent a proposed map.
@@ -85,10 +104,7 @@
         """
         if now < self._next_plan_at or sum(loads[0]) < MIN_SELECTIONS:
             return None
-        proposed = [
-            improve_replicas(experts_by_rank, load, self._shape)
-            for experts_by_rank, load in zip(self.current, loads, strict=True)
-        ]
+        proposed = improve_maps(self.current, loads, self._shape)
         skew_before = _mean_skew(self.current, loads)
         skew_after = _mean_skew(proposed, loads)
         if skew_before - skew_after < MIN_SKEW_GAIN:
--- a/lacewingcleat/routing_config.py
+++ b/lacewingcleat/routing_config.py
@@ -78,6 +78,7 @@
     :param expert_slots: expert slots per rank and layer set.
     :param max_added_experts: maximum number of experts that one order may add to a
         rank, per layer set.
+    :param expert_copy_seconds: time that a rank needs to copy one expert.
     """
 
     batch_slots: int
@@ -86,6 +87,7 @@
     experts_per_set: int
     expert_slots: int
     max_added_experts: int
+    expert_copy_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_replica_placement.py
+++ b/tests/test_replica_placement.py
@@ -1,5 +1,6 @@
 """Placement of replicas of the experts in high demand, and when to switch to it."""
 
+from dataclasses import replace
 from random import Random
 
 from hypothesis import given, settings
@@ -9,14 +10,24 @@
 from lacewingcleat.replica_placement import (
     MapShape,
     first_map,
-    improve_replicas,
+    improve_maps,
     rank_loads,
     skew,
 )
-from lacewingcleat.replica_plan import ReplicaPlanner, is_map_change_worthwhile
+from lacewingcleat.replica_plan import (
+    ReplicaPlanner,
+    is_map_change_worthwhile,
+    make_shape,
+)
+from lacewingcleat.routing_config import EngineCapacity
 
 SHAPE = MapShape(
-    ranks=8, layer_sets=1, experts=64, slots_per_rank=11, max_copies_per_rank=4
+    ranks=8,
+    layer_sets=1,
+    experts=64,
+    slots_per_rank=11,
+    max_copies_per_rank=4,
+    max_copies_per_switch=4,
 )
 
 
@@ -37,7 +48,7 @@
         """
         current = first_map(SHAPE)[0]
         for loads in (_random_loads(seed), _random_loads(next_seed)):
-            new = improve_replicas(current, loads, SHAPE)
+            new = improve_maps([current], [loads], SHAPE)[0]
             self.assertLessEqual(skew(new, loads), skew(current, loads) + 1e-9)
             for rank, (experts, before) in enumerate(zip(new, current, strict=True)):
                 self.assertLessEqual(len(experts), SHAPE.slots_per_rank)
@@ -45,6 +56,32 @@
                 self.assertLessEqual(first_map(SHAPE)[0][rank], experts)
             current = new
 
+    def test_two_equally_hot_ranks_are_both_relieved(self) -> None:
+        """Guards against maps that stay skewed as no single copy lowers the skew."""
+        loads = [1.0] * SHAPE.experts
+        loads[0] = loads[1] = 40.0
+        new = improve_maps(first_map(SHAPE)[:1], [loads], SHAPE)[0]
+        self.assertLess(skew(new, loads), 1.5)
+
+    def test_copies_are_limited_over_all_sets(self) -> None:
+        """Guards against switches that copy for so long that the demand has moved."""
+        shape = replace(SHAPE, layer_sets=6, max_copies_per_switch=2)
+        loads = [_random_loads(seed) for seed in range(shape.layer_sets)]
+        new = improve_maps(first_map(shape), loads, shape)
+        for rank in range(shape.ranks):
+            copies = sum(
+                len(after[rank] - before[rank])
+                for before, after in zip(first_map(shape), new, strict=True)
+            )
+            self.assertLessEqual(copies, 2)
+
+    def test_copies_of_a_switch_fit_into_a_second(self) -> None:
+        """Guards against a limit on copies that ignores how long a copy takes."""
+        engine = EngineCapacity(6, 1, 3, 96, 11, 4, 0.4)
+        self.assertEqual(2, make_shape(12, engine).max_copies_per_switch)
+        fast = replace(engine, expert_copy_seconds=0.0)
+        self.assertEqual(12, make_shape(12, fast).max_copies_per_switch)
+
     def test_replicas_share_the_load_of_an_expert(self) -> None:
         """Guards against counting the full load of an expert for each replica."""
         experts_by_rank = [{0, 1}, {1}]
