Bound what servers in trouble and stalled callers can cost a direct entry

Cause: a copy of an earlier answer between head and body of the next one was delivered as its body; comments of a stalled stream counted as events and kept it open; a server that sends tiny parts without end kept the loop busy; the bytes of many endless answers and of callers that do not read had no common or no limit; a long event in small parts was copied for each part.

--- a/lacewingcleat/caller_connection.py
+++ b/lacewingcleat/caller_connection.py
@@ -15,6 +15,11 @@
 from lacewingcleat.routing_config import ListenerLimits
 
 # Used until the first configuration has been read.
+# Time within which a caller has to read what is buffered for it. A caller that stops
+# reading, or reads a byte now and then, would hold the memory of its response for ever.
+MAX_UNREAD_SECONDS = 15.0
+# Rate at which a caller has to read a large response; its time grows with the size.
+MIN_READ_BYTES_PER_SECOND = 32_768
 DEFAULT_LIMITS = ListenerLimits(16_384, 4_194_304, 3.0, 15.0)
 # Added to the configured idle timeout, so that this process does not close a connection
 # while a request is on its way.
@@ -117,11 +122,12 @@
         self._http = h11.Connection(h11.SERVER, limits.max_header_bytes)
         self._limits = limits
         self._request: CallerRequest | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._request_active = False
         self._lingering = False
         self._timer: Any = None
+        self._unread_timer: Any = None
+        self._written_bytes = 0
         self.open = False
 
     def connectionMade(self) -> None:
@@ -129,6 +135,8 @@
         self.open = True
         self.transport.setTcpNoDelay(True)
         self._factory.connections.add(self)
+        # The transport reports when its buffer is full and when it is empty again.
+        self.transport.registerProducer(self, True)
         self._set_timer(
             self._limits.idle_timeout_seconds + IDLE_TIMEOUT_MARGIN_SECONDS,
             self._close_idle,
@@ -174,11 +182,9 @@
             case h11.Request():
                 self._start_request(event)
             case h11.Data():
-                self._body_bytes += len(event.data)
-                if self._body_bytes > self._limits.max_body_bytes:
+                self._body += event.data
+                if len(self._body) > self._limits.max_body_bytes:
                     self._reject(413)
-                    return
-                self._body.append(bytes(event.data))
             case h11.EndOfMessage():
                 self._dispatch_request()
             case h11.ConnectionClosed():
@@ -193,8 +199,7 @@
         if b"transfer-encoding" in names and b"content-length" in names:
             self._reject(400)
             return
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._request = CallerRequest(
             self, bytes(event.method), bytes(event.target), headers, read_now()
         )
@@ -205,9 +210,9 @@
         if request is None:
             return
         self._cancel_timer()
-        request.body = b"".join(self._body)
+        request.body = bytes(self._body)
         request.arrived_at = read_now()
-        self._body = []
+        self._body = bytearray()
         self._request_active = True
         self._factory.open_requests += 1
         self._factory.handler(request)
@@ -220,7 +225,7 @@
         if body and method != b"HEAD":
             parts.append(self._http.send(h11.Data(data=body)) or b"")
         parts.append(self._http.send(h11.EndOfMessage()) or b"")
-        self.transport.write(b"".join(parts))
+        self._write(b"".join(parts))
         self._end_request()
 
     def start_stream(self, status: int, headers: Headers, data: bytes) -> None:
@@ -232,24 +237,53 @@
         encoded = self._http.send(head) or b""
         if data:
             encoded += self._http.send(h11.Data(data=data)) or b""
-        self.transport.write(encoded)
+        self._write(encoded)
 
     def send_stream(self, data: bytes) -> None:
         """Write a chunk of a stream."""
-        self.transport.write(self._http.send(h11.Data(data=data)) or b"")
+        self._write(self._http.send(h11.Data(data=data)) or b"")
 
     def end_stream(self) -> None:
         """End a stream and read the next request."""
-        self.transport.write(self._http.send(h11.EndOfMessage()) or b"")
+        self._write(self._http.send(h11.EndOfMessage()) or b"")
         self._end_request()
 
+    def _write(self, data: bytes) -> None:
+        self._written_bytes = len(data)
+        self.transport.write(data)
+
+    def pauseProducing(self) -> None:
+        """Limit the time in which the caller reads what is buffered for it."""
+        if self._unread_timer is None:
+            seconds = MAX_UNREAD_SECONDS
+            seconds += self._written_bytes / MIN_READ_BYTES_PER_SECOND
+            self._unread_timer = self._factory.reactor.callLater(seconds, self._give_up)
+
+    def resumeProducing(self) -> None:
+        """Lift the time limit, since the caller has read everything."""
+        self._cancel_unread_timer()
+
+    def stopProducing(self) -> None:
+        """Lift the time limit, since the connection is closed."""
+        self._cancel_unread_timer()
+
+    def _give_up(self) -> None:
+        self._unread_timer = None
+        self._factory.on_unread()
+        self.abort()
+
+    def _cancel_unread_timer(self) -> None:
+        if self._unread_timer is not None and self._unread_timer.active():
+            self._unread_timer.cancel()
+        self._unread_timer = None
+
     def _add_close_header(self, headers: Headers) -> Headers:
         if self._factory.should_close():
             return [*headers, (b"connection", b"close")]
         return headers
 
     def _write_event(self, event: h11.Event) -> None:
-        self.transport.write(self._http.send(event) or b"")
+        self._write(self._http.send(event) or b"")
 
     def _end_request(self) -> None:
         self._request_active = False
@@ -310,6 +344,7 @@
         """Notify the handler of an open request that the caller has disconnected."""
         self.open = False
         self._cancel_timer()
+        self._cancel_unread_timer()
         self._factory.connections.discard(self)
         if not self._request_active or self._request is None:
             return
@@ -336,6 +371,7 @@
     :param handler: called with each complete request.
     :param should_close: returns whether responses carry `Connection: close`.
     :param on_rejected: called with the status of the response to an unreadable request.
+    :param on_unread: called when a caller is cut off since it does not read.
     """
 
     def __init__(
@@ -344,11 +380,13 @@
         handler: Callable[[CallerRequest], None],
         should_close: Callable[[], bool] = lambda: False,
         on_rejected: Callable[[int], None] = lambda status: None,
+        on_unread: Callable[[], None] = lambda: None,
     ) -> None:
         self.reactor = reactor
         self.handler = handler
         self.should_close = should_close
         self.on_rejected = on_rejected
+        self.on_unread = on_unread
         self.limits = DEFAULT_LIMITS
         self.connections: set[CallerConnection] = set()
         self.open_requests = 0
--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -10,6 +10,7 @@
 from lacewingcleat.direct_state import DirectState
 from lacewingcleat.platform import request_headers as names
 from lacewingcleat.request_context import RequestContext
+from lacewingcleat.response_buffers import ResponseBuffers
 from lacewingcleat.resumable_events import ResumableEvents
 from lacewingcleat.retries import Attempt, ResponseKind, SendProgress
 from lacewingcleat.routing_config import RequestKind
@@ -37,8 +38,9 @@
 # Timeout for the response to an idempotent request before it is retried at another
 # server, as a multiple of the latency objective of its route.
 RETRY_TIMEOUT_FACTOR = 3.0
-MAX_RESPONSE_BYTES = 16 << 20
 STATUS_UNAVAILABLE = 503
+# Beginning of each response on a connection.
+HTTP_VERSION_PREFIX = b"HTTP/1."
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +87,7 @@
         self._log = log
         self._state = state
         self._pool = pool
+        self._buffers = ResponseBuffers()
 
     async def run(
         self,
@@ -193,23 +196,27 @@
         if fault:
             connection.abort()
             return _broken_result(record, fault)
-        body: list[bytes] = []
-        size = 0
-        while True:
-            event = await connection.next_event(timeout_at - read_now())
-            match event:
-                case BodyChunk(data):
-                    body.append(data)
-                    size += len(data)
-                    if size > MAX_RESPONSE_BYTES:
-                        connection.abort()
-                        return _broken_result(record, "answer too large")
-                case ResponseComplete():
-                    break
-                case _:
-                    return _no_response_result(record, connection, event)
+        body = bytearray()
+        try:
+            while True:
+                event = await connection.next_event(timeout_at - read_now())
+                match event:
+                    case BodyChunk(data):
+                        if not self._buffers.reserve(len(body), len(data)):
+                            connection.abort()
+                            return _broken_result(record, "answer too large")
+                        body += data
+                    case ResponseComplete():
+                        break
+                    case _:
+                        return _no_response_result(record, connection, event)
+        finally:
+            self._buffers.release(len(body))
+        if contains_other_response(connection, body):
+            connection.abort()
+            return _broken_result(record, "answer inside an answer")
         self._release_connection(record, connection, head)
-        result = _classify_response(record, head, b"".join(body))
+        result = _classify_response(record, head, bytes(body))
         if result.attempt.response is ResponseKind.NOT_RUN:
             self._record_refusal(record, head)
         return result
@@ -342,6 +349,19 @@
     return headers
 
 
+def contains_other_response(connection: ServerConnection, body: bytearray) -> bool:
+    """Return whether a body begins with the response to an earlier request.
+
+    A late copy of that response between the head and the body of the next one takes the
+    place of the body, and the body follows as excess data unless it has no length.
+    """
+    return (
+        connection.request_count > 1
+        and body.startswith(HTTP_VERSION_PREFIX)
+        and (connection.has_excess_data or not connection.open)
+    )
+
+
 def response_headers(headers: Headers) -> Headers:
     """Return the headers of a server's response that are forwarded to the caller."""
     return [(key, value) for key, value in headers if key not in HOP_BY_HOP_HEADERS]
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -107,7 +107,11 @@
             self._store_reader.view.age,
         )
         self._caller_factory = CallerFactory(
-            reactor, self._dispatcher.handle, self._should_close, self._record_rejected
+            reactor,
+            self._dispatcher.handle,
+            self._should_close,
+            self._record_rejected,
+            self._record_unread,
         )
         self._probe_factory = CallerFactory(reactor, self._respond_to_probe)
         self._stopping_since: float | None = None
@@ -156,6 +160,9 @@
         self._metrics.count_request(status, "unreadable")
         self._log.request("unreadable request", now, status=status)
 
+    def _record_unread(self) -> None:
+        self._log.request("caller does not read", read_now())
+
     def _respond_to_probe(self, request: CallerRequest) -> None:
         now = read_now()
         if request.target.startswith(b"/metrics"):
--- a/lacewingcleat/event_stream.py
+++ b/lacewingcleat/event_stream.py
@@ -22,7 +22,7 @@
     __slots__ = ("_incomplete_event", "done_received", "token_events")
 
     def __init__(self) -> None:
-        self._incomplete_event = b""
+        self._incomplete_event = bytearray()
         self.token_events = 0
         self.done_received = False
 
@@ -36,14 +36,19 @@
 
         :raises ValueError: if an incomplete event exceeds `MAX_EVENT_BYTES`.
         """
-        if self._incomplete_event:
-            data = self._incomplete_event + data
-        complete_length = data.rfind(EVENT_TERMINATOR) + len(EVENT_TERMINATOR)
-        if complete_length < len(EVENT_TERMINATOR):
-            complete_length = 0
-        complete = data[:complete_length]
-        self._incomplete_event = data[complete_length:]
-        if len(self._incomplete_event) > MAX_EVENT_BYTES:
+        buffer = self._incomplete_event
+        # Only the new data and the byte before it can complete an event, so the cost of
+        # a long event that arrives in small parts stays proportional to its length.
+        searched = max(0, len(buffer) - 1)
+        buffer += data
+        end = buffer.rfind(EVENT_TERMINATOR, searched)
+        if end < 0:
+            if len(buffer) > MAX_EVENT_BYTES:
+                raise ValueError(f"event exceeds {MAX_EVENT_BYTES} bytes")
+            return b""
+        complete = bytes(buffer[: end + len(EVENT_TERMINATOR)])
+        del buffer[: end + len(EVENT_TERMINATOR)]
+        if len(buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"event exceeds {MAX_EVENT_BYTES} bytes")
         if complete.endswith(DONE_EVENT):
             self.done_received = True
--- a/lacewingcleat/http_fetch.py
+++ b/lacewingcleat/http_fetch.py
@@ -47,23 +47,21 @@
         headers.append((b"content-length", b"%d" % len(body)))
         connection.send(b"POST", target, headers, body)
     status = 0
-    chunks: list[bytes] = []
-    size = 0
+    content = bytearray()
     while True:
         event = await connection.next_event(deadline - read_now())
         match event:
             case ResponseHead(received_status, _):
                 status = received_status
             case BodyChunk(data):
-                chunks.append(data)
-                size += len(data)
-                if size > MAX_DOCUMENT_BYTES:
+                content += data
+                if len(content) > MAX_DOCUMENT_BYTES:
                     connection.abort()
                     return "answer too large"
             case ResponseComplete():
                 if not connection.make_idle():
                     connection.abort()
-                return FetchedResponse(status, b"".join(chunks))
+                return FetchedResponse(status, bytes(content))
             case ResponseFailed(reason):
                 connection.abort()
                 return reason
--- a/lacewingcleat/load_gossip.py
+++ b/lacewingcleat/load_gossip.py
@@ -15,8 +15,8 @@
 # request takes to its first event.
 SEND_INTERVAL_SECONDS = 0.2
 # Delay until a new request is announced, so that requests that arrive together share a
-# datagram. Two prompts that one rank reads in the same pass, which takes most of a tenth
-# of a second, delay the streams of the whole group.
+# datagram. Two prompts that one rank reads in the same pass, which takes most of a
+# tenth of a second, delay the streams of the whole group.
 ANNOUNCE_DELAY_SECONDS = 0.01
 # Maximum number of peers that are sent a datagram per interval, so that the cost of an
 # entry does not grow with the fleet. In larger fleets the peers are served in rotation.
--- a/lacewingcleat/resumable_events.py
+++ b/lacewingcleat/resumable_events.py
@@ -56,6 +56,10 @@
         return b"".join(new_events)
 
     def _accept_event(self, event: bytes) -> bool:
+        if not _has_fields(event):
+            # A comment is no progress of the stream and not forwarded, so that a
+            # stalled server cannot keep a stream open with comments.
+            return False
         event_id = _parse_event_id(event)
         if event_id is None:
             return True
@@ -68,6 +72,10 @@
         return True
 
 
+def _has_fields(event: bytes) -> bool:
+    return any(line and not line.startswith(b":") for line in event.split(b"\n"))
+
+
 def _parse_event_id(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
--- a/lacewingcleat/server_connection.py
+++ b/lacewingcleat/server_connection.py
@@ -28,6 +28,11 @@
 # not close the connection while a request is on its way.
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
 MAX_IDLE_PER_SERVER = 8
+# Parts of a response that are parsed before other connections get their turn. Reading
+# goes on afterwards, so a server that sends tiny parts cannot keep the process busy.
+MAX_PARTS_PER_TURN = 16
+# Interim responses accepted before a response; servers send one or two, if any.
+MAX_INTERIM_RESPONSES = 8
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -97,6 +102,7 @@
         self._waiter: defer.Deferred[ResponseEvent] | None = None
         self._request_active = False
         self._response_ended = False
+        self._interim_count = 0
         self.open = False
         self.request_count = 0
         self.idle_since = 0.0
@@ -112,6 +118,7 @@
         """Write a complete request."""
         self._request_active = True
         self._response_ended = False
+        self._interim_count = 0
         self.request_count += 1
         self._events.clear()
         head = h11.Request(method=method, target=target, headers=headers)
@@ -148,16 +155,23 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received data, or abort the connection if no request is open."""
-        if not self._request_active:
-            # An unsolicited response or the rest of an earlier one.
+        if not self._request_active or self._response_ended:
+            # An unsolicited response or the rest of an earlier one. The response that
+            # precedes it is complete, but the connection is not used again.
             self.abort()
             return
         self._http.receive_data(data)
         self._parse()
 
-    def _parse(self) -> None:
+    def _parse(self, limit: float = MAX_PARTS_PER_TURN) -> None:
+        parsed = 0
         try:
             while not self._response_ended:
+                if parsed >= limit:
+                    self.transport.pauseProducing()
+                    self._reactor.callLater(0, self._continue_parsing)
+                    return
+                parsed += 1
                 event = self._http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
@@ -166,6 +180,13 @@
             self._fail_response(f"malformed answer: {error}")
             self.abort()
 
+    def _continue_parsing(self) -> None:
+        if not self.open:
+            return
+        self.transport.resumeProducing()
+        if self._request_active:
+            self._parse()
+
     def _handle_event(self, event: object) -> None:
         match event:
             case h11.Response():
@@ -178,8 +199,13 @@
                 self._deliver_event(ResponseComplete())
             case h11.ConnectionClosed():
                 self._fail_response("closed before the answer")
+            case h11.InformationalResponse():
+                # Interim responses are not forwarded.
+                self._interim_count += 1
+                if self._interim_count > MAX_INTERIM_RESPONSES:
+                    self._fail_response("too many interim responses")
+                    self.abort()
             case _:
-                # Informational responses are not forwarded.
                 return
 
     def connectionLost(self, reason: Failure | None = None) -> None:
@@ -189,7 +215,7 @@
             clean = reason is not None and reason.check(ConnectionDone) is not None
             if clean:
                 self._http.receive_data(b"")
-                self._parse()
+                self._parse(limit=float("inf"))
             if not self._response_ended:
                 self._fail_response("closed" if clean else "reset")
         if self.on_closed is not None:
@@ -207,6 +233,11 @@
         elif not isinstance(event, TimedOut):
             self._events.append(event)
 
+    @property
+    def has_excess_data(self) -> bool:
+        """Return whether data has arrived beyond the end of the response."""
+        return bool(self._http.trailing_data[0])
+
     def make_idle(self) -> bool:
         """Make the connection idle; return false if its response ended uncleanly."""
         if not self.open or not self._request_active or self._events:
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -173,6 +173,7 @@
     name: str
     handler: RequestHandler | None = None
     delay: float = 0.0
+    service: str = "s"
     served_requests: list[ReceivedRequest] = field(default_factory=list)
 
     def __post_init__(self) -> None:
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -1,25 +1,20 @@
 """The program `lacewing-direct-entry` with a fake store and fake servers."""
 
-import json
-import os
 import signal
 import socket
-import subprocess
-import sys
-import tempfile
 import threading
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager
-from http.client import HTTPConnection, HTTPResponse
-from pathlib import Path
-from typing import Any
+from http.client import HTTPConnection
 
 from testtools import TestCase
 
+from tests.entry_process import (
+    make_config_item,
+    run_entry,
+    wait_for,
+)
 from tests.platform_fakes import (
     FakeServer,
-    FakeStore,
     ReceivedRequest,
     encode_chunk,
     encode_response,
@@ -27,160 +22,6 @@
     encode_stream_head,
 )
 
-START_TIMEOUT_SECONDS = 15.0
-BOUNDS = {
-    "revocation_ms": 5000,
-    "configuration_apply_ms": 2000,
-    "drain_timeout_ms": 2000,
-    "grace_period_s": 8,
-    "retry_budget_ratio": 0.2,
-    "retry_budget_extra": 92,
-    "budget_window_s": 10,
-    "fencing_enforced": True,
-}
-
-
-def _route(name: str, kind: str, **fields: object) -> dict[str, object]:
-    return {
-        "name": name,
-        "host": "h",
-        "prefix": f"/{name}/",
-        "kind": kind,
-        "timeout_ms": 3000,
-        "target_latency_ms": 300,
-        "priority": 1,
-        "service": "s",
-        "max_attempts": 2,
-        "public": False,
-        **fields,
-    }
-
-
-def _config(version: int = 1, keys: tuple[str, ...] = ("k",)) -> dict[str, object]:
-    return {
-        "version": version,
-        "routes": [
-            _route("get", "idempotent"),
-            _route("order", "non_idempotent"),
-            _route("stream", "streaming", resumable=True),
-        ],
-        "services": [{"name": "s", "max_connections": 100}],
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 100_000,
-            "header_timeout_ms": 1000,
-            "idle_timeout_ms": 5000,
-        },
-        "tenants": [{"name": "acme", "api_keys": list(keys)}],
-    }
-
-
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
-class EntryProcess:
-    """Run the program in a process of its own."""
-
-    def __init__(self, store: FakeStore, folder: Path) -> None:
-        self.port = _free_port()
-        self.ready_port = _free_port()
-        settings = {
-            "node_name": "front-1",
-            "zone": "z",
-            "listen_addresses": {
-                "front": f"127.0.0.1:{self.port}",
-                "readiness": f"127.0.0.1:{self.ready_port}",
-                "control": f"127.0.0.1:{_free_port()}",
-            },
-            "seeds": [],
-            "bounds": BOUNDS,
-            "platform": {"address": store.address},
-        }
-        path = folder / "settings.json"
-        path.write_text(json.dumps(settings))
-        self.output = folder / "output"
-        command = [sys.executable, "-m", "lacewingcleat.direct_main"]
-        command += ["--settings", str(path), "--metrics-port", "0"]
-        with self.output.open("wb") as output:
-            self.process = subprocess.Popen(
-                command, stdout=output, env={**os.environ, "PYTHONUNBUFFERED": "1"}
-            )
-
-    def log_lines(self, event: str) -> list[dict[str, Any]]:
-        """Return the log lines with an event name."""
-        lines = map(json.loads, self.output.read_text().splitlines())
-        return [line for line in lines if line["event"] == event]
-
-    def readiness_status(self) -> int:
-        """Return the status of a readiness check, 0 if there is no response."""
-        connection = HTTPConnection("127.0.0.1", self.ready_port, timeout=5)
-        try:
-            connection.request("GET", "/readiness")
-            return connection.getresponse().status
-        except OSError:
-            return 0
-        finally:
-            connection.close()
-
-    def wait_until_ready(self, servers: int) -> None:
-        """Wait until the entry is ready and has logged a number of servers."""
-        deadline = time.monotonic() + START_TIMEOUT_SECONDS
-        while time.monotonic() < deadline:
-            if (
-                self.readiness_status() == 200
-                and len(self.log_lines("server")) >= servers
-            ):
-                return
-            time.sleep(0.05)
-        raise AssertionError(self.output.read_text())
-
-    def call(
-        self,
-        path: str,
-        method: str = "GET",
-        body: bytes | None = None,
-        key: str = "k",
-        request_id: str = "q1",
-        **headers: str,
-    ) -> tuple[HTTPResponse, bytes]:
-        """Send one request on a new connection."""
-        connection = HTTPConnection("127.0.0.1", self.port, timeout=10)
-        request_headers = {
-            "Host": "h",
-            "X-Request-Id": request_id,
-            "Authorization": f"Bearer {key}",
-            "X-Deadline-Milliseconds": "2500",
-            **{name.replace("_", "-"): value for name, value in headers.items()},
-        }
-        connection.request(method, path, body, request_headers)
-        response = connection.getresponse()
-        try:
-            data = response.read()
-        finally:
-            connection.close()
-        return response, data
-
-
-@contextmanager
-def _run_entry(*servers: FakeServer) -> Iterator[tuple[EntryProcess, FakeStore]]:
-    store = FakeStore()
-    store.put("op/config", _config())
-    for server in servers:
-        store.put(f"servers/{server.name}", server.store_record("s"))
-    with tempfile.TemporaryDirectory() as folder:
-        entry = EntryProcess(store, Path(folder))
-        try:
-            entry.wait_until_ready(len(servers))
-            yield entry, store
-        finally:
-            entry.process.kill()
-            entry.process.wait()
-            for closable in (store, *servers):
-                closable.close()
-
 
 def _refuse_request(request: ReceivedRequest, stream: socket.socket) -> bool:
     stream.sendall(encode_response(503, b"", "X-Not-Executed: 1"))
@@ -193,20 +34,11 @@
     return False
 
 
-def _wait_for(condition: Any, seconds: float = 5.0) -> bool:
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
-        if condition():
-            return True
-        time.sleep(0.05)
-    return False
-
-
 class DirectEntryTest(TestCase):
     def test_request_is_forwarded_unchanged(self) -> None:
         """Guards against modified requests, leaked API keys and forged accounts."""
         server = FakeServer("i-1")
-        with _run_entry(server) as (entry, _):
+        with run_entry(server) as (entry, _):
             response, body = entry.call(
                 "/order/x?y=1",
                 "POST",
@@ -237,14 +69,14 @@
             FakeServer("i-2", _refuse_request),
         )
         third = FakeServer("i-3")
-        with _run_entry(first, second) as (entry, store):
+        with run_entry(first, second) as (entry, store):
             response, _ = entry.call("/order/x", "POST", b"x")
             self.assertEqual(503, response.status)
             self.assertIsNot(None, response.getheader("Retry-After"))
             store.put("servers/i-3", third.store_record("s"))
             store.remove("servers/i-2")
-            self.assertTrue(_wait_for(lambda: len(entry.log_lines("server")) == 3))
-            self.assertTrue(_wait_for(lambda: entry.log_lines("server missing")))
+            self.assertTrue(wait_for(lambda: len(entry.log_lines("server")) == 3))
+            self.assertTrue(wait_for(lambda: entry.log_lines("server missing")))
             for number in range(5):
                 response, _ = entry.call(
                     "/order/x", "POST", b"x", request_id=f"o{number}"
@@ -265,7 +97,7 @@
             return _reset_connection(request, stream)
 
         servers = [FakeServer(f"i-{n}", run_and_reset) for n in range(3)]
-        with _run_entry(*servers) as (entry, _):
+        with run_entry(*servers) as (entry, _):
             response, _ = entry.call("/order/x", "POST", b"x")
             self.assertEqual(502, response.status)
             self.assertEqual(1, len(seen))
@@ -273,7 +105,7 @@
     def test_idempotent_request_is_retried(self) -> None:
         """Guards against failing an idempotent request after a connection reset."""
         broken, healthy = FakeServer("i-1", _reset_connection), FakeServer("i-2")
-        with _run_entry(broken, healthy) as (entry, _):
+        with run_entry(broken, healthy) as (entry, _):
             for number in range(4):
                 response, _ = entry.call("/get/x", request_id=f"g{number}")
                 self.assertEqual(200, response.status)
@@ -289,7 +121,7 @@
             stream.sendall(encode_signed_response(request, 200, b"foreign"))
             return True
 
-        with _run_entry(FakeServer("i-1", stale)) as (entry, _):
+        with run_entry(FakeServer("i-1", stale)) as (entry, _):
             response, body = entry.call("/order/x", "POST", b"x")
             self.assertEqual((502, b""), (response.status, body))
 
@@ -312,7 +144,7 @@
             return True
 
         servers = [FakeServer(f"i-{n}", stream) for n in range(2)]
-        with _run_entry(*servers) as (entry, _):
+        with run_entry(*servers) as (entry, _):
             response, body = entry.call("/stream/x", "POST", b"")
             whole = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 6))
             self.assertEqual((200, whole), (response.status, body))
@@ -320,39 +152,39 @@
 
     def test_removed_key_is_denied(self) -> None:
         """Guards against accepting a key after its removal from the configuration."""
-        with _run_entry(FakeServer("i-1")) as (entry, store):
-            store.put("op/config", _config(2, ("k2",)))
-            self.assertTrue(_wait_for(lambda: len(entry.log_lines("config")) == 2))
+        with run_entry(FakeServer("i-1")) as (entry, store):
+            store.put("op/config", make_config_item(2, ("k2",)))
+            self.assertTrue(wait_for(lambda: len(entry.log_lines("config")) == 2))
             self.assertEqual(401, entry.call("/get/x")[0].status)
             self.assertEqual(200, entry.call("/get/x", key="k2")[0].status)
 
     def test_keys_are_denied_during_store_outage(self) -> None:
         """Guards against accepting a key that was removed during a store outage."""
         server = FakeServer("i-1")
-        with _run_entry(server) as (entry, store):
+        with run_entry(server) as (entry, store):
             store.down = True
-            self.assertTrue(_wait_for(lambda: entry.readiness_status() == 503, 8.0))
+            self.assertTrue(wait_for(lambda: entry.readiness_status() == 503, 8.0))
             response, _ = entry.call("/get/x")
             self.assertEqual(503, response.status)
             self.assertEqual("close", response.getheader("Connection"))
             store.down = False
-            self.assertTrue(_wait_for(lambda: entry.readiness_status() == 200, 8.0))
+            self.assertTrue(wait_for(lambda: entry.readiness_status() == 200, 8.0))
             self.assertEqual(200, entry.call("/get/x")[0].status)
 
     def test_items_are_listed_again_after_lost_history(self) -> None:
         """Guards against missing changes that the store dropped from its history."""
-        with _run_entry(FakeServer("i-1")) as (entry, store):
-            store.put("op/config", _config(3, ("k3",)))
+        with run_entry(FakeServer("i-1")) as (entry, store):
+            store.put("op/config", make_config_item(3, ("k3",)))
             store.compact()
-            self.assertTrue(_wait_for(lambda: len(entry.log_lines("config")) == 2))
+            self.assertTrue(wait_for(lambda: len(entry.log_lines("config")) == 2))
             self.assertEqual(200, entry.call("/get/x", key="k3")[0].status)
 
     def test_draining_server_gets_no_new_request(self) -> None:
         """Guards against sending new requests to a draining server."""
         draining, other = FakeServer("i-1"), FakeServer("i-2")
-        with _run_entry(draining, other) as (entry, store):
+        with run_entry(draining, other) as (entry, store):
             store.put("servers/i-1", draining.store_record("s", "draining"))
-            self.assertTrue(_wait_for(lambda: len(entry.log_lines("server")) == 3))
+            self.assertTrue(wait_for(lambda: len(entry.log_lines("server")) == 3))
             for number in range(6):
                 entry.call("/get/x", request_id=f"g{number}")
             self.assertEqual(
@@ -372,7 +204,7 @@
             closed.set()
             return False
 
-        with _run_entry(FakeServer("i-1", wait)) as (entry, _):
+        with run_entry(FakeServer("i-1", wait)) as (entry, _):
             caller = socket.create_connection(("127.0.0.1", entry.port))
             caller.sendall(
                 b"GET /get/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q\r\n"
@@ -384,7 +216,7 @@
 
     def test_slow_server_causes_timeout_response(self) -> None:
         """Guards against a response after the deadline because of a slow server."""
-        with _run_entry(FakeServer("i-1", delay=10.0)) as (entry, _):
+        with run_entry(FakeServer("i-1", delay=10.0)) as (entry, _):
             started_at = time.monotonic()
             response, _ = entry.call("/order/x", "POST", b"x")
             elapsed = time.monotonic() - started_at
@@ -398,7 +230,7 @@
         and chunked encoding.
         """
         server = FakeServer("i-1")
-        with _run_entry(server) as (entry, _):
+        with run_entry(server) as (entry, _):
             caller = socket.create_connection(("127.0.0.1", entry.port), 5)
             caller.sendall(
                 b"POST /order/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q\r\n"
@@ -411,7 +243,7 @@
 
     def test_order_in_flight_completes_during_shutdown(self) -> None:
         """Guards against a shutdown that aborts requests in flight."""
-        with _run_entry(FakeServer("i-1", delay=1.0)) as (entry, _):
+        with run_entry(FakeServer("i-1", delay=1.0)) as (entry, _):
             statuses: list[int] = []
 
             def call() -> None:
@@ -421,7 +253,7 @@
             caller.start()
             time.sleep(0.3)
             entry.process.send_signal(signal.SIGTERM)
-            self.assertTrue(_wait_for(lambda: entry.readiness_status() == 503, 1.0))
+            self.assertTrue(wait_for(lambda: entry.readiness_status() == 503, 1.0))
             response, _ = entry.call("/get/x")
             self.assertEqual(200, response.status)
             self.assertEqual("close", response.getheader("Connection"))
@@ -431,7 +263,7 @@
 
     def test_metrics_are_served(self) -> None:
         """Guards against missing metrics of requests."""
-        with _run_entry(FakeServer("i-1")) as (entry, _):
+        with run_entry(FakeServer("i-1")) as (entry, _):
             entry.call("/get/x")
             connection = HTTPConnection("127.0.0.1", entry.ready_port, timeout=5)
             connection.request("GET", "/metrics")
@@ -443,9 +275,9 @@
 
     def test_process_continues_after_reload(self) -> None:
         """Guards against a reload that stops the process or its listeners."""
-        with _run_entry(FakeServer("i-1")) as (entry, _):
+        with run_entry(FakeServer("i-1")) as (entry, _):
             entry.process.send_signal(signal.SIGHUP)
-            self.assertTrue(_wait_for(lambda: entry.log_lines("reload")))
+            self.assertTrue(wait_for(lambda: entry.log_lines("reload")))
             self.assertEqual(200, entry.call("/get/x")[0].status)
 
     def test_response_is_written_completely_before_exit(self) -> None:
@@ -460,7 +292,7 @@
             stream.sendall(encode_signed_response(request, 200, b"x" * size))
             return True
 
-        with _run_entry(FakeServer("i-1", large)) as (entry, _):
+        with run_entry(FakeServer("i-1", large)) as (entry, _):
             caller = socket.create_connection(("127.0.0.1", entry.port), 10)
             caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
             caller.sendall(
