Close callers' connections with their next response during a stop

Change: while the entry stops, a connection is half-closed when its response ends; a request that crosses the close is not read, so the caller may send it again. Result: the test that plays it fails before (two responses, the second passed on) and passes after.

--- a/lacewingcleat/caller_connection.py
+++ b/lacewingcleat/caller_connection.py
@@ -294,6 +294,12 @@
         ):
             self._start_lingering_close()
             return
+        if self._factory.is_stopping():
+            # The head of this response may have been written before the stop, so the
+            # caller does not know yet. A request that crosses the close has not been
+            # read, which tells the caller that it may be sent again.
+            self._start_lingering_close()
+            return
         self._http.start_next_cycle()
         # The next request is subject to the limits of the current configuration.
         self._limits = self._factory.limits
@@ -372,6 +378,7 @@
     :param should_close: returns whether responses carry `Connection: close`.
     :param on_rejected: called with the status of the response to an unreadable request.
     :param on_unread: called when a caller is cut off since it does not read.
+    :param is_stopping: returns whether connections end with their next response.
     """
 
     def __init__(
@@ -381,12 +388,14 @@
         should_close: Callable[[], bool] = lambda: False,
         on_rejected: Callable[[int], None] = lambda status: None,
         on_unread: Callable[[], None] = lambda: None,
+        is_stopping: Callable[[], bool] = lambda: False,
     ) -> None:
         self.reactor = reactor
         self.handler = handler
         self.should_close = should_close
         self.on_rejected = on_rejected
         self.on_unread = on_unread
+        self.is_stopping = is_stopping
         self.limits = DEFAULT_LIMITS
         self.connections: set[CallerConnection] = set()
         self.open_requests = 0
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -112,6 +112,7 @@
             self._should_close,
             self._record_rejected,
             self._record_unread,
+            lambda: self._stopping_since is not None,
         )
         self._probe_factory = CallerFactory(reactor, self._respond_to_probe)
         self._stopping_since: float | None = None
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -261,6 +261,45 @@
             self.assertEqual([200], statuses)
             self.assertEqual(0, entry.process.wait(9.0))
 
+    def test_connection_ends_with_its_response_during_shutdown(self) -> None:
+        """Guards against accepting a request that the shutdown cuts off.
+
+        The head of a stream was sent before the stop, without `Connection: close`. The
+        next request on the connection was passed on seconds later and cut at the end of
+        the grace period.
+        """
+        served = []
+
+        def serve(request: ReceivedRequest, stream: socket.socket) -> bool:
+            served.append(request.target)
+            if request.target != "/stream/x":
+                time.sleep(1.0)
+                stream.sendall(encode_signed_response(request, 200, b"late"))
+                return True
+            stream.sendall(encode_stream_head(request))
+            for number in range(4):
+                event = b"id: %d\ndata: x\n\n" % number
+                stream.sendall(encode_chunk(event))
+                time.sleep(0.3)
+            stream.sendall(b"0\r\n\r\n")
+            return True
+
+        with run_entry(FakeServer("i-1", serve)) as (entry, _):
+            caller = socket.create_connection(("127.0.0.1", entry.port), 10)
+            head = b"Host: h\r\nX-Request-Id: q\r\nAuthorization: Bearer k\r\n\r\n"
+            caller.sendall(b"GET /stream/x HTTP/1.1\r\n" + head)
+            time.sleep(0.4)
+            entry.process.send_signal(signal.SIGTERM)
+            time.sleep(0.2)
+            caller.sendall(b"GET /get/x HTTP/1.1\r\n" + head)
+            data = b""
+            while more := caller.recv(65_536):
+                data += more
+            caller.close()
+        self.assertEqual(1, data.count(b"HTTP/1.1 "))
+        self.assertTrue(data.endswith(b"0\r\n\r\n"), data)
+        self.assertEqual(["/stream/x"], served)
+
     def test_metrics_are_served(self) -> None:
         """Guards against missing metrics of requests."""
         with run_entry(FakeServer("i-1")) as (entry, _):
