Keep a late second copy of an answer from the next caller of an agent

Cause: an agent used a connection to its backend server for one request after the other. A service does not say to which request an answer belongs, so a copy of an answer that it sent after the next request was taken for the answer to that one. Change: connections from an agent to its backend server, which stay on one machine, carry one request each. Bodies are collected in one buffer instead of a list of parts. Result: tests/test_listeners.py::test_second_copy_of_an_answer_reaches_no_other_caller fails before (the third caller got the answer of the first) and passes after; test_listeners, test_process_failures and test_openai_client pass.

--- a/lacewingcleat/agent_node.py
+++ b/lacewingcleat/agent_node.py
@@ -23,6 +23,7 @@
     decode_engine_load,
 )
 from lacewingcleat.group_leader import GroupQueueState
+from lacewingcleat.http_client import HttpClient
 from lacewingcleat.identity import Role
 from lacewingcleat.messages import CrashReport, Envelope, GroupReport
 from lacewingcleat.metrics import AgentMetrics
@@ -64,6 +65,10 @@
             self.metrics,
         )
         self.settings = settings
+        # The backend server does not say to which request an answer belongs, and a late
+        # second copy of one would be taken for the next answer on the same connection.
+        # Connections to it stay on this machine, so opening them costs little.
+        self.backend_client = HttpClient(reactor, persistent=False)
         self.gate = AgentGate(settings.server, settings.queue_limit)
         self.ticket_registry = TicketRegistry(
             self.peer,
--- a/lacewingcleat/agent_server.py
+++ b/lacewingcleat/agent_server.py
@@ -306,7 +306,7 @@
         set_nonempty_headers(headers, added_headers)
         target = self._backend_path(request, path)
         body = self._backend_body(request)
-        send_result = await node.http_client.send(
+        send_result = await node.backend_client.send(
             request.method.decode("ascii", "replace"),
             self._settings.backend_address,
             target,
@@ -388,17 +388,15 @@
             self._responder.set_outcome_headers(request, Outcome.RAN)
             if isinstance(response.length, int):
                 request.setHeader(b"Content-Length", str(response.length).encode())
-        buffered_chunks: list[bytes] | None = [] if call.ticket_id else None
-        buffered_bytes = 0
+        buffered = bytearray() if call.ticket_id else None
         body_ended: defer.Deferred[bool] = defer.Deferred()
 
         def receive(data: bytes) -> None:
-            nonlocal buffered_chunks, buffered_bytes
-            if buffered_chunks is not None:
-                buffered_bytes += len(data)
-                buffered_chunks.append(data)
-                if buffered_bytes > MAX_RESPONSE_BYTES:
-                    buffered_chunks = None
+            nonlocal buffered
+            if buffered is not None:
+                buffered += data
+                if len(buffered) > MAX_RESPONSE_BYTES:
+                    buffered = None
             if request.is_open:
                 request.write(data)
 
@@ -415,7 +413,7 @@
         if deadline_timer.active():
             deadline_timer.cancel()
         call.body_receiver = None
-        self._store_response(call, response, buffered_chunks, complete)
+        self._store_response(call, response, buffered, complete)
         if request.is_open:
             if request.producer is not None:
                 request.unregisterProducer()
@@ -427,7 +425,7 @@
         self,
         call: _Call,
         response: Any,
-        buffered_chunks: list[bytes] | None,
+        buffered: bytearray | None,
         complete: bool,
     ) -> None:
         if not call.ticket_id:
@@ -435,7 +433,7 @@
         registry = self._node.ticket_registry
         if not complete:
             registry.mark_lost(call.ticket_id)
-        elif buffered_chunks is None:
+        elif buffered is None:
             registry.finish_without_response(call.ticket_id)
         else:
             stored = Response(
@@ -447,7 +445,7 @@
                     ).getAllRawHeaders()
                     for value in values
                 ),
-                b"".join(buffered_chunks),
+                bytes(buffered),
             )
             registry.finish(call.ticket_id, stored, self._node.now())
 
--- a/lacewingcleat/http_client.py
+++ b/lacewingcleat/http_client.py
@@ -174,11 +174,12 @@
     """Send HTTP requests over pooled connections.
 
     :param reactor: reactor that runs the connections and timers.
+    :param persistent: whether connections are used for more than one request.
     """
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, persistent: bool = True) -> None:
         self._reactor: Any = reactor
-        self._pool = _BoundedHeadPool(reactor, persistent=True)
+        self._pool = _BoundedHeadPool(reactor, persistent=persistent)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_SECONDS
         self._pool.retryAutomatically = False
@@ -288,17 +289,14 @@
         timeout_seconds: float,
     ) -> bytes | None:
         """Return the body, or `None` if it is incomplete, late or over the limit."""
-        chunks: list[bytes] = []
-        size = 0
+        content = bytearray()
         body_end: defer.Deferred[bool] = defer.Deferred(lambda _: receiver.abort())
 
         def receive(data: bytes) -> None:
-            nonlocal size
-            size += len(data)
-            if size > max_body_bytes:
+            if len(content) + len(data) > max_body_bytes:
                 receiver.abort()
                 return
-            chunks.append(data)
+            content.extend(data)
 
         def end(complete: bool) -> None:
             if not body_end.called:
@@ -311,7 +309,7 @@
             complete = await body_end
         except (defer.TimeoutError, defer.CancelledError):
             return None
-        return b"".join(chunks) if complete and size <= max_body_bytes else None
+        return bytes(content) if complete else None
 
     def close(self) -> "defer.Deferred[Any]":
         """Close idle connections."""
--- a/tests/raw_backend.py
+++ b/tests/raw_backend.py
@@ -57,15 +57,34 @@
             except OSError:
                 return
 
-    def _answer(self, connection: socket.socket) -> None:
+    def _read_path(self, connection: socket.socket) -> str:
+        """Read the head of a request; return its path, empty if there is none."""
         head = b""
         while b"\r\n\r\n" not in head:
             data = connection.recv(65536)
             if not data:
-                return
+                return ""
             head += data
         self.heads.append(head)
-        path = head.split(b" ", 2)[1].decode()
+        return head.split(b" ", 2)[1].decode()
+
+    def _send_second_copies(self, connection: socket.socket, path: str) -> None:
+        """Answer with the path, and again when the next request has been sent."""
+        previous = b""
+        while path:
+            body = path.encode()
+            answer = OK_HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+            connection.sendall(previous + answer)
+            previous = answer
+            path = self._read_path(connection)
+
+    def _answer(self, connection: socket.socket) -> None:
+        path = self._read_path(connection)
+        if not path:
+            return
+        if path.startswith("/second-copy"):
+            self._send_second_copies(connection, path)
+            return
         endless: dict[str, Callable[[], tuple[bytes, bytes]]] = {
             "/endless-head": lambda: (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n" * 1000),
             "/endless-events": lambda: (
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -352,6 +352,16 @@
             status_by_path[path] = status
         self.assertEqual(expected_by_path, status_by_path)
 
+    def test_second_copy_of_an_answer_reaches_no_other_caller(self) -> None:
+        """Guards against a late copy of an answer that the next caller receives.
+
+        The service sends the copy on a kept connection after the next request.
+        """
+        for number in range(6):
+            path = f"/second-copy/{number}"
+            status, _, body = self.fleet.send(ENTRY, "GET", f"/services/orders{path}")
+            self.assertEqual((200, path.encode()), (status, body))
+
     def test_endless_head_and_event_of_a_service(self) -> None:
         """Guards against heads and events that are buffered without a limit."""
         for path in ("/endless-head", "/endless-event"):
