Answer unknown routes and keys with a fresh read of the store

Change: before such a 503 the entry sends one read that waits for nothing; requests at the same time share it. A watch that a refresh has overtaken restores no removed item. Result: the test that sends unknown routes and keys over 3 s gets 503 before and only 404 and 401 after; the overtaken watch is played in test_store_view. Conclusion: callers learn the truth while the store answers; during its outage they get 503 at once as before.

--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -1,6 +1,6 @@
 """transport: dispatch caller requests to backend servers over HTTP."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from twisted.internet import defer
@@ -15,7 +15,12 @@
 from lacewingcleat.load_view import Target
 from lacewingcleat.local_reply import LocalReply, make_local_reply
 from lacewingcleat.platform import request_headers as names
-from lacewingcleat.request_access import Denied, authorize_request, choose_service
+from lacewingcleat.request_access import (
+    DenialReason,
+    Denied,
+    authorize_request,
+    choose_service,
+)
 from lacewingcleat.request_context import AttemptRecord, RequestContext
 from lacewingcleat.resumable_events import ResumableEvents, parse_last_event_id
 from lacewingcleat.retries import (
@@ -42,6 +47,7 @@
     """Dispatch complete caller requests and answer each of them.
 
     :param config_age: returns the age in seconds of the configuration at a given time.
+    :param refresh_config: tries to bring the configuration up to date.
     """
 
     def __init__(
@@ -52,6 +58,7 @@
         log: DecisionLog,
         metrics: DirectMetrics,
         config_age: Callable[[float], float],
+        refresh_config: Callable[[], Awaitable[None]],
     ) -> None:
         self._settings = settings
         self._state = state
@@ -59,6 +66,7 @@
         self._log = log
         self._metrics = metrics
         self._config_age = config_age
+        self._refresh_config = refresh_config
 
     def handle(self, request: CallerRequest) -> None:
         """Answer one request."""
@@ -72,8 +80,17 @@
         request.abort()
 
     async def _handle(self, request: CallerRequest) -> None:
+        admission = self._admit(request, read_now())
+        if (
+            isinstance(admission, LocalReply)
+            and admission.reason == DenialReason.STALE_CONFIG
+        ):
+            # The key or route may have been added since the configuration was read.
+            await self._refresh_config()
+            if request.caller_disconnected:
+                return
+            admission = self._admit(request, read_now())
         now = read_now()
-        admission = self._admit(request, now)
         if isinstance(admission, LocalReply):
             self._metrics.count_request(admission.status, admission.reason)
             self._write_local_reply(request, admission)
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -105,6 +105,7 @@
             log,
             self._metrics,
             self._store_reader.view.age,
+            self._store_reader.refresh,
         )
         self._caller_factory = CallerFactory(
             reactor,
--- a/lacewingcleat/store_reader.py
+++ b/lacewingcleat/store_reader.py
@@ -19,6 +19,8 @@
 # that API keys are no longer admitted.
 RESPONSE_TIMEOUT_SECONDS = 0.9
 RESTART_DELAY_SECONDS = 0.5
+# Time limit of a read on which a caller waits.
+REFRESH_TIMEOUT_SECONDS = 0.25
 
 
 class StoreReader:
@@ -46,6 +48,7 @@
         self._connection: ServerConnection | None = None
         self._reachable = True
         self._address = address
+        self._refreshing: defer.Deferred[None] | None = None
         self.view = StoreView()
         self.call_count = 0
 
@@ -62,6 +65,41 @@
         self._log.failure("store reads ended", traceback=failure.getTraceback())
         self._reactor.callLater(RESTART_DELAY_SECONDS, self.start)
 
+    async def refresh(self) -> None:
+        """Bring the view up to date by a read that is sent now.
+
+        Callers that wait at the same time share one read. Without a sound store or a
+        listing to start from, this returns at once and the view stays as it is.
+        """
+        if self._refreshing is None:
+            read = self.view.refresh_read()
+            if read is None or not self._reachable:
+                return
+            self._refreshing = defer.ensureDeferred(self._refresh(read))
+            self._refreshing.addErrback(
+                lambda failure: self._log.failure(
+                    "refresh failed", traceback=failure.getTraceback()
+                )
+            )
+            self._refreshing.addBoth(lambda _: setattr(self, "_refreshing", None))
+        done: defer.Deferred[None] = defer.Deferred()
+        self._refreshing.addBoth(lambda _: done.callback(None))
+        await done
+
+    async def _refresh(self, read: WatchRead) -> None:
+        sent_at = read_now()
+        opened = await self._pool.connect(self._store)
+        if isinstance(opened, str):
+            return
+        response = await self._fetch(opened, read, REFRESH_TIMEOUT_SECONDS)
+        opened.abort()
+        if isinstance(response, ReadFailure):
+            # The watch in progress decides whether the store is reachable.
+            return
+        now = read_now()
+        change = self.view.apply_refresh(response, sent_at, now)
+        self._on_change(change, now)
+
     async def _run(self) -> None:
         while True:
             read, wait = self.view.next_read(read_now())
@@ -101,14 +139,18 @@
             if isinstance(opened, str):
                 return ReadFailure(opened)
             connection = opened
-        self.call_count += 1
         wait = read.wait_seconds if isinstance(read, WatchRead) else 0.0
+        response = await self._fetch(connection, read, wait + RESPONSE_TIMEOUT_SECONDS)
+        if connection.open:
+            self._connection = connection
+        return response
+
+    async def _fetch(
+        self, connection: ServerConnection, read: StoreRead, timeout_seconds: float
+    ) -> StoreResponse:
+        self.call_count += 1
         target = encode_read(self._prefix, read).encode()
-        fetched = await fetch(
-            connection, self._address, target, wait + RESPONSE_TIMEOUT_SECONDS
-        )
+        fetched = await fetch(connection, self._address, target, timeout_seconds)
         if isinstance(fetched, str):
             return ReadFailure(fetched)
-        if connection.open:
-            self._connection = connection
         return decode_store_response(read, fetched.status, fetched.body)
--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -103,6 +103,25 @@
             self._listing = _Listing(now + wait)
         return ListRead(self._listing.after_key), wait
 
+    def refresh_read(self) -> WatchRead | None:
+        """Return a read that only confirms the view, none if there is no view yet."""
+        if self._watch_revision is None or self._listing is not None:
+            return None
+        return WatchRead(self._watch_revision, 0.0)
+
+    def apply_refresh(
+        self, response: StoreResponse, sent_at: float, now: float
+    ) -> ViewChange:
+        """Update the view with the response to a refresh beside the regular reads.
+
+        :param sent_at: time at which the read was sent.
+        """
+        if isinstance(response, WatchChanges) and self._watch_revision is not None:
+            return self._apply_changes(
+                response.items, response.store_revision, sent_at, now
+            )
+        return ViewChange((), False)
+
     def apply_response(
         self,
         response: StoreResponse,
@@ -170,7 +189,11 @@
         now: float,
     ) -> ViewChange:
         changed_keys = []
+        known_revision = self._watch_revision or 0
         for item in items:
+            if item.revision <= known_revision:
+                # A refresh has overtaken this watch; it may have removed the item since.
+                continue
             current = self.item_by_key.get(item.key)
             if current is not None and current.revision >= item.revision:
                 continue
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -22,7 +22,7 @@
 def make_dispatcher(state: DirectState) -> DirectDispatcher:
     """Make a dispatcher without log, metrics and connections."""
     nothing: Any = None
-    return DirectDispatcher(nothing, state, nothing, nothing, nothing, nothing)
+    return DirectDispatcher(nothing, state, nothing, nothing, nothing, nothing, nothing)
 
 
 class DirectDispatchTest(TestCase):
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -158,6 +158,20 @@
             self.assertEqual(401, entry.call("/get/x")[0].status)
             self.assertEqual(200, entry.call("/get/x", key="k2")[0].status)
 
+    def test_unknown_route_is_denied_at_any_age_of_the_view(self) -> None:
+        """Guards against 503 for an unknown route while the store answers.
+
+        The view is up to 2.8 s old between two reads of the store, and views older than
+        1.8 s may not deny requests.
+        """
+        with run_entry(FakeServer("i-1")) as (entry, _):
+            statuses = set()
+            for _ in range(15):
+                statuses.add(entry.call("/unknown/x")[0].status)
+                statuses.add(entry.call("/get/x", key="unknown")[0].status)
+                time.sleep(0.2)
+            self.assertEqual({404, 401}, statuses)
+
     def test_keys_are_denied_during_store_outage(self) -> None:
         """Guards against accepting a key that was removed during a store outage."""
         server = FakeServer("i-1")
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -30,6 +30,26 @@
         view.apply_response(ListPage((), False, 1), 1.0, 3.0)
         self.assertEqual(2.0, view.age(3.0))
 
+    def test_a_watch_overtaken_by_a_refresh_restores_nothing(self) -> None:
+        """Guards against a server that reappears after it was removed.
+
+        The watch was answered with the item, the refresh then with its removal; the
+        response to the refresh arrived first.
+        """
+        view = self._view_after_listing()
+        refresh = view.refresh_read()
+        self.assertEqual(WatchRead(7, 0.0), refresh)
+        removal = WatchChanges((make_item("c", 8), make_item("c", 9, None)), 9)
+        view.apply_refresh(removal, 1.0, 1.1)
+        change = view.apply_response(WatchChanges((make_item("c", 8),), 8), 0.5, 1.2)
+        self.assertEqual((), change.keys)
+        self.assertNotIn("c", view.item_by_key)
+        self.assertAlmostEqual(0.2, view.age(1.2))
+
+    def test_no_refresh_before_the_first_listing(self) -> None:
+        """Guards against a refresh that counts as proof of an incomplete view."""
+        self.assertIs(None, StoreView().refresh_read())
+
     def test_watch_starts_at_the_revision_of_the_first_page(self) -> None:
         """Guards against missing a change made between two pages of a listing."""
         view = StoreView()
