--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -192,7 +192,7 @@
         known_revision = self._watch_revision or 0
         for item in items:
             if item.revision <= known_revision:
-                # A refresh has overtaken this watch; it may have removed the item since.
+                # A refresh has overtaken this watch and may have removed the item.
                 continue
             current = self.item_by_key.get(item.key)
             if current is not None and current.revision >= item.revision:
