Keep leaders, load views and limits stable in large fleets

Counts of peers expired before the next ones came, so groups ran at 0.8 of their slots under a limit of 0.7. Maps fitted the prompts of 4 of 96 ranks. Change: both times follow the interval at which a peer is heard; a group over its share by a tenth is full at all servers; fleets that announce new requests only in the zone choose servers of the zone first; the estimate of demand is moved towards an even one as far as two halves of the observed ranks disagree, and reads take at most 1.2 % of a group's time.

--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -81,6 +81,7 @@
             settings.control_address,
             settings.seed_addresses,
             Random(os.urandom(8)),
+            settings.zone,
         )
         random = Random(os.urandom(8))
         self._state = DirectState(settings.zone, settings.bounds, self._peers, random)
@@ -265,7 +266,7 @@
 
     def _send_load(self) -> None:
         self._reactor.callLater(SEND_INTERVAL_SECONDS, self._send_load)
-        self._send_counts()
+        self._send_counts(self._peers.next_recipients(read_now()))
 
     def _announce_request(self) -> None:
         """Announce a new request, together with those that follow at once."""
@@ -276,13 +277,13 @@
 
     def _send_announcement(self) -> None:
         self._announcement = None
-        self._send_counts()
+        self._send_counts(self._peers.announcement_recipients())
 
-    def _send_counts(self) -> None:
+    def _send_counts(self, recipients: list[str]) -> None:
         now = read_now()
         counts = self._state.loads.in_flight_by_name()
         message = self._peers.next_message(counts, self._is_ready(now))
-        self._peer_socket.send(message, self._peers.next_recipients(now))
+        self._peer_socket.send(message, recipients)
 
     def _record_peer_load(self, load: PeerLoad) -> None:
         now = read_now()
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -29,6 +29,10 @@
 # Fraction of the allowed retry ratio that is used, because the budget windows of the
 # entries do not coincide.
 RETRY_RATIO_FACTOR = 0.6
+# A group whose occupancy exceeds its share by this factor is full at all its servers.
+# The limits of single servers do not hold the share where entries know little of each
+# other.
+MAX_OCCUPANCY_RATIO = 1.1
 
 
 class DirectState:
@@ -36,6 +40,7 @@
 
     __slots__ = (
         "_bounds",
+        "_occupancy_by_group",
         "_retry_budget_by_service",
         "_zone",
         "concurrency_limit",
@@ -60,6 +65,7 @@
         self._zone = zone
         self._bounds = bounds
         self._retry_budget_by_service: dict[str, RetryBudget] = {}
+        self._occupancy_by_group: dict[str, float] = {}
         self.config: RoutingConfig | None = None
         self.max_event_interval_seconds = 0.0
         self.directory = ServerDirectory()
@@ -157,6 +163,7 @@
             self._zone,
             self.random,
             now,
+            own_zone_first=not self.peers.announces_to_all(),
         )
 
     def _groups_of(self, servers: frozenset[str]) -> set[str]:
@@ -204,12 +211,16 @@
     def _request_limit(self, record: ServerRecord) -> float:
         """Return the number of requests at which a server counts as full.
 
-        The limit is rounded up or down at random, so that the slot share is met on
-        average for servers with few slots.
+        A pass of a group takes longer with each of its streams, so all servers are full
+        when the group has its share of streams, wherever they run. The limit of a
+        server is rounded up or down at random, so that the slot share is met on average
+        for servers with few slots.
         """
-        share = self.concurrency_limit.slot_share(
-            self.groups.find_group_name(record.name)
-        )
+        group = self.groups.find_group_name(record.name)
+        share = self.concurrency_limit.slot_share(group)
+        occupancy = self._occupancy_by_group.get(group, 0.0) if group else 0.0
+        if occupancy >= MAX_OCCUPANCY_RATIO * share:
+            return 0.0
         return math.floor(record.slots * share + self.random.random())
 
     def adjust_concurrency(
@@ -220,10 +231,13 @@
         :returns: group, share, occupancy and pace of each changed group.
         """
         self.concurrency_limit.retain(self.groups.group_names())
+        self.loads.peer_count_ttl = self.peers.counts_ttl()
+        self._occupancy_by_group.clear()
         changes = []
         for name, members, _ in self.model_groups(now):
             pace = self.groups.find_pace(name, now)
             occupancy = self._occupancy(members.values(), now)
+            self._occupancy_by_group[name] = occupancy
             if self.concurrency_limit.adjust(
                 name,
                 self.groups.find_epoch(name),
--- a/lacewingcleat/load_gossip.py
+++ b/lacewingcleat/load_gossip.py
@@ -21,11 +21,18 @@
 # Maximum number of peers that are sent a datagram per interval, so that the cost of an
 # entry does not grow with the fleet. In larger fleets the peers are served in rotation.
 FANOUT = 16
+# Maximum number of peers of the same zone to which a new request is announced at once.
+# Requests go to servers of their own zone first, so other zones may learn of it later.
+ANNOUNCE_FANOUT = 32
 # Silence after which a peer is removed; until then it is still sent datagrams.
 PEER_TIMEOUT_SECONDS = 10.0
 SEED_INTERVAL_SECONDS = 1.0
-# Age above which a ready flag is ignored, long enough for several lost datagrams.
-READY_TTL_SECONDS = 1.0
+# Age above which a ready flag is ignored, in intervals at which a peer is heard; long
+# enough for several lost datagrams. If entries disagreed about who is ready, several of
+# them would lead the same group.
+READY_TTL_INTERVALS = 5.0
+# Age above which the announced requests of a peer are ignored, in the same intervals.
+COUNTS_TTL_INTERVALS = 7.5
 MAX_SHARED_ADDRESSES = 8
 MAX_DATAGRAM_BYTES = 8_192
 MAX_PEERS = 1_024
@@ -40,6 +47,7 @@
     :param count_by_server: requests in flight by server.
     :param addresses: control addresses of peers from which datagrams were received.
     :param ready: whether the sender accepts requests, and so may lead groups.
+    :param zone: availability zone of the sender.
     """
 
     instance: str
@@ -49,12 +57,14 @@
     count_by_server: dict[str, int]
     addresses: list[str]
     ready: bool = False
+    zone: str = ""
 
 
 @dataclass(slots=True)
 class _Peer:
     last_seen_at: float
     ready: bool = False
+    zone: str = ""
     instance: str = ""
     incarnation: int = 0
     sequence: int = -1
@@ -64,6 +74,7 @@
     """Track peers, build datagrams and select their recipients.
 
     :param address: control address of this entry.
+    :param zone: availability zone of this entry.
     :ivar most: largest number of peers that were tracked at the same time.
     """
 
@@ -77,6 +88,7 @@
         "_seeds",
         "_seeds_contacted_at",
         "_sequence",
+        "_zone",
         "max_peer_count",
     )
 
@@ -86,8 +98,10 @@
         address: str,
         seeds: tuple[str, ...],
         random: Random,
+        zone: str = "",
     ) -> None:
         self._instance = instance
+        self._zone = zone
         self._address = address
         self._seeds: list[str] = []
         self.set_seeds(seeds)
@@ -130,21 +144,36 @@
         peer.incarnation = load.incarnation
         peer.sequence = load.sequence
         peer.ready = load.ready
+        peer.zone = load.zone
         return True
 
+    def hear_interval(self) -> float:
+        """Return the seconds between two datagrams of a peer.
+
+        In large fleets an entry sends to its peers in rotation.
+        """
+        rounds = max(1.0, len(self._peer_by_address) / FANOUT)
+        return SEND_INTERVAL_SECONDS * rounds
+
+    def counts_ttl(self) -> float:
+        """Return the age above which the announced requests of a peer are ignored."""
+        return COUNTS_TTL_INTERVALS * self.hear_interval()
+
     def any_ready(self, now: float) -> bool:
         """Return whether any peer has recently announced that it accepts requests."""
+        ttl = READY_TTL_INTERVALS * self.hear_interval()
         return any(
-            peer.ready and now - peer.last_seen_at <= READY_TTL_SECONDS
+            peer.ready and now - peer.last_seen_at <= ttl
             for peer in self._peer_by_address.values()
         )
 
     def ready_entries(self, now: float) -> list[str]:
         """Return the peers that have recently announced that they accept requests."""
+        ttl = READY_TTL_INTERVALS * self.hear_interval()
         return [
             peer.instance
             for peer in self._peer_by_address.values()
-            if peer.ready and now - peer.last_seen_at <= READY_TTL_SECONDS
+            if peer.ready and now - peer.last_seen_at <= ttl
         ]
 
     def next_message(self, count_by_server: dict[str, int], ready: bool) -> PeerLoad:
@@ -162,8 +191,26 @@
             count_by_server,
             self._random.sample(responsive, shared_count),
             ready,
+            self._zone,
         )
 
+    def announces_to_all(self) -> bool:
+        """Return whether new requests are announced to the peers of all zones."""
+        return len(self._peer_by_address) <= FANOUT
+
+    def announcement_recipients(self) -> list[str]:
+        """Return the addresses to which a new request is announced.
+
+        In small fleets these are all peers, else those of the same zone.
+        """
+        peers = self._peer_by_address
+        if self.announces_to_all():
+            return sorted(peers)
+        own_zone = [a for a, peer in peers.items() if peer.zone == self._zone]
+        if len(own_zone) <= ANNOUNCE_FANOUT:
+            return own_zone
+        return self._random.sample(own_zone, ANNOUNCE_FANOUT)
+
     def next_recipients(self, now: float) -> list[str]:
         """Remove silent peers and return the addresses to which to send now."""
         for address, peer in list(self._peer_by_address.items()):
--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -54,7 +54,11 @@
 LEADERSHIP_CHECK_SECONDS = 0.35
 # Number of ranks whose expert counts are read in a round. Requests are spread evenly
 # over the ranks, so some ranks represent the group.
-SAMPLED_RANKS = 4
+SAMPLED_RANKS = 6
+MIN_SAMPLED_RANKS = 2
+# A group pauses while a rank's counts are read, at most for this part of the time.
+READ_PAUSE_SECONDS_PER_COUNT = 0.0005 / 400
+MAX_READ_PAUSE_SHARE = 0.012
 # After a switch the ranks report the new map only when the held pass has begun, which
 # is most of a second ahead, and reports are some hundred milliseconds old.
 SETTLE_SECONDS = 0.9
@@ -334,14 +338,14 @@
     async def _read_demand(
         self, group: _GroupState, client: HttpRankClient, size: int
     ) -> bool:
-        for rank in range(min(SAMPLED_RANKS, size)):
+        for rank in range(min(_sampled_ranks(group.shape), size)):
             response = await client.fetch(rank, COUNTS_TARGET, None)
             if not isinstance(response, FetchedResponse) or response.status != 200:
                 return False
             counts = decode_counts(response.body)
             if isinstance(counts, Err):
                 return False
-            group.demand.observe(str(rank), counts.ok_value, read_now())
+            group.demand.observe(rank, counts.ok_value, read_now())
         return True
 
     async def _adopt_map(
@@ -384,7 +388,9 @@
         switch: GroupMapSwitch,
         states: Mapping[int, RankMapState],
     ) -> None:
-        plan = group.planner.plan(group.demand.loads, read_now())
+        sampled_share = _sampled_ranks(group.shape) / group.shape.ranks
+        loads = group.demand.loads(min(1.0, sampled_share))
+        plan = group.planner.plan(loads, read_now())
         if plan is None:
             return
         result = await switch.switch(plan.experts, states, group.step_seconds)
@@ -420,3 +426,10 @@
         version = wall_ms * VERSIONS_PER_MS + self._version_offset
         self._last_version = max(self._last_version + 1, above + 1, version)
         return self._last_version
+
+
+def _sampled_ranks(shape: MapShape) -> int:
+    """Return the number of ranks whose counts are read in a round."""
+    pause = shape.layer_sets * shape.experts * READ_PAUSE_SECONDS_PER_COUNT
+    count = int(MAX_READ_PAUSE_SHARE * REBALANCE_INTERVAL_SECONDS / pause)
+    return max(MIN_SAMPLED_RANKS, min(SAMPLED_RANKS, count))
--- a/lacewingcleat/server_choice.py
+++ b/lacewingcleat/server_choice.py
@@ -14,8 +14,8 @@
 # Age at which a load reported with a response no longer counts; its weight falls
 # linearly until then. Requests last about a second, so that older loads are obsolete.
 SERVER_REPORT_TTL_SECONDS = 1.0
-# Age above which the counts of another entry are ignored. Entries announce their
-# requests in flight several times a second.
+# Age above which the counts of another entry are ignored, in a fleet whose entries all
+# announce their requests to each other several times a second.
 PEER_COUNT_TTL_SECONDS = 1.5
 # Penalty, in slots, that is added to the load of a server in another zone. A round trip
 # between zones takes about a millisecond and its traffic is billed, but a more heavily
@@ -25,6 +25,10 @@
 # each other's counts some tenths of a second late, so without sampling they would all
 # choose the same idle server (`python -m bench.direct_serving`).
 SAMPLE_SIZE = 5
+# Numbers for the own zone and the others in fleets whose entries announce new requests
+# only within their zone, as the servers of the own zone are best known there.
+OWN_ZONE_SAMPLE_SIZE = 4
+OTHER_ZONE_SAMPLE_SIZE = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,11 +63,15 @@
 
 
 class ServerLoads:
-    """Estimate the number of requests at each server."""
+    """Estimate the number of requests at each server.
 
-    __slots__ = ("_load_by_name", "_peer_counts_by_name")
+    :ivar peer_count_ttl: age in seconds above which counts of peers are ignored.
+    """
+
+    __slots__ = ("_load_by_name", "_peer_counts_by_name", "peer_count_ttl")
 
     def __init__(self) -> None:
+        self.peer_count_ttl = PEER_COUNT_TTL_SECONDS
         self._load_by_name: dict[str, _ServerLoad] = {}
         # For each server, the requests that each peer has in flight there and the time
         # at which the peer announced them.
@@ -124,7 +132,7 @@
         other_requests = sum(
             count
             for count, received_at in peers.values()
-            if now - received_at <= PEER_COUNT_TTL_SECONDS
+            if now - received_at <= self.peer_count_ttl
         )
         if load is not None:
             age = now - load.reported_at
@@ -148,6 +156,7 @@
     zone: str,
     random: Random,
     now: float,
+    own_zone_first: bool = False,
 ) -> ServerChoice:
     """Choose the server with the lowest load per slot of a random sample.
 
@@ -157,9 +166,10 @@
     :param weight_of: returns the weight of a server's slots, 0 to 1; a server with
         weight 0 is never chosen.
     :param limit_of: returns the number of requests at which a server is full.
+    :param own_zone_first: whether the sample prefers servers of the own zone.
     """
-    if len(servers) > SAMPLE_SIZE:
-        sample = random.sample(servers, SAMPLE_SIZE)
+    sample = _sample_servers(servers, zone if own_zone_first else None, random)
+    if len(sample) < len(servers):
         choice = choose_server(sample, loads, weight_of, limit_of, zone, random, now)
         if isinstance(choice, ChosenServer):
             return choice
@@ -182,3 +192,21 @@
     if best is not None:
         return best
     return ServersFull(least_load) if least_load < float("inf") else NoServer()
+
+
+def _sample_servers(
+    servers: Sequence[ServerRecord], zone: str | None, random: Random
+) -> Sequence[ServerRecord]:
+    """Return a random sample, which is all servers if there are few.
+
+    :param zone: preferred zone, if any.
+    """
+    if zone is None:
+        return random.sample(servers, min(len(servers), SAMPLE_SIZE))
+    own_zone = [record for record in servers if record.zone == zone]
+    others = [record for record in servers if record.zone != zone]
+    own_count = min(len(own_zone), OWN_ZONE_SAMPLE_SIZE)
+    other_count = min(
+        len(others), OTHER_ZONE_SAMPLE_SIZE + OWN_ZONE_SAMPLE_SIZE - own_count
+    )
+    return [*random.sample(own_zone, own_count), *random.sample(others, other_count)]
--- a/tests/test_load_gossip.py
+++ b/tests/test_load_gossip.py
@@ -2,9 +2,16 @@
 
 from random import Random
 
+from msgspec.structs import replace
 from testtools import TestCase
 
-from lacewingcleat.load_gossip import FANOUT, PEER_TIMEOUT_SECONDS, LoadGossip, PeerLoad
+from lacewingcleat.load_gossip import (
+    FANOUT,
+    PEER_TIMEOUT_SECONDS,
+    SEND_INTERVAL_SECONDS,
+    LoadGossip,
+    PeerLoad,
+)
 
 
 def _load(
@@ -58,3 +65,37 @@
         self.assertEqual(FANOUT, len(first))
         self.assertNotEqual(first, second)
         self.assertEqual(["p"], sorted(set(gossip.ready_entries(1.3))))
+
+    def test_many_entries_agree_on_who_is_ready(self) -> None:
+        """Guards against several leaders of one group in a large fleet.
+
+        Each entry sends to its peers in rotation, so that a peer is heard less often in
+        a larger fleet. Datagrams are lost now and then.
+        """
+        count = 98
+        addresses = [f"10.0.0.{number}:1" for number in range(count)]
+        random = Random(2)
+        fleet = {
+            address: LoadGossip(address, address, tuple(addresses[:3]), Random(number))
+            for number, address in enumerate(addresses)
+        }
+        now = 0.0
+        for step in range(150):
+            now = step * SEND_INTERVAL_SECONDS
+            for gossip in fleet.values():
+                message = gossip.next_message({}, True)
+                for address in gossip.next_recipients(now):
+                    if address in fleet and random.random() > 0.03:
+                        fleet[address].record(message, now)
+            if step >= 100:
+                sizes = {len(gossip.ready_entries(now)) for gossip in fleet.values()}
+                self.assertEqual({count - 1}, sizes)
+
+    def test_requests_are_announced_to_the_own_zone_in_large_fleets(self) -> None:
+        """Guards against a cost of announcements that grows with the fleet."""
+        gossip = LoadGossip("me", "10.0.0.1:1", (), Random(1), "a")
+        for number in range(2, 90):
+            load = _load(1, f"10.0.0.{number}:1")
+            zone = "a" if number < 12 else "b"
+            gossip.record(replace(load, zone=zone), 1.0)
+        self.assertEqual(10, len(gossip.announcement_recipients()))
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -83,3 +83,20 @@
         loads.begin_request("i-1")
         loads.record_report("i-1", 5, 1.0)
         self.assertEqual(5.0, loads.estimate("i-1", 1.0))
+
+    def test_own_zone_first_still_relieves_a_loaded_zone(self) -> None:
+        """Guards against requests that queue in a loaded zone beside idle servers."""
+        loads = ServerLoads()
+        own = [make_record(f"own-{number}") for number in range(8)]
+        others = [make_record(f"other-{number}", "y") for number in range(8)]
+        for record in own:
+            for _ in range(4):
+                loads.begin_request(record.name)
+        choices = [
+            choose_server(
+                [*own, *others], loads, lambda _: 1.0, _limit, "z", Random(n), 1.0, True
+            )
+            for n in range(20)
+        ]
+        zones = {c.record.zone for c in choices if isinstance(c, ChosenServer)}
+        self.assertEqual({"y"}, zones)
