--- a/lacewingcleat/group_map_switch.py
+++ b/lacewingcleat/group_map_switch.py
@@ -39,6 +39,8 @@
 # Copying a map's replicas over the links between engines takes about 1 s.
 PREPARE_TIMEOUT_SECONDS = 6.0
 PREPARE_POLL_INTERVAL_SECONDS = 0.25
+# Addition for each rank, so that polling a large group costs no more per second.
+PREPARE_POLL_SECONDS_PER_RANK = 0.005
 # A rank's reported state can be some hundred milliseconds old.
 MAX_STATE_AGE_SECONDS = 0.5
 # The held pass is this far ahead, so that orders and their answers arrive before it and
@@ -188,6 +190,10 @@
         """Prepare a map on all ranks; return their states, None if it failed."""
         epoch = states[0].epoch
         deadline = self._client.now() + PREPARE_TIMEOUT_SECONDS
+        poll_interval = (
+            PREPARE_POLL_INTERVAL_SECONDS
+            + PREPARE_POLL_SECONDS_PER_RANK * len(self._ranks)
+        )
         pending = dict(states)
         while self._client.now() < deadline:
             await self._client.order(
@@ -198,7 +204,7 @@
                     for rank, state in sorted(pending.items())
                 }
             )
-            await self._client.sleep(PREPARE_POLL_INTERVAL_SECONDS)
+            await self._client.sleep(poll_interval)
             latest = await self._read_states(epoch)
             if latest is None:
                 continue
--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -64,6 +64,10 @@
 SETTLE_SECONDS = 0.9
 # Ranks normally answer orders and reads within a few milliseconds.
 RANK_TIMEOUT_SECONDS = 0.2
+# Rates for the time that orders take on their way: the map of a large group goes over
+# the narrow link of each rank, and once for each rank over the link of this entry.
+RANK_LINK_BYTES_PER_SECOND = 300_000
+ENTRY_LINK_BYTES_PER_SECOND = 2_000_000
 MS_PER_SECOND = 1000
 # Versions of maps are wall clock milliseconds times this, plus a random number per
 # process below it. Versions of two leaders thus differ even in the same millisecond.
@@ -94,7 +98,11 @@
         return task.deferLater(self._reactor, seconds, lambda: None)
 
     async def fetch(
-        self, rank: int, target: bytes, body: bytes | None
+        self,
+        rank: int,
+        target: bytes,
+        body: bytes | None,
+        timeout_seconds: float = RANK_TIMEOUT_SECONDS,
     ) -> FetchedResponse | str:
         """Send a POST if there is a body, else a GET; return the response or error."""
         record = self._server_by_rank[rank]
@@ -107,7 +115,7 @@
         if isinstance(connection, str):
             return connection
         response = await fetch(
-            connection, record.address, target, RANK_TIMEOUT_SECONDS, body
+            connection, record.address, target, timeout_seconds, body
         )
         if isinstance(response, FetchedResponse):
             self._pool.add_idle(record, connection, None, read_now())
@@ -134,10 +142,12 @@
     ) -> dict[int, OrderAnswer]:
         """Send orders to several ranks concurrently and return their answers."""
         self.order_count += len(orders)
+        body_by_rank = {rank: encode_order(order) for rank, order in orders.items()}
+        timeout = order_timeout([len(body) for body in body_by_rank.values()])
         response_by_rank = await self._gather(
             {
-                rank: self.fetch(rank, ORDER_TARGET, encode_order(order))
-                for rank, order in orders.items()
+                rank: self.fetch(rank, ORDER_TARGET, body, timeout)
+                for rank, body in body_by_rank.items()
             }
         )
         return {
@@ -428,6 +438,18 @@
         return self._last_version
 
 
+def order_timeout(sizes: Sequence[int]) -> float:
+    """Return the time limit for orders that are sent at the same time.
+
+    :param sizes: bytes of each order.
+    """
+    return (
+        RANK_TIMEOUT_SECONDS
+        + max(sizes, default=0) / RANK_LINK_BYTES_PER_SECOND
+        + sum(sizes) / ENTRY_LINK_BYTES_PER_SECOND
+    )
+
+
 def _sampled_ranks(shape: MapShape) -> int:
     """Return the number of ranks whose counts are read in a round."""
     pause = shape.layer_sets * shape.experts * READ_PAUSE_SECONDS_PER_COUNT
--- a/tests/test_replica_placement.py
+++ b/tests/test_replica_placement.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from lacewingcleat.map_driver import order_timeout
 from lacewingcleat.replica_placement import (
     MapShape,
     first_map,
@@ -82,6 +83,16 @@
         fast = replace(engine, expert_copy_seconds=0.0)
         self.assertEqual(12, make_shape(12, fast).max_copies_per_switch)
 
+    def test_orders_of_a_large_group_have_time_to_arrive(self) -> None:
+        """Guards against repeating the map of a large group before it has arrived.
+
+        A map of 96 ranks has 20 KB; ranks have links of 3 Mbit/s, entries of 20 Mbit/s.
+        """
+        size = 20_000
+        transfer_seconds = size * 8 / 3e6 + 96 * size * 8 / 20e6
+        self.assertGreater(order_timeout([size] * 96), transfer_seconds)
+        self.assertLess(order_timeout([100] * 96), 0.25)
+
     def test_replicas_share_the_load_of_an_expert(self) -> None:
         """Guards against counting the full load of an expert for each replica."""
         experts_by_rank = [{0, 1}, {1}]
