--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -275,6 +275,47 @@
             self.assertEqual([200], statuses)
             self.assertEqual(0, entry.process.wait(9.0))
 
+    def test_requests_in_all_stages_complete_during_overlapping_signals(self) -> None:
+        """Guards against requests that are cut off because signals overlap.
+
+        One order runs, one has sent half its body, one half its head, and one connects
+        after the stop; a reload and a second stop follow the first stop.
+        """
+        server = FakeServer("i-1", delay=0.8)
+        head = (
+            b"POST /order/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q%d\r\n"
+            b"Authorization: Bearer k\r\nContent-Length: 4\r\n\r\n"
+        )
+        with run_entry(server) as (entry, _):
+            callers = [
+                socket.create_connection(("127.0.0.1", entry.port), 10)
+                for _ in range(3)
+            ]
+            parts = [head % number + b"body" for number in range(4)]
+            cuts = [len(parts[0]), len(parts[1]) - 2, 20]
+            for caller, part, cut in zip(callers, parts, cuts, strict=False):
+                caller.sendall(part[:cut])
+            time.sleep(0.2)
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                entry.process.send_signal(number)
+                time.sleep(0.1)
+            callers.append(socket.create_connection(("127.0.0.1", entry.port), 10))
+            cuts.append(0)
+            for caller, part, cut in zip(callers, parts, cuts, strict=True):
+                caller.sendall(part[cut:])
+            answers = []
+            for caller in callers:
+                data = b""
+                while more := caller.recv(65_536):
+                    data += more
+                answers.append(data)
+                caller.close()
+            self.assertEqual(0, entry.process.wait(9.0))
+        for answer in answers:
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
+            self.assertTrue(answer.endswith(b"answer of i-1"), answer)
+        self.assertEqual(4, len(server.served_requests))
+
     def test_connection_ends_with_its_response_during_shutdown(self) -> None:
         """Guards against accepting a request that the shutdown cuts off.
 
