Remove the import circle of agent_node and rank_agent

Cause: rank_agent named AgentNode for type checking, which imports rank_agent. Change: a rank agent gets a Node and the agent's settings. Result: types, layers, rank switch and listeners pass. Conclusion: no behaviour changes.

--- a/lacewingcleat/agent_node.py
+++ b/lacewingcleat/agent_node.py
@@ -125,7 +125,7 @@
         if group is None or self.rank_agent is not None or self.sheet is None:
             return
         server = self.sheet.server_by_name[self.settings.server]
-        self.rank_agent = RankAgent(self, group, server.checks_fencing)
+        self.rank_agent = RankAgent(self, self.settings, group, server.checks_fencing)
 
     def _update_firm_shares(self, now: float) -> None:
         if self.sheet is None or self.group is None:
--- a/lacewingcleat/rank_agent.py
+++ b/lacewingcleat/rank_agent.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 from result import Err
@@ -43,6 +43,7 @@
     SwitchResume,
     SwitchStatus,
 )
+from lacewingcleat.node import Node
 from lacewingcleat.order_fence import (
     EngineState,
     IssueOrder,
@@ -52,11 +53,9 @@
 )
 from lacewingcleat.rank_switch import FetchMap, RankSwitch
 from lacewingcleat.rebalance import MapChangeCosts
+from lacewingcleat.settings import AgentSettings
 from lacewingcleat.sheet import ModelGroup, Sheet
 
-if TYPE_CHECKING:
-    from lacewingcleat.agent_node import AgentNode
-
 ORDER_TIMEOUT_SECONDS = 2.0
 MAP_TRANSFER_TIMEOUT_SECONDS = 600.0
 MAX_STATE_BYTES = 1 << 16
@@ -71,17 +70,23 @@
     """Run the state machines of one rank.
 
     :param node: the control plane node of the agent.
+    :param settings: settings of the agent.
     :param engine_checks_fencing: whether the engine checks fencing numbers.
     """
 
     def __init__(
-        self, node: "AgentNode", group: ModelGroup, engine_checks_fencing: bool
+        self,
+        node: Node,
+        settings: AgentSettings,
+        group: ModelGroup,
+        engine_checks_fencing: bool,
     ) -> None:
         now = read_now()
-        name = node.settings.server
+        name = settings.server
         self.group = group
         self.rank = group.ranks.index(name)
         self._node = node
+        self._settings = settings
         self._fence = OrderFence(node.peer.incarnation, engine_checks_fencing, now)
         self._switch = RankSwitch(group.name, self.rank, self._fence)
         self._leader = SwitchLeader(group.name, name, group.ranks, now)
@@ -256,7 +261,7 @@
     def _perform(self, actions: Iterable[Any]) -> None:
         for action in actions:
             match action:
-                case Send(instance, message) if instance == self._node.settings.server:
+                case Send(instance, message) if instance == self._settings.server:
                     self._deliver_to_self(message)
                 case Send() | Alarm():
                     self._node.perform([action])
@@ -285,7 +290,7 @@
         }
         fetched = await self._node.http_client.fetch(
             "POST",
-            self._node.settings.backend_address,
+            self._settings.backend_address,
             "/orders",
             Headers({"Content-Type": ["application/json"]}),
             msgspec.json.encode(document),
@@ -299,7 +304,7 @@
     async def _read_engine_state(self, read_id: int) -> None:
         fetched = await self._node.http_client.fetch(
             "GET",
-            self._node.settings.backend_address,
+            self._settings.backend_address,
             "/state",
             Headers(),
             b"",
@@ -334,7 +339,7 @@
         self._cache_map(action.map_version, slots)
         fetched = await self._node.http_client.fetch(
             "PUT",
-            self._node.settings.backend_address,
+            self._settings.backend_address,
             f"/maps/{action.map_version}",
             Headers({"Lacewing-Map-Digest": [action.map_digest]}),
             encode_map(slots),
@@ -366,7 +371,7 @@
         self._reading_map = True
         fetched = await self._node.http_client.fetch(
             "GET",
-            self._node.settings.backend_address,
+            self._settings.backend_address,
             f"/maps/{version}",
             Headers(),
             b"",
