Hold no pass while orders get lost

Change: a switch ends before its hold if more than 5 in 100 ranks do not answer the order to prepare; rollbacks send no order for versions that no rank has. Result: the test that loses 40 of 100 orders holds no pass.

--- a/lacewingcleat/group_map_switch.py
+++ b/lacewingcleat/group_map_switch.py
@@ -43,6 +43,9 @@
 PREPARE_POLL_INTERVAL_SECONDS = 0.25
 # Addition for each rank, so that polling a large group costs no more per second.
 PREPARE_POLL_SECONDS_PER_RANK = 0.005
+# Share of the ranks whose answer to the order to prepare may be missing. While orders get
+# lost or are applied late, a pass would be held for seconds.
+MAX_UNANSWERED_SHARE = 0.05
 # A rank's reported state can be some hundred milliseconds old.
 MAX_STATE_AGE_SECONDS = 0.5
 # The held pass is this far ahead, so that orders and their answers arrive before it and
@@ -207,11 +210,11 @@
         )
         pending = dict(states)
         while self._client.now() < deadline:
-            await self._client.order(
-                dict.fromkeys(
-                    sorted(pending), GroupOrder(PrepareMap(version, experts), epoch)
-                )
-            )
+            order = GroupOrder(PrepareMap(version, experts), epoch)
+            answers = await self._client.order(dict.fromkeys(sorted(pending), order))
+            unanswered = len(_ranks_with(answers, OrderAnswer.UNKNOWN))
+            if unanswered > MAX_UNANSWERED_SHARE * len(self._ranks):
+                return None
             await self._client.sleep(poll_interval)
             latest = await self._read_states(epoch)
             if latest is None:
@@ -319,8 +322,8 @@
         epoch = states[0].epoch
         version = self._next_version(_highest_version(states))
         former_versions = sorted(
-            {s.armed_version for s in states.values() if s.armed_version is not None}
-            | {s.prepared_version or 0 for s in states.values()}
+            {s.armed_version for s in states.values() if s.armed_version}
+            | {s.prepared_version for s in states.values() if s.prepared_version}
         )
         # An armed rank refuses to prepare a map, so that a rank which prepares the map
         # in use is not armed and cannot be armed for the former version any more.
