--- a/lacewingcleat/group_map_switch.py
+++ b/lacewingcleat/group_map_switch.py
@@ -43,8 +43,8 @@
 PREPARE_POLL_INTERVAL_SECONDS = 0.25
 # Addition for each rank, so that polling a large group costs no more per second.
 PREPARE_POLL_SECONDS_PER_RANK = 0.005
-# Share of the ranks whose answer to the order to prepare may be missing. While orders get
-# lost or are applied late, a pass would be held for seconds.
+# Share of the ranks whose answer to the order to prepare may be missing. While orders
+# get lost or are applied late, a pass would be held for seconds.
 MAX_UNANSWERED_SHARE = 0.05
 # A rank's reported state can be some hundred milliseconds old.
 MAX_STATE_AGE_SECONDS = 0.5
