List the mutations of the group's map switch and of hostile servers

Cause: they were tried by hand. Change: nine entries in tests/mutations.py. Conclusion: python -m tests.mutations repeats them.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -20,6 +20,8 @@
     "tests/test_rank_switch.py tests/test_map_switch.py tests/test_map_switch_faults.py"
 )
 ORDER_TESTS = "tests/test_order_fence.py"
+GROUP_SWITCH_TESTS = "tests/test_group_map_switch.py"
+SERVER_TESTS = "tests/test_hostile_servers.py"
 
 
 @dataclass(frozen=True)
@@ -203,6 +205,72 @@
         "if False:",
         ORDER_TESTS,
     ),
+    Mutation(
+        "no-hold-at-another-rank",
+        "group_map_switch",
+        "        if (await self._send({guard: hold}))[guard] is not "
+        "OrderAnswer.ACCEPTED:\n            return False\n",
+        "",
+        GROUP_SWITCH_TESTS,
+    ),
+    Mutation(
+        "release-without-disarming",
+        "group_map_switch",
+        "        if not await self._disarm(states):\n            return False\n",
+        "",
+        GROUP_SWITCH_TESTS,
+    ),
+    Mutation(
+        "release-before-all-armed",
+        "group_map_switch",
+        "        if not await self._arm(version, hold_step, epoch, held_at):\n"
+        "            return await self._cancel(hold_step, epoch)\n",
+        "        await self._arm(version, hold_step, epoch, held_at)\n",
+        GROUP_SWITCH_TESTS,
+    ),
+    Mutation(
+        "switch-of-idle-group",
+        "group_map_switch",
+        "        if step <= max(state.step for state in states.values()):",
+        "        if False:",
+        GROUP_SWITCH_TESTS,
+    ),
+    Mutation(
+        "release-of-rank-0-only",
+        "group_map_switch",
+        "        ranks = sorted(held_ranks | {0, guard})",
+        "        ranks = [0]",
+        GROUP_SWITCH_TESTS,
+    ),
+    Mutation(
+        "answer-inside-an-answer",
+        "direct_attempt",
+        "if contains_other_response(connection, body):",
+        "if False:",
+        SERVER_TESTS,
+    ),
+    Mutation(
+        "request-identifier-not-compared",
+        "direct_attempt",
+        'if request_id is not None and request_id.decode("latin-1") != '
+        "context.request_id:",
+        "if False:",
+        SERVER_TESTS,
+    ),
+    Mutation(
+        "comments-count-as-events",
+        "resumable_events",
+        "        if not _has_fields(event):",
+        "        if False:",
+        SERVER_TESTS,
+    ),
+    Mutation(
+        "parts-parsed-without-pause",
+        "server_connection",
+        "MAX_PARTS_PER_TURN = 16",
+        "MAX_PARTS_PER_TURN = 10**9",
+        SERVER_TESTS,
+    ),
 ]
 
 
