--- a/tests/test_group_map_switch.py
+++ b/tests/test_group_map_switch.py
@@ -65,6 +65,15 @@
     return run_coroutine(_make_switch(group, versions, holds).recover(states))
 
 
+def _recover_orphan(group: SimulatedGroup) -> None:
+    """Let a new leader observe a hold until it counts as left, and roll it back."""
+    versions, orphans = Versions(20), HoldTracker()
+    _recover(group, versions, orphans)
+    group.advance(ORPHAN_AGE_SECONDS)
+    _recover(group, versions, orphans)
+    group.advance(1.0)
+
+
 class GroupMapSwitchTest(TestCase):
     def _group(self, seed: int = 1, lost: float = 0.0) -> SimulatedGroup:
         group = SimulatedGroup(SIZE, Random(seed), lost, 0.5)
@@ -105,11 +114,7 @@
         group.apply(0, GroupOrder(HoldPass(target), 1))
         group.apply(1, GroupOrder(ArmMap(10, target), 1))
         group.advance(1.0)
-        versions, orphans = Versions(20), HoldTracker()
-        _recover(group, versions, orphans)
-        group.advance(ORPHAN_AGE_SECONDS)
-        _recover(group, versions, orphans)
-        group.advance(1.0)
+        _recover_orphan(group)
         self.assertGreater(group.step, target)
         self.assertEqual({0}, {rank.mapping for rank in group.ranks})
 
@@ -232,11 +237,7 @@
         group.apply(0, GroupOrder(HoldPass(target), 1))
         group.apply(3, GroupOrder(HoldPass(target), 1))
         group.advance(1.0)
-        versions, orphans = Versions(20), HoldTracker()
-        _recover(group, versions, orphans)
-        group.advance(ORPHAN_AGE_SECONDS)
-        _recover(group, versions, orphans)
-        group.advance(1.0)
+        _recover_orphan(group)
         self.assertGreater(group.step, target)
         self.assertEqual({None}, {rank.held for rank in group.ranks})
 
