Forget the held passes of a group's former formation

Cause: read in the diff: a leader never holds a pass twice, also after the group has formed again; if its passes then count from 0, the next hold would lie minutes ahead. Change: the highest held pass belongs to an epoch.

--- a/lacewingcleat/group_map_switch.py
+++ b/lacewingcleat/group_map_switch.py
@@ -106,22 +106,36 @@
 class HoldTracker:
     """Track since when each hold of a group has been observed.
 
-    :ivar newest_step: highest pass that was held, as far as this leader knows. Late
-        orders may still release it, so that it is not held again.
+    Late orders may still release a pass that was held, so that it is not held again. In
+    a new formation of the group they are refused, and its passes may count from 0.
     """
 
-    __slots__ = ("_first_seen_at_by_hold", "newest_step")
+    __slots__ = ("_epoch", "_first_seen_at_by_hold", "_newest_step")
 
     def __init__(self) -> None:
         self._first_seen_at_by_hold: dict[tuple[int, int], float] = {}
-        self.newest_step = 0
+        self._epoch = -1
+        self._newest_step = 0
 
-    def observe(self, step_by_rank: Mapping[int, int], now: float) -> float:
+    def reserve_step(self, epoch: int, step: int) -> int:
+        """Return the first pass from a given one on that was not held before.
+
+        The pass counts as held from now on.
+        """
+        newest_step = self._newest_step if epoch == self._epoch else -1
+        self._epoch = epoch
+        self._newest_step = max(step, newest_step + 1)
+        return self._newest_step
+
+    def observe(self, epoch: int, step_by_rank: Mapping[int, int], now: float) -> float:
         """Update the set of holds; return for how long the newest has been observed.
 
         :param step_by_rank: held pass of each rank that holds one.
         """
-        self.newest_step = max(self.newest_step, *step_by_rank.values(), 0)
+        if step_by_rank:
+            newest_step = self._newest_step if epoch == self._epoch else -1
+            self._epoch = epoch
+            self._newest_step = max(newest_step, *step_by_rank.values())
         self._first_seen_at_by_hold = {
             hold: self._first_seen_at_by_hold.get(hold, now)
             for hold in step_by_rank.items()
@@ -177,10 +191,9 @@
             # Without passes a released pass may not begin for long, and late orders for
             # it would stay valid.
             return SwitchResult(False, "group is idle", version)
-        hold_step = max(
-            step + _hold_lead_steps(step_seconds), self._hold_tracker.newest_step + 1
+        hold_step = self._hold_tracker.reserve_step(
+            epoch, step + _hold_lead_steps(step_seconds)
         )
-        self._hold_tracker.newest_step = hold_step
         held_at = self._client.now()
         answers = await self._client.order({0: GroupOrder(HoldPass(hold_step), epoch)})
         match answers.get(0, OrderAnswer.UNKNOWN):
@@ -361,7 +374,9 @@
         held_step_by_rank = {
             r: s.held_step for r, s in states.items() if s.held_step is not None
         }
-        age = self._hold_tracker.observe(held_step_by_rank, self._client.now())
+        epoch = next(iter(states.values())).epoch
+        now = self._client.now()
+        age = self._hold_tracker.observe(epoch, held_step_by_rank, now)
         if not held_step_by_rank:
             is_armed = is_switch_pending(states)
             return SwitchResult(False, REASON_ARMED) if is_armed else None
--- a/tests/test_group_map_switch.py
+++ b/tests/test_group_map_switch.py
@@ -74,6 +74,21 @@
     group.advance(1.0)
 
 
+class HoldTrackerTest(TestCase):
+    def test_a_pass_is_not_held_twice_in_one_formation(self) -> None:
+        """Guards against late orders that release the hold of a later switch.
+
+        After the group has formed again its passes may count from 0, and late orders
+        are refused.
+        """
+        holds = HoldTracker()
+        self.assertEqual(40, holds.reserve_step(1, 40))
+        self.assertEqual(41, holds.reserve_step(1, 38))
+        holds.observe(1, {0: 60}, 1.0)
+        self.assertEqual(61, holds.reserve_step(1, 45))
+        self.assertEqual(12, holds.reserve_step(2, 12))
+
+
 class GroupMapSwitchTest(TestCase):
     def _group(self, seed: int = 1, lost: float = 0.0) -> SimulatedGroup:
         group = SimulatedGroup(SIZE, Random(seed), lost, 0.5)
