--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -56,6 +56,9 @@
 # over the ranks, so some ranks represent the group.
 SAMPLED_RANKS = 6
 MIN_SAMPLED_RANKS = 2
+# Share of the ranks below which their counts say too little about the group: its map is
+# then not changed, and nothing is read.
+MIN_SAMPLED_SHARE = 0.08
 # A group pauses while a rank's counts are read, at most for this part of the time.
 READ_PAUSE_SECONDS_PER_COUNT = 0.0005 / 400
 MAX_READ_PAUSE_SHARE = 0.012
@@ -273,7 +276,9 @@
             rank: members[s] for rank, s in server_by_rank.items() if s in members
         }
         size = self._state.groups.count_ranks(name)
-        if size != len(record_by_rank):
+        if size != len(record_by_rank) or not is_representative(
+            make_shape(size, engine)
+        ):
             return
         client = HttpRankClient(self._reactor, self._pool, record_by_rank)
         try:
@@ -456,3 +461,8 @@
     pause = shape.layer_sets * shape.experts * READ_PAUSE_SECONDS_PER_COUNT
     count = int(MAX_READ_PAUSE_SHARE * REBALANCE_INTERVAL_SECONDS / pause)
     return max(MIN_SAMPLED_RANKS, min(SAMPLED_RANKS, count))
+
+
+def is_representative(shape: MapShape) -> bool:
+    """Return whether the ranks whose counts may be read represent a group."""
+    return _sampled_ranks(shape) >= MIN_SAMPLED_SHARE * shape.ranks
