Start the entry of a test on other ports if one is taken meanwhile

The test takes a port that is free, closes it and gives it to the entry; with eight workers another process may take it in between. Shown by a run in which a port is taken on purpose: the entry ended with code 3. Change: the entry starts again on other ports when it ends with that code. Conclusion: a fault of the tests, traced.

--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from lacewingcleat.direct_main import EXIT_CANNOT_LISTEN
 from tests.platform_fakes import FakeServer, FakeStore
 
 START_TIMEOUT_SECONDS = 15.0
@@ -81,6 +82,12 @@
     """Run the program in a process of its own."""
 
     def __init__(self, store: FakeStore, folder: Path) -> None:
+        self._store = store
+        self._folder = folder
+        self.output = folder / "output"
+        self._start()
+
+    def _start(self) -> None:
         self.port = _free_port()
         self.ready_port = _free_port()
         settings = {
@@ -93,11 +100,10 @@
             },
             "seeds": [],
             "bounds": BOUNDS,
-            "platform": {"address": store.address},
+            "platform": {"address": self._store.address},
         }
-        path = folder / "settings.json"
+        path = self._folder / "settings.json"
         path.write_text(json.dumps(settings))
-        self.output = folder / "output"
         command = [sys.executable, "-m", "lacewingcleat.direct_main"]
         command += ["--settings", str(path), "--metrics-port", "0"]
         with self.output.open("wb") as output:
@@ -130,6 +136,9 @@
                 and len(self.log_lines("server")) >= servers
             ):
                 return
+            if self.process.poll() == EXIT_CANNOT_LISTEN:
+                # Another process took a port after it was found to be free.
+                self._start()
             time.sleep(0.05)
         raise AssertionError(self.output.read_text())
 
