Log whether the server of a lost answer has ended, and the prompt's segments

The entry now connects once after a lost answer (a process that has ended refuses at once) and logs both. No decision is changed.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -15,6 +15,7 @@
 from lacewingcleat.retries import Attempt, ResponseKind, SendProgress
 from lacewingcleat.routing_config import RequestKind
 from lacewingcleat.server_connection import (
+    CONNECTION_REFUSED,
     BodyChunk,
     Headers,
     RequestCancelled,
@@ -100,10 +101,41 @@
         loads = self._state.loads
         loads.begin_request(record.name)
         self._on_begin()
+        previous_send_count = context.send_count
         try:
-            return await self._run_attempt(context, request, record, events)
+            result = await self._run_attempt(context, request, record, events)
         finally:
             loads.end_request(record.name)
+        is_sent = context.send_count > previous_send_count
+        if is_sent and not context.cancelled and is_answer_lost(result):
+            await self._examine_loss(context, record, events, result)
+        return result
+
+    async def _examine_loss(
+        self,
+        context: RequestContext,
+        record: ServerRecord,
+        events: ResumableEvents,
+        result: AttemptResult,
+    ) -> None:
+        """Find out whether the server of a lost answer has ended.
+
+        The port of a process that has ended refuses connections at once.
+        """
+        connection = await self._pool.connect(record)
+        if isinstance(connection, ServerConnection):
+            self._pool.add_idle(record, connection, None, read_now())
+        self._log.request(
+            "answer lost",
+            read_now(),
+            request=context.request_id,
+            server=record.name,
+            started_ms=record.started_ms,
+            ended=connection == CONNECTION_REFUSED,
+            events=events.delivered_count,
+            segments=list(context.shared_segments),
+            reason=result.reason,
+        )
 
     async def _run_attempt(
         self,
@@ -322,6 +354,16 @@
         return AttemptResult(attempt, "streamed", streamed=True)
 
 
+def is_answer_lost(result: AttemptResult) -> bool:
+    """Return whether the connection broke before the end of an answer."""
+    return (
+        result.server_failed
+        and not result.timed_out
+        and result.server_response is None
+        and result.attempt.sent is SendProgress.SOME
+    )
+
+
 def make_request_headers(
     context: RequestContext,
     request: CallerRequest,
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -161,6 +161,7 @@
             caller_deadline,
             version,
             age,
+            names.parse_shared_segments(request.header(names.PROMPT_SEGMENTS)),
         )
 
     async def _serve(
--- a/lacewingcleat/platform/request_headers.py
+++ b/lacewingcleat/platform/request_headers.py
@@ -14,6 +14,9 @@
 EXPECTED_SERVER = b"x-expect-instance"
 EXPECTED_VERSION = b"x-expect-version"
 REQUEST_PRIORITY = b"x-request-priority"
+# All segments of the prompt in order, not only a prefix, as ID:TOKENS separated by
+# commas. The last segment belongs to the request itself or to its session.
+PROMPT_SEGMENTS = b"x-prompt-prefix"
 # Set on the response to a request that the server refused and has not run.
 NOT_RUN = b"x-not-executed"
 # Numbers of running requests, waiting requests and slots, separated by commas.
@@ -23,6 +26,8 @@
 RETRY_AFTER = b"retry-after"
 STATUS_MISDIRECTED = 421
 MAX_DEADLINE_MS = 3_600_000
+MAX_SHARED_SEGMENTS = 16
+MAX_SEGMENT_ID_BYTES = 64
 # Headers of callers that are not forwarded: the key must not reach a server, and the
 # other headers may only be set by the entry.
 DROPPED_HEADERS = frozenset(
@@ -55,3 +60,17 @@
     if value is None or not _DIGITS.fullmatch(value.strip()):
         return None
     return min(int(value), MAX_DEADLINE_MS) / 1000.0
+
+
+def parse_shared_segments(value: bytes | None) -> tuple[str, ...]:
+    """Return the identifiers of the prompt segments that other requests may share.
+
+    Segments with an overlong identifier are left out.
+    """
+    parts = value.split(b",")[:-1] if value else []
+    identifiers = [part.partition(b":")[0].strip().lower() for part in parts]
+    return tuple(
+        identifier.decode("latin-1")
+        for identifier in dict.fromkeys(identifiers[:MAX_SHARED_SEGMENTS])
+        if 0 < len(identifier) <= MAX_SEGMENT_ID_BYTES
+    )
--- a/lacewingcleat/request_context.py
+++ b/lacewingcleat/request_context.py
@@ -28,6 +28,8 @@
     :param caller_deadline: time until which the caller waits.
     :param config_version: version of the configuration that admitted the request.
     :param config_age: age in seconds of the configuration at admission.
+    :param shared_segments: identifiers of the prompt segments that other requests may
+        share.
     :param send_count: number of times the request was written to a server.
     :param lost_attempts: number of retried attempts that the server did not refuse.
     :param may_have_run: whether an attempt has ended with an unknown result.
@@ -45,6 +47,7 @@
     caller_deadline: float
     config_version: int
     config_age: float
+    shared_segments: tuple[str, ...] = ()
     send_count: int = 0
     lost_attempts: int = 0
     may_have_run: bool = False
--- a/lacewingcleat/server_connection.py
+++ b/lacewingcleat/server_connection.py
@@ -12,7 +12,7 @@
 import h11
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 
@@ -34,6 +34,9 @@
 # Interim responses accepted before a response; servers send one or two, if any.
 MAX_INTERIM_RESPONSES = 8
 
+# Why connecting to a port fails on which no process listens.
+CONNECTION_REFUSED = ConnectionRefusedError.__name__
+
 Headers = list[tuple[bytes, bytes]]
 
 
