--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -81,28 +81,37 @@
 class EntryProcess:
     """Run the program in a process of its own."""
 
-    def __init__(self, store: FakeStore, folder: Path) -> None:
+    def __init__(
+        self,
+        store: FakeStore,
+        folder: Path,
+        name: str = "front-1",
+        seeds: tuple[str, ...] = (),
+    ) -> None:
         self._store = store
         self._folder = folder
-        self.output = folder / "output"
+        self._name = name
+        self._seeds = seeds
+        self.output = folder / f"output-{name}"
         self._start()
 
     def _start(self) -> None:
         self.port = _free_port()
         self.ready_port = _free_port()
+        self.control_address = f"127.0.0.1:{_free_port()}"
         settings = {
-            "node_name": "front-1",
+            "node_name": self._name,
             "zone": "z",
             "listen_addresses": {
                 "front": f"127.0.0.1:{self.port}",
                 "readiness": f"127.0.0.1:{self.ready_port}",
-                "control": f"127.0.0.1:{_free_port()}",
+                "control": self.control_address,
             },
-            "seeds": [],
+            "seeds": list(self._seeds),
             "bounds": BOUNDS,
             "platform": {"address": self._store.address},
         }
-        path = self._folder / "settings.json"
+        path = self._folder / f"settings-{self._name}.json"
         path.write_text(json.dumps(settings))
         command = [sys.executable, "-m", "lacewingcleat.direct_main"]
         command += ["--settings", str(path), "--metrics-port", "0"]
@@ -111,6 +120,11 @@
                 command, stdout=output, env={**os.environ, "PYTHONUNBUFFERED": "1"}
             )
 
+    @property
+    def folder(self) -> Path:
+        """Return the folder of the settings and the output."""
+        return self._folder
+
     def log_lines(self, event: str) -> list[dict[str, Any]]:
         """Return the log lines with an event name."""
         lines = map(json.loads, self.output.read_text().splitlines())
@@ -188,6 +202,31 @@
                 closable.close()
 
 
+@contextmanager
+def run_entries(store: FakeStore, count: int) -> Iterator[list[EntryProcess]]:
+    """Run entries that know each other through the first; more may be appended."""
+    with tempfile.TemporaryDirectory() as folder:
+        entries: list[EntryProcess] = []
+        try:
+            for _ in range(count):
+                entries.append(add_entry(store, Path(folder), entries))
+            yield entries
+        finally:
+            for entry in entries:
+                entry.process.kill()
+                entry.process.wait()
+
+
+def add_entry(
+    store: FakeStore, folder: Path, entries: list[EntryProcess]
+) -> EntryProcess:
+    """Start an entry that has the first of some entries as its seed."""
+    seeds = tuple(entry.control_address for entry in entries[:1])
+    entry = EntryProcess(store, folder, f"front-{len(entries) + 1}", seeds)
+    entry.wait_until_ready(0)
+    return entry
+
+
 def wait_for(condition: Any, seconds: float = 5.0) -> bool:
     """Return whether a condition holds within some time."""
     deadline = time.monotonic() + seconds
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -51,6 +51,7 @@
 
     def __init__(self, serve: Callable[[socket.socket], None]) -> None:
         self._serve = serve
+        self._open_streams: set[socket.socket] = set()
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -64,13 +65,25 @@
             threading.Thread(target=self._run, args=(stream,), daemon=True).start()
 
     def _run(self, stream: socket.socket) -> None:
+        self._open_streams.add(stream)
         with stream, suppress(OSError, ValueError):
             self._serve(stream)
+        self._open_streams.discard(stream)
 
     def close(self) -> None:
         """Stop accepting connections."""
+        with suppress(OSError):
+            # Closing alone leaves the port open while a thread waits in `accept`.
+            self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
 
+    def end(self) -> None:
+        """Close the port and all connections, like a process that crashes."""
+        self.close()
+        for stream in list(self._open_streams):
+            with suppress(OSError):
+                stream.shutdown(socket.SHUT_RDWR)
+
 
 class FakeStore:
     """Serve listings and watches; answers 503 while `down` is set."""
@@ -184,6 +197,10 @@
         """Stop listening."""
         self._listener.close()
 
+    def crash(self) -> None:
+        """Close the port and all connections at once."""
+        self._listener.end()
+
     def store_record(self, service: str, state: str = "ready") -> dict[str, object]:
         """Return the record of the server in the store."""
         return {
