Refuse what servers have ended under, and tell all entries of it

Cause: nothing was kept of a request whose server ended, so each new request with the same segment was sent to a server of each group, at any entry. Class: knowledge that a limit needs was kept for one request at one process.

--- a/lacewingcleat/crash_suspects.py
+++ b/lacewingcleat/crash_suspects.py
@@ -9,7 +9,6 @@
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
-from hashlib import blake2b
 
 import msgspec
 
@@ -77,21 +76,6 @@
     remaining: int = REPORT_REPEATS
 
 
-def fingerprint_request(account: str, target: str, body: bytes) -> str:
-    """Return a hash that identifies a request across its attempts.
-
-    Headers are not part of the hash, because they differ between attempts.
-
-    :param target: method and path, or model.
-    """
-    digest = blake2b(digest_size=16)
-    for part in (account.encode(), target.encode()):
-        digest.update(len(part).to_bytes(4, "big"))
-        digest.update(part)
-    digest.update(body)
-    return digest.hexdigest()
-
-
 def choose_isolation_server(
     fingerprint: str,
     servers_by_zone: Mapping[str, Collection[str]],
--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -39,6 +39,8 @@
 # Timeout for the response to an idempotent request before it is retried at another
 # server, as a multiple of the latency objective of its route.
 RETRY_TIMEOUT_FACTOR = 3.0
+# A server that has written a stream for this long has outlived its beginning.
+ANSWER_START_SECONDS = 0.5
 STATUS_UNAVAILABLE = 503
 # Beginning of each response on a connection.
 HTTP_VERSION_PREFIX = b"HTTP/1."
@@ -75,6 +77,7 @@
     """Send requests to backend servers and read the responses.
 
     :param on_begin: called when a server has been chosen for an attempt.
+    :param on_crash: called with the identifier of a crash that has been recorded.
     """
 
     def __init__(
@@ -83,8 +86,11 @@
         pool: ServerConnectionPool,
         log: DecisionLog,
         on_begin: Callable[[], None],
+        on_crash: Callable[[str], None],
     ) -> None:
         self._on_begin = on_begin
+        self._on_crash = on_crash
+        self._connection_by_request: dict[RequestContext, ServerConnection] = {}
         self._log = log
         self._state = state
         self._pool = pool
@@ -106,37 +112,70 @@
             result = await self._run_attempt(context, request, record, events)
         finally:
             loads.end_request(record.name)
-        is_sent = context.send_count > previous_send_count
-        if is_sent and not context.cancelled and is_answer_lost(result):
-            await self._examine_loss(context, record, events, result)
+        if context.send_count == previous_send_count or context.cancelled:
+            return result
+        if is_answer_lost(result) and not context.outlived_start:
+            await self._examine_loss(context, record, result)
         return result
 
+    def withdraw_refused(self) -> None:
+        """Cancel attempts whose requests have turned out to end servers."""
+        evidence = self._state.crash_evidence
+        for context, connection in list(self._connection_by_request.items()):
+            if context.outlived_start or not evidence.find_refused(context.suspects):
+                continue
+            connection.abort()
+            connection.cancel_wait("crash suspect")
+
     async def _examine_loss(
-        self,
-        context: RequestContext,
-        record: ServerRecord,
-        events: ResumableEvents,
-        result: AttemptResult,
+        self, context: RequestContext, record: ServerRecord, result: AttemptResult
     ) -> None:
-        """Find out whether the server of a lost answer has ended.
+        """Record a crash if the server has ended at the beginning of its answer.
 
         The port of a process that has ended refuses connections at once.
         """
         connection = await self._pool.connect(record)
+        now = read_now()
         if isinstance(connection, ServerConnection):
-            self._pool.add_idle(record, connection, None, read_now())
+            self._pool.add_idle(record, connection, None, now)
+        has_ended = connection == CONNECTION_REFUSED
+        evidence = self._state.crash_evidence
+        if has_ended:
+            context.may_end_servers = not evidence.may_send_again(
+                context.shared_segments, now
+            )
+            crash_id = f"{record.name}:{record.started_ms}"
+            if evidence.record_crash(crash_id, context.suspects, now):
+                self._on_crash(crash_id)
         self._log.request(
             "answer lost",
-            read_now(),
+            now,
             request=context.request_id,
             server=record.name,
             started_ms=record.started_ms,
-            ended=connection == CONNECTION_REFUSED,
-            events=events.delivered_count,
+            ended=has_ended,
+            may_send_again=not context.may_end_servers,
             segments=list(context.shared_segments),
             reason=result.reason,
         )
 
+    def _record_sound(self, context: RequestContext, now: float) -> None:
+        """Record that the server has outlived the beginning of its answer."""
+        if context.outlived_start:
+            return
+        context.outlived_start = True
+        evidence = self._state.crash_evidence
+        cleared = evidence.record_sound(context.shared_segments, now)
+        if len(evidence):
+            cleared |= evidence.record_sound((context.fingerprint,), now)
+        if cleared:
+            self._log.request(
+                "crash suspect cleared",
+                now,
+                request=context.request_id,
+                suspects=list(cleared),
+            )
+
     async def _run_attempt(
         self,
         context: RequestContext,
@@ -170,13 +209,23 @@
         if now >= context.deadline:
             connection.abort()
             return _unsent_result(record, "deadline passed")
+        if self._state.crash_evidence.find_refused(context.suspects):
+            connection.abort()
+            return _unsent_result(record, "crash suspect")
         request.on_disconnect = lambda: _cancel_attempt(context, connection)
         context.send_count += 1
+        context.outlived_start = False
         headers = make_request_headers(context, request, record, events, now)
         connection.send(request.method, request.target, headers, request.body)
-        if route.kind is RequestKind.STREAM:
-            return await self._read_stream(context, request, record, connection, events)
-        return await self._read_response(context, record, connection)
+        self._connection_by_request[context] = connection
+        try:
+            if route.kind is RequestKind.STREAM:
+                return await self._read_stream(
+                    context, request, record, connection, events
+                )
+            return await self._read_response(context, record, connection)
+        finally:
+            del self._connection_by_request[context]
 
     async def _read_response(
         self,
@@ -251,6 +300,8 @@
         result = _classify_response(record, head, bytes(body))
         if result.attempt.response is ResponseKind.NOT_RUN:
             self._record_refusal(record, head)
+        else:
+            self._record_sound(context, read_now())
         return result
 
     def _record_refusal(self, record: ServerRecord, head: ResponseHead) -> None:
@@ -311,7 +362,7 @@
         self._record_load(record, head)
         self._state.groups.record_response_start(record.name)
         events.begin_attempt()
-        last_event_at: float | None = None
+        started_at = last_event_at = None
         while True:
             event = await self._next_event(context, record, connection, timeout_at)
             match event:
@@ -327,6 +378,10 @@
                     now = read_now()
                     if context.first_event_at is None:
                         context.first_event_at = now
+                    if started_at is None:
+                        started_at = now
+                    elif now - started_at >= ANSWER_START_SECONDS:
+                        self._record_sound(context, now)
                     if last_event_at is not None:
                         event_interval = now - last_event_at
                         context.longest_event_interval = max(
@@ -347,6 +402,7 @@
                 case _:
                     return _no_response_result(record, connection, event)
         self._release_connection(record, connection, head)
+        self._record_sound(context, read_now())
         if not events.delivered_count:
             return _classify_response(record, head, b"")
         request.end_response()
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -22,6 +22,7 @@
     choose_service,
 )
 from lacewingcleat.request_context import AttemptRecord, RequestContext
+from lacewingcleat.request_fingerprint import fingerprint_request
 from lacewingcleat.resumable_events import ResumableEvents, parse_last_event_id
 from lacewingcleat.retries import (
     RequestFacts,
@@ -41,6 +42,7 @@
 MAX_UNSENT_ATTEMPTS = 4
 # Used for callers that send no deadline.
 DEFAULT_CALLER_TIMEOUT_SECONDS = 2.0
+CRASHES_SERVER = "crashes-server"
 
 
 class DirectDispatcher:
@@ -162,6 +164,11 @@
             version,
             age,
             names.parse_shared_segments(request.header(names.PROMPT_SEGMENTS)),
+            fingerprint_request(
+                access.account.name if access.account else "",
+                f"{request.method!r} {target!r}",
+                request.body,
+            ),
         )
 
     async def _serve(
@@ -172,14 +179,24 @@
     ) -> tuple[int, str]:
         while True:
             now = read_now()
+            if self._ends_servers(context, now):
+                return self._respond_unsent(
+                    context, request, CRASHES_SERVER, NotRunCause.OUTAGE, events
+                )
             choice = self._state.choose_server(
                 context.service, context.failed_servers, now
             )
             match choice:
                 case ChosenServer(record, load):
                     result = await self._attempt(context, request, record, load, events)
-                case ServersFull() | NoServer():
-                    return self._respond_unplaced(context, request, choice, events)
+                case ServersFull():
+                    return self._respond_unsent(
+                        context, request, "servers-full", NotRunCause.LOADED, events
+                    )
+                case NoServer():
+                    return self._respond_unsent(
+                        context, request, "no-server", NotRunCause.OUTAGE, events
+                    )
             if context.cancelled or request.caller_disconnected:
                 return 0, "caller gone"
             if result.streamed:
@@ -232,7 +249,8 @@
             may_have_run=context.may_have_run,
             lost_targets=context.lost_attempts,
             has_other_target=context.send_count < route.max_attempts
-            and unsent_attempts < MAX_UNSENT_ATTEMPTS,
+            and unsent_attempts < MAX_UNSENT_ATTEMPTS
+            and not context.may_end_servers,
             delivered=events.delivered_count,
             body_begun=events.delivered_count > 0,
             resumable=route.resumable,
@@ -276,18 +294,24 @@
             result.server_failed or result.attempt.response is not ResponseKind.NOT_RUN
         )
 
-    def _respond_unplaced(
+    def _ends_servers(self, context: RequestContext, now: float) -> bool:
+        """Return whether servers have ended under requests like this one."""
+        suspect = self._state.crash_evidence.find_refused(context.suspects)
+        if suspect is None:
+            return False
+        self._log.request(
+            "crash suspect refused", now, request=context.request_id, suspect=suspect
+        )
+        return True
+
+    def _respond_unsent(
         self,
         context: RequestContext,
         request: CallerRequest,
-        choice: ServersFull | NoServer,
+        reason: str,
+        cause: NotRunCause,
         events: ResumableEvents,
     ) -> tuple[int, str]:
-        match choice:
-            case ServersFull():
-                reason, cause = "servers-full", NotRunCause.LOADED
-            case NoServer():
-                reason, cause = "no-server", NotRunCause.OUTAGE
         if events.delivered_count:
             request.abort()
             return 0, f"stream broken: {reason}"
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -21,12 +22,14 @@
 from lacewingcleat.addresses import split_address
 from lacewingcleat.caller_connection import CallerFactory, CallerRequest
 from lacewingcleat.clock import read_now
+from lacewingcleat.crash_evidence import CrashRecord
 from lacewingcleat.decision_log import DecisionLog
 from lacewingcleat.direct_attempt import AttemptRunner
 from lacewingcleat.direct_dispatch import DirectDispatcher
 from lacewingcleat.direct_metrics import DirectMetrics
 from lacewingcleat.direct_settings import DirectSettings
 from lacewingcleat.direct_state import DirectState, LimitChange
+from lacewingcleat.evidence_exchange import EvidenceExchange
 from lacewingcleat.group_tracker import RankStatus
 from lacewingcleat.load_gossip import (
     ANNOUNCE_DELAY_SECONDS,
@@ -85,6 +88,9 @@
         )
         random = Random(os.urandom(8))
         self._state = DirectState(settings.zone, settings.bounds, self._peers, random)
+        self._evidence_exchange = EvidenceExchange(
+            self._state.crash_evidence, self._peers
+        )
         self._pool = ServerConnectionPool(reactor)
         self._store_reader = StoreReader(
             reactor, settings.store_address, "", self._apply_change, log
@@ -99,10 +105,13 @@
             log,
         )
         self._peer_socket = LoadSocket(self._record_peer_load)
+        self._runner = AttemptRunner(
+            self._state, self._pool, log, self._announce_request, self._announce_crash
+        )
         self._dispatcher = DirectDispatcher(
             settings,
             self._state,
-            AttemptRunner(self._state, self._pool, log, self._announce_request),
+            self._runner,
             log,
             self._metrics,
             self._store_reader.view.age,
@@ -175,6 +184,9 @@
             self._metrics.lost_log_lines.set(self._log.dropped_lines)
             self._metrics.map_orders.set(self._map_driver.order_count)
             self._metrics.peers.set(self._peers.peer_count)
+            evidence = self._state.crash_evidence
+            self._metrics.crashes.set(len(evidence))
+            self._metrics.refused_suspects.set(evidence.refused_count)
             self._metrics.reports.set(self._report_poller.poll_count)
             self._metrics.server_connections.set(self._pool.connect_count)
             malformed, unsent = (
@@ -280,23 +292,54 @@
         self._send_counts(self._peers.announcement_recipients())
 
     def _send_counts(self, recipients: list[str]) -> None:
-        now = read_now()
+        self._send_crashes((), recipients)
+
+    def _send_crashes(
+        self, crashes: Sequence[CrashRecord], recipients: list[str]
+    ) -> None:
+        """Send a datagram with the counts and some crash evidence."""
         counts = self._state.loads.in_flight_by_name()
-        message = self._peers.next_message(counts, self._is_ready(now))
+        digest = self._state.crash_evidence.digest
+        is_ready = self._is_ready(read_now())
+        message = self._peers.next_message(counts, is_ready, digest, crashes)
         self._peer_socket.send(message, recipients)
 
+    def _announce_crash(self, crash_id: str) -> None:
+        """Announce a crash to all peers at once."""
+        now = read_now()
+        self._apply_evidence(self._settings.instance, now)
+        message = self._evidence_exchange.announce(crash_id, now)
+        self._send_crashes(message.crashes, message.recipients)
+
     def _record_peer_load(self, load: PeerLoad) -> None:
         now = read_now()
         if self._peers.record(load, now):
             self._state.loads.record_peer_counts(
                 load.instance, load.count_by_server, now
             )
+        if self._evidence_exchange.merge(load, now):
+            self._apply_evidence(load.instance, now)
+        for message in self._evidence_exchange.replies(load, now):
+            self._send_crashes(message.crashes, message.recipients)
+
+    def _apply_evidence(self, source: str, now: float) -> None:
+        """Cancel what turns out to end servers, and log the new evidence."""
+        self._runner.withdraw_refused()
+        evidence = self._state.crash_evidence
+        self._log.belief(
+            "crash evidence",
+            now,
+            source=source,
+            crashes=len(evidence),
+            refused=evidence.refused_count,
+        )
 
     def _tick(self) -> None:
         self._reactor.callLater(TICK_INTERVAL_SECONDS, self._tick)
         now = read_now()
         for name in self._state.directory.expire(now):
             self._log.belief("server gone", now, server=name)
+        self._state.crash_evidence.expire(now)
         for event in self._state.update_outliers(now):
             self._log.belief("outlier", now, change=str(event))
         for change in self._state.adjust_concurrency(now):
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -10,11 +10,13 @@
 
     __slots__ = (
         "config_age",
+        "crashes",
         "lost_datagrams",
         "lost_log_lines",
         "map_orders",
         "open_requests",
         "peers",
+        "refused_suspects",
         "registry",
         "reports",
         "request_seconds",
@@ -85,6 +87,16 @@
             "Entries that are known.",
             registry=self.registry,
         )
+        self.crashes = Gauge(
+            "lacewing_direct_server_crashes",
+            "Ends of backend servers at the beginning of an answer that are known.",
+            registry=self.registry,
+        )
+        self.refused_suspects = Gauge(
+            "lacewing_direct_refused_suspects",
+            "Prompt segments and requests in enough crashes to be refused.",
+            registry=self.registry,
+        )
         self.lost_datagrams = Gauge(
             "lacewing_direct_lost_datagrams",
             "Datagrams that could not be read or sent since the start.",
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -7,6 +7,7 @@
 
 from lacewingcleat.adaptive_concurrency import AdaptiveConcurrencyLimit, GroupPace
 from lacewingcleat.connection_backoff import ConnectionBackoff
+from lacewingcleat.crash_evidence import CrashEvidence
 from lacewingcleat.direct_settings import PlatformBounds
 from lacewingcleat.group_tracker import GroupTracker
 from lacewingcleat.load_gossip import LoadGossip
@@ -61,6 +62,7 @@
         "concurrency_limit",
         "config",
         "connection_backoff",
+        "crash_evidence",
         "directory",
         "groups",
         "loads",
@@ -87,6 +89,7 @@
         self.groups = GroupTracker()
         self.loads = ServerLoads()
         self.connection_backoff = ConnectionBackoff()
+        self.crash_evidence = CrashEvidence()
         self.outliers = OutlierEjection()
         self.concurrency_limit = AdaptiveConcurrencyLimit()
         self.peers = peers
--- a/lacewingcleat/entry_server.py
+++ b/lacewingcleat/entry_server.py
@@ -22,7 +22,7 @@
     LimitWait,
 )
 from lacewingcleat.clock import read_now
-from lacewingcleat.crash_suspects import Convicted, RunAlone, fingerprint_request
+from lacewingcleat.crash_suspects import Convicted, RunAlone
 from lacewingcleat.entry_answer import ResponseWriter
 from lacewingcleat.entry_call import EntryCall
 from lacewingcleat.entry_dispatch import Dispatcher
@@ -30,6 +30,7 @@
 from lacewingcleat.http_headers import Outcome
 from lacewingcleat.http_server import BoundedFactory, BoundedRequest
 from lacewingcleat.problems import Problem, not_run_problem
+from lacewingcleat.request_fingerprint import fingerprint_request
 from lacewingcleat.sheet import DEFAULT_PRIORITY, ClientAccount, Service
 from lacewingcleat.tickets import TicketUse, choose_ticket_use
 from lacewingcleat.tracing import end_span
--- a/lacewingcleat/load_gossip.py
+++ b/lacewingcleat/load_gossip.py
@@ -6,11 +6,14 @@
 datagrams, and removed when nothing has been received from them for a while.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
 
 import msgspec
 
+from lacewingcleat.crash_evidence import CrashRecord
+
 # Interval between datagrams, short compared with the few hundred milliseconds that a
 # request takes to its first event.
 SEND_INTERVAL_SECONDS = 0.2
@@ -33,6 +36,10 @@
 READY_TTL_INTERVALS = 5.0
 # Age above which the announced requests of a peer are ignored, in the same intervals.
 COUNTS_TTL_INTERVALS = 7.5
+# Interval between two transfers of crash evidence to a peer whose evidence differs; it
+# doubles while the evidence stays the same, up to the maximum.
+EVIDENCE_INTERVAL_SECONDS = 0.5
+MAX_EVIDENCE_INTERVAL_SECONDS = 32.0
 MAX_SHARED_ADDRESSES = 8
 MAX_DATAGRAM_BYTES = 8_192
 MAX_PEERS = 1_024
@@ -48,6 +55,8 @@
     :param addresses: control addresses of peers from which datagrams were received.
     :param ready: whether the sender accepts requests, and so may lead groups.
     :param zone: availability zone of the sender.
+    :param evidence_digest: hash of all crash evidence of the sender.
+    :param crashes: crash evidence, if the recipient may lack it.
     """
 
     instance: str
@@ -58,6 +67,8 @@
     addresses: list[str]
     ready: bool = False
     zone: str = ""
+    evidence_digest: int = 0
+    crashes: list[CrashRecord] = []
 
 
 @dataclass(slots=True)
@@ -68,6 +79,9 @@
     instance: str = ""
     incarnation: int = 0
     sequence: int = -1
+    evidence_sent_at: float = float("-inf")
+    evidence_interval: float = EVIDENCE_INTERVAL_SECONDS
+    evidence_digest_sent: int = 0
 
 
 class LoadGossip:
@@ -176,7 +190,40 @@
             if peer.ready and now - peer.last_seen_at <= ttl
         ]
 
-    def next_message(self, count_by_server: dict[str, int], ready: bool) -> PeerLoad:
+    def addresses(self) -> list[str]:
+        """Return the control addresses of all peers."""
+        return list(self._peer_by_address)
+
+    def take_evidence_turn(
+        self, address: str, peer_digest: int, own_digest: int, now: float
+    ) -> bool:
+        """Return whether the crash evidence is now to be sent to a peer.
+
+        A peer that lacks evidence is sent all of it; one that has more than this entry
+        answers in the same way. Evidence that two peers will never share, such as
+        crashes that one of them has discarded, is sent at ever longer intervals.
+        """
+        peer = self._peer_by_address.get(address)
+        if peer is None or peer_digest == own_digest:
+            return False
+        if peer.evidence_digest_sent != own_digest:
+            peer.evidence_interval = EVIDENCE_INTERVAL_SECONDS
+        if now - peer.evidence_sent_at < peer.evidence_interval:
+            return False
+        peer.evidence_sent_at = now
+        peer.evidence_digest_sent = own_digest
+        peer.evidence_interval = min(
+            MAX_EVIDENCE_INTERVAL_SECONDS, 2.0 * peer.evidence_interval
+        )
+        return True
+
+    def next_message(
+        self,
+        count_by_server: dict[str, int],
+        ready: bool,
+        evidence_digest: int = 0,
+        crashes: Sequence[CrashRecord] = (),
+    ) -> PeerLoad:
         """Build the next datagram."""
         self._sequence += 1
         responsive = [
@@ -192,6 +239,8 @@
             self._random.sample(responsive, shared_count),
             ready,
             self._zone,
+            evidence_digest,
+            list(crashes),
         )
 
     def announces_to_all(self) -> bool:
--- a/lacewingcleat/request_context.py
+++ b/lacewingcleat/request_context.py
@@ -20,7 +20,7 @@
     outcome: str
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class RequestContext:
     """Track one request from its arrival to its response.
 
@@ -30,10 +30,15 @@
     :param config_age: age in seconds of the configuration at admission.
     :param shared_segments: identifiers of the prompt segments that other requests may
         share.
+    :param fingerprint: hash by which sent copies of the request are recognised.
     :param send_count: number of times the request was written to a server.
     :param lost_attempts: number of retried attempts that the server did not refuse.
     :param may_have_run: whether an attempt has ended with an unknown result.
     :param failed_servers: names of the servers at which an attempt has failed.
+    :param outlived_start: whether the server of the current attempt has outlived the
+        beginning of its answer.
+    :param may_end_servers: whether a server has ended at the beginning of an answer and
+        another one might.
     :param cancelled: whether the caller disconnected during an attempt.
     :param first_event_at: time at which the first event was forwarded.
     :param longest_event_interval: longest time in seconds between two forwarded events.
@@ -48,11 +53,19 @@
     config_version: int
     config_age: float
     shared_segments: tuple[str, ...] = ()
+    fingerprint: str = ""
     send_count: int = 0
     lost_attempts: int = 0
     may_have_run: bool = False
     failed_servers: frozenset[str] = frozenset()
     attempts: list[AttemptRecord] = field(default_factory=list)
+    outlived_start: bool = False
+    may_end_servers: bool = False
     cancelled: bool = False
     first_event_at: float | None = None
     longest_event_interval: float = 0.0
+
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """Return what may be the cause if a server ends under the request."""
+        return (*self.shared_segments, self.fingerprint)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -9,9 +9,9 @@
     RunAlone,
     Unsuspected,
     choose_isolation_server,
-    fingerprint_request,
 )
 from lacewingcleat.messages import SuspectCleared
+from lacewingcleat.request_fingerprint import fingerprint_request
 from tests.builders_safety import make_crash
 
 
