Convict chats by a message under which engines crash

Callers of the own entry saw 502 for ever: eight chats with a common message crashed an engine each, since suspects were known by the hash of the whole request. Entries now hash the shared messages and send the hashes to agents and with crash reports; three crashes without an answer convict a segment. test_requests_that_share_a_message_that_crashes_engines failed before ([502, 502, 502] != [422, 422, 422]) and passes.

--- a/lacewingcleat/agent_node.py
+++ b/lacewingcleat/agent_node.py
@@ -16,7 +16,7 @@
 from lacewingcleat.agent_gate import AgentGate, GateEvent
 from lacewingcleat.claim_hours import claimed_shares
 from lacewingcleat.clock import read_now, read_wall
-from lacewingcleat.crash_suspects import Convicted, RunAlone
+from lacewingcleat.crash_suspects import CRASHES_SERVER_DETAIL, Convicted, RunAlone
 from lacewingcleat.engine_report import (
     EngineLoad,
     decode_engine_incarnation,
@@ -47,6 +47,7 @@
     """Represent a request that is running at the backend server."""
 
     fingerprint: str
+    segments: tuple[str, ...]
     cost_seconds: float
 
 
@@ -88,6 +89,7 @@
         self._next_report_at = 0.0
         self._check_in_progress: defer.Deferred[None] | None = None
         self._fingerprints_at_check: set[str] = set()
+        self._segments_at_check: set[str] = set()
         self._run_alone_at_check = False
         self._admitted_seconds = 0.0
 
@@ -170,12 +172,20 @@
         """Return the IDs of the requests that run at the backend server."""
         return set(self._running_by_id)
 
-    def begin_run(self, request_id: str, fingerprint: str, cost_seconds: float) -> None:
+    def begin_run(
+        self,
+        request_id: str,
+        fingerprint: str,
+        segments: tuple[str, ...],
+        cost_seconds: float,
+    ) -> None:
         """Record that a request starts at the backend server.
 
         :param cost_seconds: estimated cost in seconds.
         """
-        self._running_by_id[request_id] = _RunningRequest(fingerprint, cost_seconds)
+        self._running_by_id[request_id] = _RunningRequest(
+            fingerprint, segments, cost_seconds
+        )
         self._admitted_seconds += cost_seconds
 
     def end_run(self, request_id: str) -> None:
@@ -187,16 +197,18 @@
         """Return whether the backend server responded to the last health check."""
         return self._backend_up
 
-    def check_suspect(self, fingerprint: str, run_alone: bool) -> Problem | None:
+    def check_suspect(
+        self, fingerprint: str, segments: tuple[str, ...], run_alone: bool
+    ) -> Problem | None:
         """Return a refusal if the request is a crash suspect that may not run now.
 
         :param run_alone: whether the entry asked for the request to run exclusively.
         """
         if not fingerprint:
             return None
-        match self.suspects.verdict(fingerprint, read_now()):
+        match self.suspects.verdict(fingerprint, read_now(), segments):
             case Convicted(retry_after):
-                detail = "the request has crashed two backend servers"
+                detail = CRASHES_SERVER_DETAIL
                 return not_run_problem(422, "crashes-server", detail, retry_after)
             case RunAlone() if not run_alone:
                 detail = "the request is suspected of a crash and must run alone"
@@ -210,7 +222,18 @@
             self.suspects.clear(fingerprint, self.crash_report_neighbours(now), now),
         )
 
-    async def check_backend(self, fingerprint: str, run_alone: bool = False) -> None:
+    def record_answer(self, segments: tuple[str, ...]) -> None:
+        """Clear the prompt segments of a request that has completed."""
+        now = read_now()
+        neighbours = self.crash_report_neighbours(now)
+        self.perform(self.suspects.record_answer(segments, neighbours, now))
+
+    async def check_backend(
+        self,
+        fingerprint: str,
+        segments: tuple[str, ...] = (),
+        run_alone: bool = False,
+    ) -> None:
         """Check whether the backend server has crashed and report the crash if so.
 
         Respond to the entry only after this check. The crash report is then sent before
@@ -218,10 +241,12 @@
         share one check.
 
         :param fingerprint: the request whose response failed, empty if none did.
+        :param segments: its prompt segments.
         :param run_alone: whether that request ran exclusively.
         """
         self._fingerprints_at_check |= self._running_fingerprints()
         self._fingerprints_at_check.add(fingerprint)
+        self._segments_at_check |= self._running_segments() | set(segments)
         self._run_alone_at_check |= run_alone
         if self._check_in_progress is None:
             self._check_in_progress = defer.ensureDeferred(self._run_check())
@@ -232,6 +257,9 @@
     def _running_fingerprints(self) -> set[str]:
         return {run.fingerprint for run in self._running_by_id.values()}
 
+    def _running_segments(self) -> set[str]:
+        return {name for run in self._running_by_id.values() for name in run.segments}
+
     async def _run_check(self) -> None:
         # Other requests that failed by the same crash join this check before it runs.
         await task.deferLater(self.reactor, 0, lambda: None)
@@ -241,19 +269,22 @@
             self._fingerprints_at_check - {""},
             set(),
         )
+        segments, self._segments_at_check = self._segments_at_check, set()
         run_alone, self._run_alone_at_check = self._run_alone_at_check, False
-        self._update_incarnation(incarnation, fingerprints, run_alone)
+        self._update_incarnation(incarnation, fingerprints, segments, run_alone)
 
     def _update_incarnation(
         self,
         incarnation: str | None,
         fingerprints: set[str],
+        segments: set[str],
         run_alone: bool,
     ) -> None:
         """Record the backend's incarnation and report a crash if it died or restarted.
 
         :param incarnation: as returned by `_read_incarnation`.
         :param fingerprints: the requests in flight when the check began.
+        :param segments: their prompt segments.
         :param run_alone: whether one of them ran exclusively.
         """
         previous_incarnation = self._backend_incarnation
@@ -264,7 +295,7 @@
             incarnation and previous_incarnation and incarnation != previous_incarnation
         )
         if was_up and (incarnation is None or restarted):
-            self._report_crash(fingerprints, run_alone)
+            self._report_crash(fingerprints, segments, run_alone)
 
     async def _read_incarnation(self) -> str | None:
         """Return the engine's incarnation, "" for a live service or None if down."""
@@ -284,7 +315,9 @@
             return None
         return decode_engine_incarnation(fetched.ok_value[1])
 
-    def _report_crash(self, fingerprints: set[str], run_alone: bool) -> None:
+    def _report_crash(
+        self, fingerprints: set[str], segments: set[str], run_alone: bool
+    ) -> None:
         now = read_now()
         self.metrics.backend_crashes.inc()
         self.log.error(
@@ -301,6 +334,7 @@
             self.settings.server,
             tuple(sorted(fingerprints)),
             run_alone,
+            segments=tuple(self.suspects.unanswered_segments(sorted(segments), now)),
         )
         neighbours = self.crash_report_neighbours(now)
         self.perform(self.suspects.record_report(report, neighbours, now))
@@ -345,7 +379,9 @@
         self._load_malformed = isinstance(decoded, Err)
         self._engine_load = decoded.unwrap_or(EngineLoad())
         in_flight = self._running_fingerprints()
-        self._update_incarnation(self._engine_load.incarnation, in_flight, False)
+        self._update_incarnation(
+            self._engine_load.incarnation, in_flight, self._running_segments(), False
+        )
 
     def _build_report(self, now: float) -> GroupReport | None:
         if self.service is not None:
--- a/lacewingcleat/agent_server.py
+++ b/lacewingcleat/agent_server.py
@@ -54,6 +54,7 @@
     """Represent one request from its arrival to its end.
 
     :param deadline: on the agent's clock.
+    :param segments: hashes of the prompt segments that other requests may share.
     :param cost_seconds: cost estimated by the entry.
     :param ticket_id: empty for a request without a ticket.
     :param admitted: fires with the gate's decision if the request was queued.
@@ -66,6 +67,7 @@
     span: Span
     deadline: float
     fingerprint: str
+    segments: tuple[str, ...]
     cost_seconds: float
     ticket_id: str = ""
     caller_disconnected: bool = False
@@ -186,7 +188,7 @@
                 503, "backend-down", "the backend server is down", 1.0
             )
         run_alone = call.request.header(names.RUN_ALONE) is not None
-        return node.check_suspect(call.fingerprint, run_alone)
+        return node.check_suspect(call.fingerprint, call.segments, run_alone)
 
     def _refuse_unstarted(self, call: _Call, problem: Problem, token: str) -> None:
         """Refuse a request that has not started and block its ticket permanently."""
@@ -224,6 +226,7 @@
             span,
             node.now() + deadline.unwrap_or(names.DEFAULT_DEADLINE_SECONDS),
             request.header(names.FINGERPRINT) or "",
+            names.parse_segments(request.header(names.SEGMENTS)),
             names.parse_seconds(request.header(names.COST_SECONDS)),
         )
 
@@ -262,7 +265,9 @@
                 self.apply_gate_events(node.gate.cancel(call.request_id, node.now()))
                 self._respond_problem(call, ticket_problem(started, token))
                 return
-        node.begin_run(call.request_id, call.fingerprint, call.cost_seconds)
+        node.begin_run(
+            call.request_id, call.fingerprint, call.segments, call.cost_seconds
+        )
         try:
             await self._send_to_backend(call, path, token)
         finally:
@@ -339,10 +344,12 @@
 
     async def _handle_response_end(self, call: _Call, complete: bool) -> None:
         run_alone = call.request.header(names.RUN_ALONE) is not None
+        if complete:
+            self._node.record_answer(call.segments)
         if complete and run_alone:
             self._node.clear_suspect(call.fingerprint)
         if not complete and not call.caller_disconnected:
-            await self._node.check_backend(call.fingerprint, run_alone)
+            await self._node.check_backend(call.fingerprint, call.segments, run_alone)
             # Aborting the chunked body signals to the entry that it is incomplete.
             if call.request.is_open:
                 call.request.channel.forceAbortClient()
@@ -355,7 +362,7 @@
         if call.caller_disconnected:
             return
         run_alone = call.request.header(names.RUN_ALONE) is not None
-        await self._node.check_backend(call.fingerprint, run_alone)
+        await self._node.check_backend(call.fingerprint, call.segments, run_alone)
         detail = f"the connection to the backend server broke: {error_text}"
         self._respond_problem(call, unknown_problem("backend-lost", detail, token))
 
--- a/lacewingcleat/chat_api.py
+++ b/lacewingcleat/chat_api.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from hashlib import blake2b
 from typing import Any
 
 import msgspec
@@ -20,6 +21,7 @@
 BYTES_PER_TOKEN = 4
 DEFAULT_MAX_TOKENS = 512
 MAX_TOKENS_LIMIT = 1_000_000
+MAX_SEGMENTS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +35,7 @@
     :param max_tokens: maximum number of tokens in the response.
     :param prompt_text: text that is hashed for prefix affinity.
     :param session: caller's session name, empty for none.
+    :param segments: hashes of the messages that other requests may share.
     """
 
     model: str
@@ -43,6 +46,7 @@
     stream: bool
     prompt_text: str
     session: str
+    segments: tuple[str, ...] = ()
 
 
 class _RequestBody(msgspec.Struct):
@@ -85,10 +89,21 @@
             bool(parsed.stream),
             text,
             parsed.user or "",
+            _hash_shared_messages(parsed) if path == CHAT_PATH else (),
         ),
     )
 
 
+def _hash_shared_messages(body: _RequestBody) -> tuple[str, ...]:
+    """Return hashes of all messages but the last, which belongs to the request."""
+    shared = (body.messages or [])[:-1][:MAX_SEGMENTS]
+    hashes = [
+        blake2b(_message_text(message).encode(), digest_size=8).hexdigest()
+        for message in shared
+    ]
+    return tuple(dict.fromkeys(hashes))
+
+
 def _prompt_text(path: str, body: _RequestBody) -> str | None:
     if path == CHAT_PATH:
         if not body.messages:
--- a/lacewingcleat/crash_evidence.py
+++ b/lacewingcleat/crash_evidence.py
@@ -97,11 +97,15 @@
         self, crash_id: str, suspects: Collection[str], now: float
     ) -> bool:
         """Record the end of a server and return whether this adds to the evidence."""
-        sound_after = now - SOUND_BEFORE_CRASH_SECONDS
-        sound = [name for name in suspects if self._is_sound_after(name, sound_after)]
-        suspected = [name for name in suspects if name not in sound]
+        suspected = self.unanswered(suspects, now)
+        sound = [name for name in suspects if name not in suspected]
         return self.merge([CrashRecord(crash_id, 0.0, suspected, sound)], now)
 
+    def unanswered(self, names: Iterable[str], now: float) -> list[str]:
+        """Return what no recent answer clears of a crash at the present time."""
+        sound_after = now - SOUND_BEFORE_CRASH_SECONDS
+        return [name for name in names if not self._is_sound_after(name, sound_after)]
+
     def record_sound(self, names: Iterable[str], now: float) -> dict[str, list[str]]:
         """Record that a server has outlived the beginning of an answer.
 
--- a/lacewingcleat/crash_suspects.py
+++ b/lacewingcleat/crash_suspects.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from lacewingcleat.actions import Action, Send
+from lacewingcleat.crash_evidence import CrashEvidence, CrashRecord
 from lacewingcleat.messages import CrashReport, SuspectCleared
 from lacewingcleat.rendezvous import rank_by_rendezvous
 
@@ -29,6 +30,7 @@
 REPORT_REPEATS = 2
 REPORT_REPEAT_SECONDS = 1.0
 CRASHES_SERVER = "crashes-server"
+CRASHES_SERVER_DETAIL = "backend servers have crashed under such requests"
 RUN_ALONE = "run-alone"
 
 
@@ -103,6 +105,7 @@
     __slots__ = (
         "_cleared_at_by_pair",
         "_crash_by_id",
+        "_evidence",
         "_repeats",
         "_suspect_by_fingerprint",
     )
@@ -112,6 +115,7 @@
         self._crash_by_id: OrderedDict[str, _Crash] = OrderedDict()
         self._cleared_at_by_pair: OrderedDict[tuple[str, str], float] = OrderedDict()
         self._repeats: list[_Repeat] = []
+        self._evidence = CrashEvidence()
 
     def __len__(self) -> int:
         """Return the number of suspects and convicted requests."""
@@ -124,9 +128,16 @@
             suspect.convicted for suspect in self._suspect_by_fingerprint.values()
         )
 
-    def verdict(self, fingerprint: str, now: float) -> Verdict:
-        """Return how a request may run; entries and agents check before each start."""
+    def verdict(
+        self, fingerprint: str, now: float, segments: Collection[str] = ()
+    ) -> Verdict:
+        """Return how a request may run; entries and agents check before each start.
+
+        :param segments: prompt segments that the request shares with others.
+        """
         self._evict_expired(now)
+        if self._evidence.find_refused(segments):
+            return Convicted(RETENTION_SECONDS)
         suspect = self._suspect_by_fingerprint.get(fingerprint)
         if suspect is None or suspect.last_crash_at + RETENTION_SECONDS <= now:
             return Unsuspected()
@@ -164,8 +175,24 @@
             self._crash_by_id.popitem(last=False)
         for fingerprint in fingerprints:
             self._apply_crash(fingerprint, crash)
+        record = CrashRecord(report.crash_id, report.age, list(report.segments))
+        self._evidence.merge([record], now)
         return self._flood(crash, neighbours, now, sender)
 
+    def unanswered_segments(self, segments: Iterable[str], now: float) -> list[str]:
+        """Return the segments that no recent answer of this process clears."""
+        return self._evidence.unanswered(segments, now)
+
+    def record_answer(
+        self, segments: Collection[str], neighbours: Collection[str], now: float
+    ) -> list[Action]:
+        """Clear the segments of a request that this agent's server has answered."""
+        actions: list[Action] = []
+        for segment, crash_ids in self._evidence.record_sound(segments, now).items():
+            cleared = SuspectCleared(segment, tuple(crash_ids))
+            actions += self.record_clearance(cleared, neighbours, now)
+        return actions
+
     def clear(
         self,
         fingerprint: str,
@@ -196,6 +223,7 @@
         new_pairs = [pair for pair in pairs if pair not in self._cleared_at_by_pair]
         if not new_pairs:
             return []
+        self._evidence.record_clearance(cleared.fingerprint, cleared.crash_ids, now)
         for pair in new_pairs:
             self._cleared_at_by_pair[pair] = now
             if len(self._cleared_at_by_pair) > MAX_CLEARED:
@@ -289,6 +317,7 @@
 
     def _evict_expired(self, now: float) -> None:
         expiry = now - RETENTION_SECONDS
+        self._evidence.expire(now)
         # Crashes are retained for longer than suspects, so that a late copy of a
         # report does not count as a new crash.
         crashes = self._crash_by_id
--- a/lacewingcleat/entry_attempts.py
+++ b/lacewingcleat/entry_attempts.py
@@ -12,7 +12,12 @@
 
 from lacewingcleat import http_headers as names
 from lacewingcleat.clock import read_now
-from lacewingcleat.crash_suspects import CRASHES_SERVER, Convicted, RunAlone
+from lacewingcleat.crash_suspects import (
+    CRASHES_SERVER,
+    CRASHES_SERVER_DETAIL,
+    Convicted,
+    RunAlone,
+)
 from lacewingcleat.entry_call import EntryCall
 from lacewingcleat.entry_context import (
     AttemptContext,
@@ -153,9 +158,9 @@
         call = context.call
         self._report_lost_agent(call, attempt)
         await task.deferLater(node.reactor, CRASH_REPORT_WAIT_SECONDS, lambda: None)
-        match node.suspects.verdict(call.fingerprint, read_now()):
+        match node.suspects.verdict(call.fingerprint, read_now(), call.segments):
             case Convicted():
-                detail = "the request has crashed two backend servers"
+                detail = CRASHES_SERVER_DETAIL
                 context.writer.send_problem(ran_problem(422, CRASHES_SERVER, detail))
                 return False
             case RunAlone():
@@ -174,6 +179,7 @@
             attempt.target,
             (call.fingerprint,),
             alone=True,
+            segments=call.segments,
         )
         now = read_now()
         neighbours = node.crash_report_neighbours(now)
--- a/lacewingcleat/entry_call.py
+++ b/lacewingcleat/entry_call.py
@@ -25,6 +25,7 @@
 
     :param deadline: time by which the response must be complete.
     :param fingerprint: hash by which resent copies of the request are recognised.
+    :param segments: hashes of the prompt segments that other requests may share.
     :param run_alone: whether the request may run only on an otherwise idle server.
     :param pending_response: awaited response head, so that it can be cancelled.
     :param timed_out: whether this entry aborted the attempt after a timeout.
@@ -40,6 +41,7 @@
     priority: int
     span: Span
     fingerprint: str = ""
+    segments: tuple[str, ...] = ()
     run_alone: bool = False
     limit_permit: LimitPermit | None = None
     pending_response: "defer.Deferred[Any] | None" = None
--- a/lacewingcleat/entry_context.py
+++ b/lacewingcleat/entry_context.py
@@ -88,6 +88,7 @@
         names.PRIORITY: str(call.priority),
         names.DEADLINE_MS: str(remaining_ms),
         names.FINGERPRINT: call.fingerprint,
+        names.SEGMENTS: ",".join(call.segments),
         names.COST_SECONDS: f"{cost_seconds:.3f}",
         names.RUN_ALONE: "1" if call.run_alone else "",
         names.TICKET: context.ticket,
--- a/lacewingcleat/entry_server.py
+++ b/lacewingcleat/entry_server.py
@@ -22,7 +22,7 @@
     LimitWait,
 )
 from lacewingcleat.clock import read_now
-from lacewingcleat.crash_suspects import Convicted, RunAlone
+from lacewingcleat.crash_suspects import CRASHES_SERVER_DETAIL, Convicted, RunAlone
 from lacewingcleat.entry_answer import ResponseWriter
 from lacewingcleat.entry_call import EntryCall
 from lacewingcleat.entry_dispatch import Dispatcher
@@ -195,6 +195,7 @@
             detail = f"the sheet has no model {model.model[:80]!r}"
             self._refuse_call(call, not_run_problem(404, "model_not_found", detail))
             return
+        call.segments = model.segments
         if not self._check_crash_suspect(call, model.model, body):
             return
         if await self._admit(call, model.prompt_tokens + model.max_tokens):
@@ -267,9 +268,9 @@
     def _check_crash_suspect(self, call: EntryCall, target: str, body: bytes) -> bool:
         """Return whether the request may be sent; a suspect is marked to run alone."""
         call.fingerprint = fingerprint_request(call.account.name, target, body)
-        match self._node.suspects.verdict(call.fingerprint, read_now()):
+        match self._node.suspects.verdict(call.fingerprint, read_now(), call.segments):
             case Convicted(retry_after):
-                detail = "the request has crashed two backend servers"
+                detail = CRASHES_SERVER_DETAIL
                 self._refuse_call(
                     call, not_run_problem(422, "crashes-server", detail, retry_after)
                 )
--- a/lacewingcleat/http_headers.py
+++ b/lacewingcleat/http_headers.py
@@ -30,6 +30,8 @@
 RUN_ALONE = "Lacewing-Run-Alone"
 RESUME_OFFSET = "Lacewing-Resume-Offset"
 FINGERPRINT = "Lacewing-Fingerprint"
+# Hashes of the prompt segments that other requests may share, separated by commas.
+SEGMENTS = "Lacewing-Segments"
 COST_SECONDS = "Lacewing-Cost-Seconds"
 OUTCOME = "Lacewing-Outcome"
 OUTCOME_CODE = "Lacewing-Outcome-Code"
@@ -39,6 +41,7 @@
 MAX_IDEMPOTENCY_KEY_LENGTH = 255
 
 _TRACEPARENT_PATTERN = re.compile(r"00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
+_SEGMENTS_PATTERN = re.compile(r"[0-9a-f]{16}(,[0-9a-f]{16}){0,15}")
 _DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _PRINTABLE_PATTERN = re.compile(r"[\x21-\x7e]+")
 
@@ -124,3 +127,10 @@
     if value is None or not _TRACEPARENT_PATTERN.fullmatch(value):
         return ""
     return value
+
+
+def parse_segments(value: str | None) -> tuple[str, ...]:
+    """Return the hashes of the shared prompt segments, none if malformed."""
+    if value is None or not _SEGMENTS_PATTERN.fullmatch(value):
+        return ()
+    return tuple(dict.fromkeys(value.split(",")))
--- a/lacewingcleat/messages.py
+++ b/lacewingcleat/messages.py
@@ -210,6 +210,8 @@
     :param fingerprints: fingerprints of the requests in flight.
     :param alone: whether the request ran exclusively because it was a suspect.
     :param age: seconds since the crash, for forwarded reports.
+    :param segments: hashes of the prompt segments that these requests share with
+        others; those answered shortly before are left out.
     """
 
     crash_id: str
@@ -217,11 +219,13 @@
     fingerprints: tuple[str, ...]
     alone: bool
     age: Number = 0.0
+    segments: tuple[str, ...] = ()
 
 
 class SuspectCleared(Body, frozen=True):
     """Announce that a crash suspect ran exclusively and completed without a crash.
 
+    :param fingerprint: fingerprint of a request, or hash of a prompt segment.
     :param crash_ids: crashes of which the suspect is cleared. Later crashes, and those
         unknown to the sender, still count.
     """
--- a/tests/builders_safety.py
+++ b/tests/builders_safety.py
@@ -50,6 +50,7 @@
     *fingerprints: str,
     alone: bool = False,
     age: float = 0.0,
+    segments: tuple[str, ...] = (),
 ) -> CrashReport:
     """Build the report of a crash of server-1."""
-    return CrashReport(crash_id, "server-1", fingerprints, alone, age)
+    return CrashReport(crash_id, "server-1", fingerprints, alone, age, segments)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -110,6 +110,35 @@
         self.assertEqual(RunAlone(), new_process.verdict("f", 4.0))
         self.assertEqual(Unsuspected(), new_process.verdict("g", 4.0))
 
+    def _crash_with_segments(self, number: int, *segments: str) -> None:
+        report = make_crash(f"c{number}", f"f{number}", segments=segments)
+        self.suspects.record_report(report, [], float(number))
+
+    def test_similar_requests_are_convicted_by_their_segment(self) -> None:
+        """Guards against requests that differ in the end and crash server by server."""
+        for number in range(3):
+            verdict = self.suspects.verdict(f"f{number}", float(number), ("a", "bad"))
+            self.assertEqual(Unsuspected(), verdict)
+            self._crash_with_segments(number, "bad")
+        self.assertIsInstance(
+            self.suspects.verdict("new", 3.0, ("a", "bad")), Convicted
+        )
+        self.assertEqual(Unsuspected(), self.suspects.verdict("new", 3.0, ("a",)))
+
+    def test_answer_clears_segments_at_all_processes(self) -> None:
+        """Guards against refusing what was in flight beside the cause."""
+        other = CrashSuspects()
+        for number in range(3):
+            self._crash_with_segments(number, "a")
+            report = make_crash(f"c{number}", f"f{number}", segments=("a",))
+            other.record_report(report, [], float(number))
+        actions = self.suspects.record_answer(("a",), ["b"], 3.0)
+        for action in actions:
+            if isinstance(action, Send) and isinstance(action.message, SuspectCleared):
+                other.record_clearance(action.message, [], 3.0)
+        for suspects in (self.suspects, other):
+            self.assertEqual(Unsuspected(), suspects.verdict("new", 3.0, ("a",)))
+
     def test_table_is_bounded_and_keeps_the_convicted(self) -> None:
         """Guards against memory that grows with the number of crashes."""
         self.suspects.record_report(make_crash("c", "bad", alone=True), [], 0.0)
--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -16,6 +16,8 @@
 NOT_RUN = "https://lacewingcleat.invalid/problems/not-run"
 UNKNOWN = "https://lacewingcleat.invalid/problems/unknown"
 DEADLINE_SECONDS = 15.0
+# Crashes after which all entries and agents have to refuse what causes them.
+KNOWN_AFTER_CRASHES = 5
 
 
 def _chat_body(prompt: str, count: int, stream: bool = False) -> dict[str, object]:
@@ -27,6 +29,15 @@
     }
 
 
+def _ruled_chat_body(rule: str, prompt: str) -> dict[str, object]:
+    """Return a chat whose first message is shared by many requests."""
+    messages = [
+        {"role": "system", "content": rule},
+        {"role": "user", "content": prompt},
+    ]
+    return {**_chat_body(prompt, 3), "messages": messages}
+
+
 def _parse_tokens(content: bytes) -> list[str]:
     tokens = []
     for event in content.split(b"\n\n"):
@@ -234,18 +245,40 @@
         for entry in ("entry-1", "entry-2", "entry-3", "entry-1"):
             status, _, _ = self.fleet.send(entry, "POST", CHAT, body)
             statuses.append(status)
-            for name in ("draft-1", "draft-2"):
-                code = self.fleet.process_by_name[f"backend-{name}"].poll()
-                if code is not None:
-                    log = self.fleet.log(f"backend-{name}")
-                    self.assertEqual(CRASH_EXIT_CODE, code, log[-500:])
-                    crashes += 1
-                    self.fleet.start_backend(name)
+            crashes += self._restart_crashed_engines()
             time.sleep(2.0)
         self.assertEqual(422, statuses[-1])
         logs = "\n".join(self.fleet.log(name) for name in ("draft-1", "draft-2"))
         self.assertLessEqual(crashes, 2, f"{statuses}\n{logs}")
 
+    def _restart_crashed_engines(self) -> int:
+        """Start the engines again that have crashed and return their number."""
+        crashes = 0
+        for name in ("draft-1", "draft-2"):
+            code = self.fleet.process_by_name[f"backend-{name}"].poll()
+            if code is not None:
+                log = self.fleet.log(f"backend-{name}")
+                self.assertEqual(CRASH_EXIT_CODE, code, log[-500:])
+                crashes += 1
+                self.fleet.start_backend(name)
+        return crashes
+
+    def test_requests_that_share_a_message_that_crashes_engines(self) -> None:
+        """Guards against similar requests that crash one engine after the other."""
+        crashes = 0
+        statuses = []
+        for number in range(8):
+            entry = f"entry-{number % 3 + 1}"
+            body = _ruled_chat_body(f"rule {CRASH_MARKER}", f"question {number}")
+            status, _, _ = self.fleet.send(entry, "POST", CHAT, body)
+            statuses.append(status)
+            crashes += self._restart_crashed_engines()
+            time.sleep(1.0)
+        self.assertEqual([422] * 3, statuses[-3:])
+        self.assertLessEqual(crashes, KNOWN_AFTER_CRASHES, statuses)
+        body = _ruled_chat_body("another rule", "question")
+        self.assertEqual(200, self.fleet.send("entry-1", "POST", CHAT, body)[0])
+
 
 class OrderFailureTest(TestCase):
     """Resend orders after a failure; the service counts the executions."""
