Count an empty stream that ends with its connection as broken off

Callers got an empty 200: a server that ended after the head of a stream without length or chunks looked like one that had answered. Copies of one order are refused after their crashes, as the new test shows.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -398,6 +398,8 @@
                     if events.has_partial_event:
                         connection.abort()
                         return _broken_result(record, "stream ended inside an event")
+                    if started_at is None and head.ends_with_connection:
+                        return _broken_result(record, "stream ended before an event")
                     break
                 case _:
                     return _no_response_result(record, connection, event)
--- a/lacewingcleat/server_connection.py
+++ b/lacewingcleat/server_connection.py
@@ -51,6 +51,12 @@
         """Return the value of a header; names are in lower case."""
         return next((value for key, value in self.headers if key == name), None)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether the body has no length and is not sent in chunks."""
+        framing = (b"content-length", b"transfer-encoding")
+        return all(self.header(name) is None for name in framing)
+
 
 @dataclass(frozen=True, slots=True)
 class BodyChunk:
--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+from collections.abc import Callable
 from contextlib import suppress
 
 from tests.entry_process import EntryProcess, make_config_item
@@ -26,10 +27,16 @@
     """Register servers and replace each one that ends.
 
     :param count: number of servers that run at a time.
+    :param write_start: writes what a server sends before it ends.
     :ivar reached: names of the servers that got a request with the segment.
     """
 
-    def __init__(self, count: int) -> None:
+    def __init__(
+        self,
+        count: int,
+        write_start: Callable[[ReceivedRequest], bytes] = encode_stream_head,
+    ) -> None:
+        self._write_start = write_start
         self.store = FakeStore()
         self.store.put("op/config", make_config_item())
         self.reached: list[str] = []
@@ -48,12 +55,13 @@
 
     def _serve(self, request: ReceivedRequest, stream: socket.socket) -> bool:
         name = request.headers["x-expect-instance"]
-        stream.sendall(encode_stream_head(request))
         segments = request.headers.get("x-prompt-prefix", "").split(",")
         if any(part.startswith(f"{CRASHING_SEGMENT}:") for part in segments):
             self.reached.append(name)
+            stream.sendall(self._write_start(request))
             self._replace(name)
             return False
+        stream.sendall(encode_stream_head(request))
         for number in range(1, 4):
             stream.sendall(encode_chunk(b"id: %d\ndata: x\n\n" % number))
         stream.sendall(b"0\r\n\r\n")
@@ -75,19 +83,28 @@
 
 
 class PromptCaller:
-    """Send streams whose prompts share segments and differ in the last one."""
+    """Send requests whose prompts share segments and differ in the last one."""
 
     def __init__(self) -> None:
         self._number = 0
 
-    def call(self, entry: EntryProcess, *segments: str) -> int:
-        """Send a stream and return its status."""
+    def call(
+        self,
+        entry: EntryProcess,
+        *segments: str,
+        path: str = "/stream/x",
+        body: bytes | None = None,
+    ) -> int:
+        """Send a request and return its status.
+
+        :param body: body of the request, by default another one each time.
+        """
         self._number += 1
         parts = [f"{segment}:40" for segment in (*segments, f"e{self._number:x}")]
         response, _ = entry.call(
-            "/stream/x",
+            path,
             "POST",
-            b"%d" % self._number,
+            b"%d" % self._number if body is None else body,
             request_id=f"p{self._number}",
             X_Prompt_Prefix=",".join(parts),
         )
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -261,6 +261,12 @@
     ).encode()
 
 
+def encode_unframed_stream_head(request: ReceivedRequest) -> bytes:
+    """Encode the head of a stream that ends with its connection."""
+    framing = b"Transfer-Encoding: chunked\r\n"
+    return encode_stream_head(request).replace(framing, b"")
+
+
 def encode_chunk(data: bytes) -> bytes:
     """Encode a chunk of a body with chunked encoding."""
     return b"%x\r\n%s\r\n" % (len(data), data)
--- a/tests/test_crashing_segments.py
+++ b/tests/test_crashing_segments.py
@@ -1,6 +1,7 @@
 """Requests that share a segment of their prompt under which servers end."""
 
 import time
+from collections.abc import Callable
 
 from testtools import TestCase
 
@@ -13,6 +14,7 @@
     PromptCaller,
 )
 from tests.entry_process import EntryProcess, add_entry, run_entries
+from tests.platform_fakes import ReceivedRequest, encode_unframed_stream_head
 
 SHARED_SEGMENT = "aa01"
 
@@ -71,3 +73,47 @@
             time.sleep(STABILITY_SECONDS)
             late = self._count_late_requests(entries[2:])
             self.assertLessEqual(late, ALLOWED_LATE_REQUESTS)
+
+    def test_order_that_ends_servers_is_refused_by_all_entries(self) -> None:
+        """Guards against copies of one request that end a server each."""
+        with run_entries(self.servers.store, 3) as entries:
+            statuses = [
+                self.caller.call(
+                    entries[number % 3],
+                    f"c{number}",
+                    CRASHING_SEGMENT,
+                    path="/order/x",
+                    body=b"same",
+                )
+                for number in range(9)
+            ]
+            self.assertEqual([503] * 3, statuses[-3:])
+            self.assertLessEqual(len(self.servers.reached), KNOWN_AFTER_CRASHES)
+
+
+class UnframedAnswerTest(TestCase):
+    def _count_reached(self, write_start: Callable[[ReceivedRequest], bytes]) -> int:
+        servers = CrashingServers(4, write_start)
+        self.addCleanup(servers.close)
+        caller = PromptCaller()
+        with run_entries(servers.store, 1) as entries:
+            statuses = [
+                caller.call(entries[0], SHARED_SEGMENT, CRASHING_SEGMENT)
+                for _ in range(10)
+            ]
+        self.assertNotIn(200, statuses)
+        return len(servers.reached)
+
+    def test_end_after_the_head_of_an_unframed_stream_is_no_answer(self) -> None:
+        """Guards against an empty success in place of an answer that broke off."""
+        reached = self._count_reached(encode_unframed_stream_head)
+        self.assertLessEqual(reached, KNOWN_AFTER_CRASHES)
+
+    def test_end_inside_the_first_event_of_an_unframed_stream_is_no_answer(
+        self,
+    ) -> None:
+        """Guards against passing on half an event as a complete stream."""
+        reached = self._count_reached(
+            lambda request: encode_unframed_stream_head(request) + b"id: 1\ndat"
+        )
+        self.assertLessEqual(reached, KNOWN_AFTER_CRASHES)
