Write down the timeline of servers over their limit, and log the limits

The logs did not show which limits an entry knows; entries now decode Server-Limit and log each change. No decision is changed.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -241,6 +241,7 @@
         head = await self._next_event(context, record, connection, timeout_at)
         if not isinstance(head, ResponseHead):
             return _no_response_result(record, connection, head)
+        self._record_limit(record, head)
         self._record_load(record, head)
         return await self._read_body(context, record, connection, head, timeout_at)
 
@@ -318,6 +319,12 @@
             group = self._state.groups.find_group_name(record.name)
             self._log.belief("group refuses", now, group=group, server=record.name)
 
+    def _record_limit(self, record: ServerRecord, head: ResponseHead) -> None:
+        limit = names.parse_server_limit(head.header(names.SERVER_LIMIT))
+        if self._state.rate_limits.record_answer(record.name, limit):
+            now = read_now()
+            self._log.belief("server limit", now, server=record.name, limit=limit)
+
     def _record_load(self, record: ServerRecord, head: ResponseHead) -> None:
         load = names.parse_server_load(head.header(names.SERVER_LOAD))
         if load is not None:
@@ -351,6 +358,7 @@
         head = await self._next_event(context, record, connection, timeout_at)
         if not isinstance(head, ResponseHead):
             return _no_response_result(record, connection, head)
+        self._record_limit(record, head)
         if head.status != 200 or head.header(names.NOT_RUN) is not None:
             return await self._read_body(
                 context, record, connection, head, context.deadline
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -23,6 +23,7 @@
     choose_server,
 )
 from lacewingcleat.server_directory import ServerDirectory
+from lacewingcleat.server_rate_limits import ServerRateLimits
 from lacewingcleat.server_record import ServerRecord
 
 # Minimum number of entries among which the fleet's extra retries are divided, because
@@ -70,6 +71,7 @@
         "outliers",
         "peers",
         "random",
+        "rate_limits",
     )
 
     def __init__(
@@ -94,6 +96,7 @@
         self.concurrency_limit = AdaptiveConcurrencyLimit()
         self.peers = peers
         self.random = random
+        self.rate_limits = ServerRateLimits()
 
     def has_ready_peer(self, now: float) -> bool:
         """Return whether a peer has reported that it is ready for requests."""
@@ -291,4 +294,5 @@
         self.loads.retain(names)
         self.groups.retain(names)
         self.connection_backoff.retain(names)
+        self.rate_limits.retain(names)
         return events
--- a/lacewingcleat/platform/request_headers.py
+++ b/lacewingcleat/platform/request_headers.py
@@ -21,6 +21,9 @@
 NOT_RUN = b"x-not-executed"
 # Numbers of running requests, waiting requests and slots, separated by commas.
 SERVER_LOAD = b"x-server-load"
+# Requests per second that a server in need takes from all entries together, named in
+# each of its answers for as long as the limit holds.
+SERVER_LIMIT = b"server-limit"
 # Name of the faulty server if a server refuses because of another rank of its group.
 FAULTY_SERVER = b"at-server"
 RETRY_AFTER = b"retry-after"
@@ -35,6 +38,7 @@
     | {REQUEST_PRIORITY},
 )
 _DIGITS = re.compile(rb"[0-9]{1,9}")
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,3 +78,10 @@
         for identifier in dict.fromkeys(identifiers[:MAX_SHARED_SEGMENTS])
         if 0 < len(identifier) <= MAX_SEGMENT_ID_BYTES
     )
+
+
+def parse_server_limit(value: bytes | None) -> float | None:
+    """Return the requests per second that a server takes, none if not limited."""
+    if value is None or not _DECIMAL.fullmatch(value.strip()):
+        return None
+    return float(value)
