--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -15,7 +15,7 @@
     CrashRecord,
     split_into_messages,
 )
-from tests.crash_simulation import SimulatedFleet
+from tests.crash_simulation import CrashFleet
 
 NAMES = st.lists(st.sampled_from("abcd"), max_size=3)
 RECORDS = st.lists(
@@ -124,26 +124,12 @@
 
 
 class FleetEvidenceTest(TestCase):
-    def _play(self, count: int, seed: int) -> SimulatedFleet:
-        fleet = SimulatedFleet(count, seed)
-        fleet.advance(4.0, 0.0)
-        fleet.advance(6.0, 4.0)
-        fleet.cut_zone("b", True)
-        fleet.advance(5.0, 4.0)
-        fleet.cut_zone("b", False)
-        for number in range(count // 2):
-            fleet.start_entry(f"e{number:03d}:1")
-            fleet.advance(0.5, 4.0)
-        for number in range(count, count + 3):
-            fleet.start_entry(f"e{number:03d}:1")
-        fleet.advance(8.0, 4.0)
-        return fleet
-
     def test_fleets_refuse_a_segment_over_restarts_cuts_and_joins(self) -> None:
         """Guards against entries that send what has ended five servers."""
         for count in (8, 35, 98):
             for seed in (1, 2, 3):
-                fleet = self._play(count, seed)
+                fleet = CrashFleet(count, seed)
+                fleet.play_disturbed_day(requests_per_second=4.0)
                 self.assertLessEqual(
                     fleet.late_requests, ALLOWED_LATE_REQUESTS, (count, seed)
                 )
