Share the limit that a server names among a few entries

Class: a bound over all machines that each machine could only exceed together.

A few entries, chosen alike by all, share the limit; its news and its end are announced at once and repeated.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -78,6 +78,8 @@
 
     :param on_begin: called when a server has been chosen for an attempt.
     :param on_crash: called with the identifier of a crash that has been recorded.
+    :param on_limit: called with the incarnation of a server that has named another
+        limit.
     """
 
     def __init__(
@@ -87,9 +89,11 @@
         log: DecisionLog,
         on_begin: Callable[[], None],
         on_crash: Callable[[str], None],
+        on_limit: Callable[[str], None],
     ) -> None:
         self._on_begin = on_begin
         self._on_crash = on_crash
+        self._on_limit = on_limit
         self._connection_by_request: dict[RequestContext, ServerConnection] = {}
         self._log = log
         self._state = state
@@ -144,7 +148,7 @@
             context.may_end_servers = not evidence.may_send_again(
                 context.shared_segments, now
             )
-            crash_id = f"{record.name}:{record.started_ms}"
+            crash_id = record.incarnation
             if evidence.record_crash(crash_id, context.suspects, now):
                 self._on_crash(crash_id)
         self._log.request(
@@ -214,6 +218,7 @@
             return _unsent_result(record, "crash suspect")
         request.on_disconnect = lambda: _cancel_attempt(context, connection)
         context.send_count += 1
+        context.sent_at = now
         context.outlived_start = False
         headers = make_request_headers(context, request, record, events, now)
         connection.send(request.method, request.target, headers, request.body)
@@ -241,7 +246,6 @@
         head = await self._next_event(context, record, connection, timeout_at)
         if not isinstance(head, ResponseHead):
             return _no_response_result(record, connection, head)
-        self._record_limit(record, head)
         self._record_load(record, head)
         return await self._read_body(context, record, connection, head, timeout_at)
 
@@ -278,6 +282,7 @@
         if fault:
             connection.abort()
             return _broken_result(record, fault)
+        self._record_limit(record, head, context.sent_at)
         body = bytearray()
         try:
             while True:
@@ -319,11 +324,17 @@
             group = self._state.groups.find_group_name(record.name)
             self._log.belief("group refuses", now, group=group, server=record.name)
 
-    def _record_limit(self, record: ServerRecord, head: ResponseHead) -> None:
+    def _record_limit(
+        self, record: ServerRecord, head: ResponseHead, sent_at: float
+    ) -> None:
         limit = names.parse_server_limit(head.header(names.SERVER_LIMIT))
-        if self._state.rate_limits.record_answer(record.name, limit):
-            now = read_now()
-            self._log.belief("server limit", now, server=record.name, limit=limit)
+        is_signed = head.header(names.RESPONSE_SIGNATURE) is not None
+        if head.status == names.STATUS_MISDIRECTED or (limit is None and not is_signed):
+            return
+        now = read_now()
+        server = record.incarnation
+        if self._state.rate_limits.record_answer(server, limit, sent_at, now):
+            self._on_limit(server)
 
     def _record_load(self, record: ServerRecord, head: ResponseHead) -> None:
         load = names.parse_server_load(head.header(names.SERVER_LOAD))
@@ -358,7 +369,6 @@
         head = await self._next_event(context, record, connection, timeout_at)
         if not isinstance(head, ResponseHead):
             return _no_response_result(record, connection, head)
-        self._record_limit(record, head)
         if head.status != 200 or head.header(names.NOT_RUN) is not None:
             return await self._read_body(
                 context, record, connection, head, context.deadline
@@ -367,6 +377,7 @@
         if fault:
             connection.abort()
             return _broken_result(record, fault)
+        self._record_limit(record, head, context.sent_at)
         self._record_load(record, head)
         self._state.groups.record_response_start(record.name)
         events.begin_attempt()
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -188,6 +188,7 @@
             )
             match choice:
                 case ChosenServer(record, load):
+                    self._state.rate_limits.take(record.incarnation, now)
                     result = await self._attempt(context, request, record, load, events)
                 case ServersFull():
                     return self._respond_unsent(
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -45,6 +45,7 @@
 from lacewingcleat.report_poller import ReportPoller
 from lacewingcleat.request_access import max_key_admission_age
 from lacewingcleat.server_connection import ServerConnectionPool
+from lacewingcleat.server_rate_limits import NamedLimit
 from lacewingcleat.server_record import ServerRecord
 from lacewingcleat.store_reader import StoreReader
 from lacewingcleat.store_view import ViewChange
@@ -106,7 +107,12 @@
         )
         self._peer_socket = LoadSocket(self._record_peer_load)
         self._runner = AttemptRunner(
-            self._state, self._pool, log, self._announce_request, self._announce_crash
+            self._state,
+            self._pool,
+            log,
+            self._announce_request,
+            self._announce_crash,
+            self._announce_limit,
         )
         self._dispatcher = DirectDispatcher(
             settings,
@@ -187,6 +193,8 @@
             evidence = self._state.crash_evidence
             self._metrics.crashes.set(len(evidence))
             self._metrics.refused_suspects.set(evidence.refused_count)
+            limited_count = self._state.rate_limits.limited_count
+            self._metrics.limited_servers.set(limited_count)
             self._metrics.reports.set(self._report_poller.poll_count)
             self._metrics.server_connections.set(self._pool.connect_count)
             malformed, unsent = (
@@ -292,24 +300,45 @@
         self._send_counts(self._peers.announcement_recipients())
 
     def _send_counts(self, recipients: list[str]) -> None:
-        self._send_crashes((), recipients)
+        limits = self._state.rate_limits.next_message(read_now())
+        self._send_datagram(recipients, limits=limits)
 
-    def _send_crashes(
-        self, crashes: Sequence[CrashRecord], recipients: list[str]
+    def _send_datagram(
+        self,
+        recipients: list[str],
+        crashes: Sequence[CrashRecord] = (),
+        limits: Sequence[NamedLimit] = (),
     ) -> None:
-        """Send a datagram with the counts and some crash evidence."""
+        """Send the counts, with some crash evidence and limits of servers."""
         counts = self._state.loads.in_flight_by_name()
         digest = self._state.crash_evidence.digest
         is_ready = self._is_ready(read_now())
-        message = self._peers.next_message(counts, is_ready, digest, crashes)
+        message = self._peers.next_message(counts, is_ready, digest, crashes, limits)
         self._peer_socket.send(message, recipients)
 
+    def _announce_limit(self, server: str) -> None:
+        """Announce another limit of a server to all peers at once."""
+        now = read_now()
+        named = self._state.rate_limits.named(server, now)
+        self._log_server_limit(named, self._settings.instance, now)
+        self._send_datagram(self._peers.addresses(), limits=[named])
+
+    def _log_server_limit(self, named: NamedLimit, source: str, now: float) -> None:
+        self._log.belief(
+            "server limit",
+            now,
+            server=named.server,
+            limit=named.per_second,
+            source=source,
+            age=named.age,
+        )
+
     def _announce_crash(self, crash_id: str) -> None:
         """Announce a crash to all peers at once."""
         now = read_now()
         self._apply_evidence(self._settings.instance, now)
         message = self._evidence_exchange.announce(crash_id, now)
-        self._send_crashes(message.crashes, message.recipients)
+        self._send_datagram(message.recipients, message.crashes)
 
     def _record_peer_load(self, load: PeerLoad) -> None:
         now = read_now()
@@ -317,10 +346,12 @@
             self._state.loads.record_peer_counts(
                 load.instance, load.count_by_server, now
             )
+        for named in self._state.rate_limits.merge(load.limits, now):
+            self._log_server_limit(named, load.instance, now)
         if self._evidence_exchange.merge(load, now):
             self._apply_evidence(load.instance, now)
         for message in self._evidence_exchange.replies(load, now):
-            self._send_crashes(message.crashes, message.recipients)
+            self._send_datagram(message.recipients, message.crashes)
 
     def _apply_evidence(self, source: str, now: float) -> None:
         """Cancel what turns out to end servers, and log the new evidence."""
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -11,6 +11,7 @@
     __slots__ = (
         "config_age",
         "crashes",
+        "limited_servers",
         "lost_datagrams",
         "lost_log_lines",
         "map_orders",
@@ -97,6 +98,11 @@
             "Prompt segments and requests in enough crashes to be refused.",
             registry=self.registry,
         )
+        self.limited_servers = Gauge(
+            "lacewing_direct_limited_servers",
+            "Backend servers that name a limit in their answers.",
+            registry=self.registry,
+        )
         self.lost_datagrams = Gauge(
             "lacewing_direct_lost_datagrams",
             "Datagrams that could not be read or sent since the start.",
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -96,7 +96,7 @@
         self.concurrency_limit = AdaptiveConcurrencyLimit()
         self.peers = peers
         self.random = random
-        self.rate_limits = ServerRateLimits()
+        self.rate_limits = ServerRateLimits(peers.own_address)
 
     def has_ready_peer(self, now: float) -> bool:
         """Return whether a peer has reported that it is ready for requests."""
@@ -180,7 +180,7 @@
             candidates,
             self.loads,
             lambda record: self._weight(record, now),
-            self._request_limit,
+            lambda record: self._request_limit(record, now),
             self._zone,
             self.random,
             now,
@@ -229,7 +229,7 @@
             records[name] for name in self.groups.select_servers_to_poll(records, now)
         ]
 
-    def _request_limit(self, record: ServerRecord) -> float:
+    def _request_limit(self, record: ServerRecord, now: float) -> float:
         """Return the number of requests at which a server counts as full.
 
         A pass of a group takes longer with each of its streams, so all servers are full
@@ -237,6 +237,8 @@
         server is rounded up or down at random, so that the slot share is met on average
         for servers with few slots.
         """
+        if not self.rate_limits.may_send(record.incarnation, now):
+            return 0.0
         group = self.groups.find_group_name(record.name)
         share = self.concurrency_limit.slot_share(group)
         occupancy = self._occupancy_by_group.get(group, 0.0) if group else 0.0
@@ -294,5 +296,6 @@
         self.loads.retain(names)
         self.groups.retain(names)
         self.connection_backoff.retain(names)
-        self.rate_limits.retain(names)
+        self.rate_limits.retain(self.directory.incarnations())
+        self.rate_limits.set_entries(self.peers.addresses(), now)
         return events
--- a/lacewingcleat/load_gossip.py
+++ b/lacewingcleat/load_gossip.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from lacewingcleat.crash_evidence import CrashRecord
+from lacewingcleat.server_rate_limits import NamedLimit
 
 # Interval between datagrams, short compared with the few hundred milliseconds that a
 # request takes to its first event.
@@ -57,6 +58,7 @@
     :param zone: availability zone of the sender.
     :param evidence_digest: hash of all crash evidence of the sender.
     :param crashes: crash evidence, if the recipient may lack it.
+    :param limits: limits that servers have lately named to the sender.
     """
 
     instance: str
@@ -69,6 +71,7 @@
     zone: str = ""
     evidence_digest: int = 0
     crashes: list[CrashRecord] = []
+    limits: list[NamedLimit] = []
 
 
 @dataclass(slots=True)
@@ -131,6 +134,11 @@
         """Set the control addresses used for peer discovery."""
         self._seeds = [seed for seed in seeds if seed != self._address]
 
+    @property
+    def own_address(self) -> str:
+        """Return the control address of this entry."""
+        return self._address
+
     @property
     def peer_count(self) -> int:
         """Return the number of tracked peers."""
@@ -223,6 +231,7 @@
         ready: bool,
         evidence_digest: int = 0,
         crashes: Sequence[CrashRecord] = (),
+        limits: Sequence[NamedLimit] = (),
     ) -> PeerLoad:
         """Build the next datagram."""
         self._sequence += 1
@@ -241,6 +250,7 @@
             self._zone,
             evidence_digest,
             list(crashes),
+            list(limits),
         )
 
     def announces_to_all(self) -> bool:
--- a/lacewingcleat/request_context.py
+++ b/lacewingcleat/request_context.py
@@ -32,6 +32,7 @@
         share.
     :param fingerprint: hash by which sent copies of the request are recognised.
     :param send_count: number of times the request was written to a server.
+    :param sent_at: time at which the request was last written to a server.
     :param lost_attempts: number of retried attempts that the server did not refuse.
     :param may_have_run: whether an attempt has ended with an unknown result.
     :param failed_servers: names of the servers at which an attempt has failed.
@@ -55,6 +56,7 @@
     shared_segments: tuple[str, ...] = ()
     fingerprint: str = ""
     send_count: int = 0
+    sent_at: float = 0.0
     lost_attempts: int = 0
     may_have_run: bool = False
     failed_servers: frozenset[str] = frozenset()
--- a/lacewingcleat/server_directory.py
+++ b/lacewingcleat/server_directory.py
@@ -81,6 +81,10 @@
         """Return the names of all servers in the directory."""
         return self._listed_by_name.keys()
 
+    def incarnations(self) -> set[str]:
+        """Return the runs of all servers in the directory."""
+        return {listed.record.incarnation for listed in self._listed_by_name.values()}
+
     def accepting_servers(self, service: str, now: float) -> list[ServerRecord]:
         """Return the servers of a service that accept new requests."""
         names = self._names_by_service.get(service, ())
--- a/lacewingcleat/server_record.py
+++ b/lacewingcleat/server_record.py
@@ -21,3 +21,8 @@
     slots: int
     leaving: bool
     started_ms: int
+
+    @property
+    def incarnation(self) -> str:
+        """Return what identifies this run of the server's process."""
+        return f"{self.name}:{self.started_ms}"
