Keep to the limit of a backend server at its agent

The agent is the only way to its server and now refuses the excess as not run; entries try another server. The new test failed before and passes.

--- a/lacewingcleat/agent_node.py
+++ b/lacewingcleat/agent_node.py
@@ -13,6 +13,7 @@
 from twisted.internet import defer, task
 from twisted.web.http_headers import Headers
 
+from lacewingcleat import http_headers as names
 from lacewingcleat.agent_gate import AgentGate, GateEvent
 from lacewingcleat.claim_hours import claimed_shares
 from lacewingcleat.clock import read_now, read_wall
@@ -30,6 +31,7 @@
 from lacewingcleat.node import Node
 from lacewingcleat.problems import Problem, not_run_problem
 from lacewingcleat.rank_agent import RankAgent
+from lacewingcleat.server_rate_limits import ServerRateLimits
 from lacewingcleat.settings import AgentSettings
 from lacewingcleat.sheet import ModelGroup, Service, Sheet
 from lacewingcleat.tickets import TicketRegistry
@@ -92,6 +94,8 @@
         self._segments_at_check: set[str] = set()
         self._run_alone_at_check = False
         self._admitted_seconds = 0.0
+        # This agent is the only way to its server, so the whole limit is its own.
+        self._rate_limits = ServerRateLimits(self.peer.instance)
 
     # Sheet, time and messages
 
@@ -197,6 +201,26 @@
         """Return whether the backend server responded to the last health check."""
         return self._backend_up
 
+    def record_limit(self, value: str | None, sent_at: float) -> None:
+        """Record the limit that the backend server names in an answer.
+
+        :param value: value of the header, none if the answer has none.
+        :param sent_at: time at which the request was sent.
+        """
+        limit = names.parse_server_limit(value)
+        server = self.settings.server
+        if self._rate_limits.record_answer(server, limit, sent_at, read_now()):
+            self.log.info(f"the backend server limits its requests to {limit}/s.")
+
+    def take_rate_limit(self) -> Problem | None:
+        """Count a request that is to be sent, or return why it may not be sent now."""
+        now = read_now()
+        if not self._rate_limits.may_send(self.settings.server, now):
+            detail = "the backend server takes fewer requests at present"
+            return not_run_problem(503, "rate-limit", detail, 1.0)
+        self._rate_limits.take(self.settings.server, now)
+        return None
+
     def check_suspect(
         self, fingerprint: str, segments: tuple[str, ...], run_alone: bool
     ) -> Problem | None:
--- a/lacewingcleat/agent_server.py
+++ b/lacewingcleat/agent_server.py
@@ -188,7 +188,10 @@
                 503, "backend-down", "the backend server is down", 1.0
             )
         run_alone = call.request.header(names.RUN_ALONE) is not None
-        return node.check_suspect(call.fingerprint, call.segments, run_alone)
+        return (
+            node.check_suspect(call.fingerprint, call.segments, run_alone)
+            or node.take_rate_limit()
+        )
 
     def _refuse_unstarted(self, call: _Call, problem: Problem, token: str) -> None:
         """Refuse a request that has not started and block its ticket permanently."""
@@ -311,6 +314,7 @@
         set_nonempty_headers(headers, added_headers)
         target = self._backend_path(request, path)
         body = self._backend_body(request)
+        sent_at = node.now()
         send_result = await node.backend_client.send(
             request.method.decode("ascii", "replace"),
             self._settings.backend_address,
@@ -323,6 +327,8 @@
         call.pending = None
         match send_result:
             case Ok(response):
+                limits = response.headers.getRawHeaders(names.SERVER_LIMIT, [None])
+                node.record_limit(limits[0], sent_at)
                 complete = await self._stream_response(call, response)
                 await self._handle_response_end(call, complete)
                 end_span(span, {"http.status_code": response.code}, not complete)
--- a/lacewingcleat/http_headers.py
+++ b/lacewingcleat/http_headers.py
@@ -33,6 +33,8 @@
 # Hashes of the prompt segments that other requests may share, separated by commas.
 SEGMENTS = "Lacewing-Segments"
 COST_SECONDS = "Lacewing-Cost-Seconds"
+# Requests per second that a backend server takes, in its answers while it is in need.
+SERVER_LIMIT = "Server-Limit"
 OUTCOME = "Lacewing-Outcome"
 OUTCOME_CODE = "Lacewing-Outcome-Code"
 
@@ -118,6 +120,13 @@
     return float(value)
 
 
+def parse_server_limit(value: str | None) -> float | None:
+    """Return the requests per second that a server takes, none if not limited."""
+    if value is None or not _DECIMAL_PATTERN.fullmatch(value):
+        return None
+    return float(value)
+
+
 def parse_traceparent(value: str | None) -> str:
     """Return the traceparent, or an empty string if it is missing or malformed.
 
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -14,6 +14,7 @@
 from lacewingcleat.control_wire import MAX_FRAME_BYTES, encode
 from lacewingcleat.identity import Peer, Role
 from lacewingcleat.messages import Envelope, Heartbeat, Message
+from tests.limited_servers import LIMIT_PER_SECOND, allowed_arrivals
 from tests.raw_backend import RawBackend
 
 CHAT = "/v1/chat/completions"
@@ -362,6 +363,30 @@
             status, _, body = self.fleet.send(ENTRY, "GET", f"/services/orders{path}")
             self.assertEqual((200, path.encode()), (status, body))
 
+    def test_service_gets_no_more_requests_than_it_names(self) -> None:
+        """Guards against a service in need that gets its limit from each entry."""
+        statuses = set()
+        for step in range(80):
+            entry = ENTRIES[step % len(ENTRIES)]
+            status, _, _ = self.fleet.send(entry, "GET", "/services/orders/limited")
+            statuses.add(status)
+            time.sleep(0.05)
+        heads = [head for item in self.backends for head in item.heads]
+        arrivals = sum(b"/limited" in head for head in heads)
+        allowed = len(self.backends) * allowed_arrivals(LIMIT_PER_SECOND)
+        self.assertLessEqual(arrivals, allowed)
+        self.assertEqual({200, 503}, statuses)
+        time.sleep(1.1)
+        self._send_until_unlimited()
+
+    def _send_until_unlimited(self) -> None:
+        """Send requests until no service names a limit any more."""
+        for _ in range(40):
+            self.fleet.send(ENTRY, "GET", "/services/orders/good")
+            time.sleep(0.05)
+        status, _, _ = self.fleet.send(ENTRY, "GET", "/services/orders/good")
+        self.assertEqual(200, status)
+
     def test_endless_head_and_event_of_a_service(self) -> None:
         """Guards against heads and events that are buffered without a limit."""
         for path in ("/endless-head", "/endless-event"):
