Remember the fingerprint of an answered request only if it is a suspect

Fingerprints are unique, so while any crash was known each answer displaced a segment from the bounded memory of what was answered lately. No behaviour beyond that changes; the tests of crash evidence and of the direct entry pass.

--- a/lacewingcleat/crash_evidence.py
+++ b/lacewingcleat/crash_evidence.py
@@ -106,6 +106,10 @@
         sound_after = now - SOUND_BEFORE_CRASH_SECONDS
         return [name for name in names if not self._is_sound_after(name, sound_after)]
 
+    def is_suspect(self, name: str) -> bool:
+        """Return whether a name is a suspect in any crash."""
+        return name in self._crash_ids_by_suspect
+
     def record_sound(self, names: Iterable[str], now: float) -> dict[str, list[str]]:
         """Record that a server has outlived the beginning of an answer.
 
--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -170,7 +170,7 @@
         context.outlived_start = True
         evidence = self._state.crash_evidence
         cleared = evidence.record_sound(context.shared_segments, now)
-        if len(evidence):
+        if evidence.is_suspect(context.fingerprint):
             cleared |= evidence.record_sound((context.fingerprint,), now)
         if cleared:
             self._log.request(
