--- a/lacewingcleat/server_rate_limits.py
+++ b/lacewingcleat/server_rate_limits.py
@@ -2,10 +2,10 @@
 
 A server names the requests per second that it takes from all entries together. A few
 entries, which all entries choose alike by rendezvous hashing, share the limit evenly,
-and the others send nothing. Each share is a token bucket that starts empty and holds
-one request, so that the shares together never exceed the limit by more than their
-number. An entry that goes silent keeps its share until it is forgotten, so a short cut
-or restart does not make others take over what its requests still use.
+and the others send nothing. Each share is a token bucket that starts empty. All buckets
+together hold less than the excess that a server accepts. An entry that goes silent
+keeps its share until it is forgotten, so a short cut or restart does not make others
+take over what its requests still use.
 """
 
 import math
@@ -17,12 +17,16 @@
 from lacewingcleat.rendezvous import rank_by_rendezvous
 
 # Entries among which a limit is shared, beyond its requests per second. More entries
-# use a limit more evenly; each may send one request at any time.
+# use a limit more evenly, but have to wait longer for a whole token.
 EXTRA_SHARES = 2
 # Least rate at which a server is sent requests. Only its answers tell when its limit
 # ends.
 MIN_REQUESTS_PER_SECOND = 0.1
-BUCKET_REQUESTS = 1.0
+# A server accepts this much more than its limit in a few seconds, as requests and in
+# seconds of its limit. One request of it is left for entries that know different peers.
+EXCESS_REQUESTS = 4.0
+EXCESS_SECONDS = 2.0
+MAX_BUCKET_REQUESTS = 2.0
 # Change of a limit that is announced at once; smaller ones follow with the next
 # regular datagram.
 ANNOUNCED_CHANGE = 0.1
@@ -52,6 +56,7 @@
     # Time of the last answer to this entry.
     answered_at: float = float("-inf")
     share: float = 0.0
+    bucket_size: float = 0.0
     tokens: float = 0.0
     refilled_at: float = 0.0
 
@@ -141,13 +146,15 @@
         count = min(len(self._entries), math.ceil(limit.rate) + EXTRA_SHARES)
         owners = rank_by_rendezvous(server, self._entries)[:count]
         limit.share = 1.0 / count if self._entry in owners else 0.0
+        excess = EXCESS_REQUESTS + EXCESS_SECONDS * (limit.per_second or 0.0)
+        limit.bucket_size = min(MAX_BUCKET_REQUESTS, excess / count)
 
     def _refill(self, limit: _Limit, now: float) -> None:
         elapsed = max(0.0, now - limit.refilled_at)
         limit.refilled_at = now
         if limit.per_second is not None:
             earned = elapsed * limit.rate * limit.share
-            limit.tokens = min(BUCKET_REQUESTS, limit.tokens + earned)
+            limit.tokens = min(limit.bucket_size, limit.tokens + earned)
 
     def may_send(self, server: str, now: float) -> bool:
         """Return whether this entry may send a request to a server now."""
--- a/tests/test_server_rate_limits.py
+++ b/tests/test_server_rate_limits.py
@@ -1,5 +1,7 @@
 """Shares of the limits that servers name, and their exchange between entries."""
 
+from random import Random
+
 from testtools import TestCase
 
 from lacewingcleat.server_rate_limits import (
@@ -11,6 +13,9 @@
 from tests.limit_simulation import LimitFleet, busiest_window_count
 from tests.limited_servers import WINDOW_SECONDS, allowed_arrivals
 
+# What the users ask of a larger fleet against a smaller one.
+MIN_SERVED_SHARE = 0.7
+
 
 class ServerRateLimitsTest(TestCase):
     def setUp(self) -> None:
@@ -43,6 +48,39 @@
             sent += self._send_all(20.0)
         self.assertTrue(0.8 * 3.5 * 20 <= sent <= 3.5 * 20 + 1, sent)
 
+    def _serve_through(self, count: int) -> float:
+        """Send twice what 16 servers take and return the share of it that is sent."""
+        random = Random(1)
+        servers = [f"i-{number}" for number in range(16)]
+        names = [f"e{number}" for number in range(count)]
+        limits_by_name = {name: ServerRateLimits(name) for name in names}
+        arrivals: dict[str, list[float]] = {server: [] for server in servers}
+        for limits in limits_by_name.values():
+            limits.set_entries(names, 0.0)
+            for server in servers:
+                limits.record_answer(server, 1.0, 0.0, 0.0)
+        for step in range(20 * 2 * len(servers)):
+            now = step / (2.0 * len(servers))
+            limits = limits_by_name[random.choice(names)]
+            allowed = [name for name in servers if limits.may_send(name, now)]
+            if allowed:
+                server = random.choice(allowed)
+                limits.take(server, now)
+                arrivals[server].append(now)
+        most = max(map(busiest_window_count, arrivals.values()))
+        self.assertLessEqual(most, allowed_arrivals(1.0), count)
+        return sum(map(len, arrivals.values())) / 20.0 / len(servers)
+
+    def test_load_is_served_as_far_as_all_servers_take_it(self) -> None:
+        """Guards against refusing what servers in need still take."""
+        for count in (8, 35):
+            served = self._serve_through(count)
+            self.assertGreater(served, MIN_SERVED_SHARE, count)
+
+    def test_load_is_served_as_far_as_all_servers_take_it_in_large_fleets(self) -> None:
+        """Guards against refusing at entries that have no share of any limit."""
+        self.assertGreater(self._serve_through(98), MIN_SERVED_SHARE)
+
     def test_limit_of_nothing_still_lets_the_end_of_it_be_seen(self) -> None:
         """Guards against never asking a server again."""
         self.limits.record_answer("i", 0.0, 0.0, 0.0)
