--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -218,11 +218,18 @@
 
 
 def add_entry(
-    store: FakeStore, folder: Path, entries: list[EntryProcess]
+    store: FakeStore,
+    folder: Path,
+    entries: list[EntryProcess],
+    number: int | None = None,
 ) -> EntryProcess:
-    """Start an entry that has the first of some entries as its seed."""
-    seeds = tuple(entry.control_address for entry in entries[:1])
-    entry = EntryProcess(store, folder, f"front-{len(entries) + 1}", seeds)
+    """Start an entry that has the first of some entries as its seeds.
+
+    :param number: number in the name of the entry, by default the next one.
+    """
+    seeds = tuple(entry.control_address for entry in entries[:3])
+    name = f"front-{len(entries) + 1 if number is None else number}"
+    entry = EntryProcess(store, folder, name, seeds)
     entry.wait_until_ready(0)
     return entry
 
