Name the limit header of the product's own interface in its own words

Server-Limit is a name of the users' platform and stays in the adapter. Backend servers of the product's own interface name Lacewing-Rate-Limit.

--- a/lacewingcleat/agent_node.py
+++ b/lacewingcleat/agent_node.py
@@ -207,7 +207,7 @@
         :param value: value of the header, none if the answer has none.
         :param sent_at: time at which the request was sent.
         """
-        limit = names.parse_server_limit(value)
+        limit = names.parse_rate_limit(value)
         server = self.settings.server
         if self._rate_limits.record_answer(server, limit, sent_at, read_now()):
             self.log.info(f"the backend server limits its requests to {limit}/s.")
--- a/lacewingcleat/agent_server.py
+++ b/lacewingcleat/agent_server.py
@@ -327,7 +327,7 @@
         call.pending = None
         match send_result:
             case Ok(response):
-                limits = response.headers.getRawHeaders(names.SERVER_LIMIT, [None])
+                limits = response.headers.getRawHeaders(names.RATE_LIMIT, [None])
                 node.record_limit(limits[0], sent_at)
                 complete = await self._stream_response(call, response)
                 await self._handle_response_end(call, complete)
--- a/lacewingcleat/http_headers.py
+++ b/lacewingcleat/http_headers.py
@@ -34,7 +34,7 @@
 SEGMENTS = "Lacewing-Segments"
 COST_SECONDS = "Lacewing-Cost-Seconds"
 # Requests per second that a backend server takes, in its answers while it is in need.
-SERVER_LIMIT = "Server-Limit"
+RATE_LIMIT = "Lacewing-Rate-Limit"
 OUTCOME = "Lacewing-Outcome"
 OUTCOME_CODE = "Lacewing-Outcome-Code"
 
@@ -120,7 +120,7 @@
     return float(value)
 
 
-def parse_server_limit(value: str | None) -> float | None:
+def parse_rate_limit(value: str | None) -> float | None:
     """Return the requests per second that a server takes, none if not limited."""
     if value is None or not _DECIMAL_PATTERN.fullmatch(value):
         return None
--- a/tests/raw_backend.py
+++ b/tests/raw_backend.py
@@ -14,7 +14,7 @@
     "/long-length": OK_HEAD + b"Content-Length: 100\r\n\r\nshort",
     "/two-lengths": OK_HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
     "/negative-length": OK_HEAD + b"Content-Length: -5\r\n\r\nab",
-    "/limited": OK_HEAD + b"Server-Limit: 1.0\r\nContent-Length: 4\r\n\r\ngood",
+    "/limited": OK_HEAD + b"Lacewing-Rate-Limit: 1.0\r\nContent-Length: 4\r\n\r\ngood",
     "/no-body": b"HTTP/1.1 204 No Content\r\n\r\n",
     "/bad-status": b"HTTP/1.1 9999 Odd\r\nContent-Length: 0\r\n\r\n",
     "/no-status": b"garbage\r\n\r\n",
