Use the usual terms for crashes and answers in names and comments

Renames only: servers crash, answers start, and names are recorded as answered. The log member ended of answer lost is now exited. The tests of crash evidence, crash suspects and the direct entry pass.

--- a/lacewingcleat/crash_evidence.py
+++ b/lacewingcleat/crash_evidence.py
@@ -1,8 +1,8 @@
-"""coordination: find what the requests have in common under which servers end.
+"""coordination: find what requests that crash servers have in common.
 
-A server that ends while it begins to answer a request makes suspects of the request and
-of each prompt segment that it shares with others. A suspect is cleared by an answer
-that outlives its beginning. What is in several crashes and is not cleared is refused.
+A server that crashes when it starts to answer a request makes suspects of the request
+and of each prompt segment that it shares with others. A suspect is cleared by an answer
+that gets past its start. What is in several crashes and is not cleared is refused.
 
 The evidence is a set of crashes with their suspects and the cleared ones. Sets of
 several entries are merged in any order with the same result, so entries may exchange
@@ -21,10 +21,10 @@
 # The same for a suspect that was cleared of another crash: it has once been answered.
 MIN_CRASHES_ONCE_CLEARED = 6
 # An answer this long before a crash still clears a suspect of it.
-SOUND_BEFORE_CRASH_SECONDS = 10.0
+ANSWERED_BEFORE_CRASH_SECONDS = 10.0
 # Time for which a suspect that was answered may be sent again after a crash.
-SOUND_MEMORY_SECONDS = 60.0
-MAX_SOUND = 4_096
+ANSWER_MEMORY_SECONDS = 60.0
+MAX_ANSWERED = 4_096
 MAX_CRASHES = 64
 MAX_SUSPECTS_PER_CRASH = 64
 # Keeps a message within one packet of common networks.
@@ -33,10 +33,10 @@
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Describe the end of a server with the suspects known to the sender.
+    """Describe the crash of a server with the suspects known to the sender.
 
-    :param crash_id: name and start time of the server that ended.
-    :param age: seconds since its end.
+    :param crash_id: name and start time of the server that crashed.
+    :param age: seconds since the crash.
     :param suspects: suspects that are not cleared.
     :param cleared: suspects that are cleared of this crash.
     """
@@ -65,18 +65,18 @@
     """Store the crashes and suspects that one process knows."""
 
     __slots__ = (
+        "_answered_at_by_name",
         "_cleared_once",
         "_crash_by_id",
         "_crash_ids_by_suspect",
         "_digest",
-        "_sound_at_by_suspect",
     )
 
     def __init__(self) -> None:
         self._crash_by_id: dict[str, _Crash] = {}
         self._crash_ids_by_suspect: dict[str, set[str]] = {}
         self._cleared_once: set[str] = set()
-        self._sound_at_by_suspect: OrderedDict[str, float] = OrderedDict()
+        self._answered_at_by_name: OrderedDict[str, float] = OrderedDict()
         self._digest = 0
 
     def __len__(self) -> int:
@@ -96,34 +96,36 @@
     def record_crash(
         self, crash_id: str, suspects: Collection[str], now: float
     ) -> bool:
-        """Record the end of a server and return whether this adds to the evidence."""
+        """Record a crash and return whether this adds to the evidence."""
         suspected = self.unanswered(suspects, now)
-        sound = [name for name in suspects if name not in suspected]
-        return self.merge([CrashRecord(crash_id, 0.0, suspected, sound)], now)
+        cleared = [name for name in suspects if name not in suspected]
+        return self.merge([CrashRecord(crash_id, 0.0, suspected, cleared)], now)
 
     def unanswered(self, names: Iterable[str], now: float) -> list[str]:
         """Return what no recent answer clears of a crash at the present time."""
-        sound_after = now - SOUND_BEFORE_CRASH_SECONDS
-        return [name for name in names if not self._is_sound_after(name, sound_after)]
+        answered_after = now - ANSWERED_BEFORE_CRASH_SECONDS
+        return [
+            name for name in names if not self._is_answered_after(name, answered_after)
+        ]
 
     def is_suspect(self, name: str) -> bool:
         """Return whether a name is a suspect in any crash."""
         return name in self._crash_ids_by_suspect
 
-    def record_sound(self, names: Iterable[str], now: float) -> dict[str, list[str]]:
-        """Record that a server has outlived the beginning of an answer.
+    def record_answered(self, names: Iterable[str], now: float) -> dict[str, list[str]]:
+        """Record that a server has survived the start of an answer.
 
         :returns: the crashes of which this clears suspects, by suspect.
         """
         crash_ids_by_suspect = {}
         for name in names:
-            self._sound_at_by_suspect[name] = now
-            self._sound_at_by_suspect.move_to_end(name)
+            self._answered_at_by_name[name] = now
+            self._answered_at_by_name.move_to_end(name)
             crash_ids = self._crash_ids_by_suspect.get(name)
             if crash_ids:
                 crash_ids_by_suspect[name] = sorted(crash_ids)
-        while len(self._sound_at_by_suspect) > MAX_SOUND:
-            self._sound_at_by_suspect.popitem(last=False)
+        while len(self._answered_at_by_name) > MAX_ANSWERED:
+            self._answered_at_by_name.popitem(last=False)
         for name, cleared_ids in crash_ids_by_suspect.items():
             self.record_clearance(name, cleared_ids, now)
         return crash_ids_by_suspect
@@ -169,7 +171,7 @@
             self._rebuild()
 
     def find_refused(self, names: Collection[str]) -> str | None:
-        """Return what makes a request with these names end servers, None if nothing.
+        """Return the name for which a request with these names is refused, if any.
 
         A suspect whose crashes are all explained by another one is not refused. If
         several are in the same crashes, any of them may be the cause, so only requests
@@ -195,10 +197,10 @@
     def may_send_again(self, names: Iterable[str], now: float) -> bool:
         """Return whether all of these names have recently been answered.
 
-        Others may be what has ended the server, and would end a second one.
+        Others may have crashed the server and would crash a second one.
         """
-        sound_after = now - SOUND_MEMORY_SECONDS
-        return all(self._is_sound_after(name, sound_after) for name in names)
+        answered_after = now - ANSWER_MEMORY_SECONDS
+        return all(self._is_answered_after(name, answered_after) for name in names)
 
     def records(self, now: float) -> list[CrashRecord]:
         """Return all evidence to send to another process."""
@@ -212,8 +214,8 @@
             for crash_id, crash in self._crash_by_id.items()
         ]
 
-    def _is_sound_after(self, name: str, moment: float) -> bool:
-        return self._sound_at_by_suspect.get(name, float("-inf")) >= moment
+    def _is_answered_after(self, name: str, moment: float) -> bool:
+        return self._answered_at_by_name.get(name, float("-inf")) >= moment
 
     def _has_enough_crashes(self, name: str) -> bool:
         once_cleared = name in self._cleared_once
--- a/lacewingcleat/crash_suspects.py
+++ b/lacewingcleat/crash_suspects.py
@@ -188,7 +188,7 @@
     ) -> list[Action]:
         """Clear the segments of a request that this agent's server has answered."""
         actions: list[Action] = []
-        for segment, crash_ids in self._evidence.record_sound(segments, now).items():
+        for segment, crash_ids in self._evidence.record_answered(segments, now).items():
             cleared = SuspectCleared(segment, tuple(crash_ids))
             actions += self.record_clearance(cleared, neighbours, now)
         return actions
--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -39,7 +39,7 @@
 # Timeout for the response to an idempotent request before it is retried at another
 # server, as a multiple of the latency objective of its route.
 RETRY_TIMEOUT_FACTOR = 3.0
-# A server that has written a stream for this long has outlived its beginning.
+# A server that has written a stream for this long has survived its start.
 ANSWER_START_SECONDS = 0.5
 STATUS_UNAVAILABLE = 503
 # Beginning of each response on a connection.
@@ -118,15 +118,15 @@
             loads.end_request(record.name)
         if context.send_count == previous_send_count or context.cancelled:
             return result
-        if is_answer_lost(result) and not context.outlived_start:
+        if is_answer_lost(result) and not context.survived_start:
             await self._examine_loss(context, record, result)
         return result
 
     def withdraw_refused(self) -> None:
-        """Cancel attempts whose requests have turned out to end servers."""
+        """Cancel attempts whose requests have turned out to crash servers."""
         evidence = self._state.crash_evidence
         for context, connection in list(self._connection_by_request.items()):
-            if context.outlived_start or not evidence.find_refused(context.suspects):
+            if context.survived_start or not evidence.find_refused(context.suspects):
                 continue
             connection.abort()
             connection.cancel_wait("crash suspect")
@@ -134,18 +134,18 @@
     async def _examine_loss(
         self, context: RequestContext, record: ServerRecord, result: AttemptResult
     ) -> None:
-        """Record a crash if the server has ended at the beginning of its answer.
+        """Record a crash if the server has exited at the start of its answer.
 
-        The port of a process that has ended refuses connections at once.
+        The port of a process that has exited refuses connections at once.
         """
         connection = await self._pool.connect(record)
         now = read_now()
         if isinstance(connection, ServerConnection):
             self._pool.add_idle(record, connection, None, now)
-        has_ended = connection == CONNECTION_REFUSED
+        has_exited = connection == CONNECTION_REFUSED
         evidence = self._state.crash_evidence
-        if has_ended:
-            context.may_end_servers = not evidence.may_send_again(
+        if has_exited:
+            context.may_crash_servers = not evidence.may_send_again(
                 context.shared_segments, now
             )
             crash_id = record.incarnation
@@ -157,21 +157,21 @@
             request=context.request_id,
             server=record.name,
             started_ms=record.started_ms,
-            ended=has_ended,
-            may_send_again=not context.may_end_servers,
+            exited=has_exited,
+            may_send_again=not context.may_crash_servers,
             segments=list(context.shared_segments),
             reason=result.reason,
         )
 
-    def _record_sound(self, context: RequestContext, now: float) -> None:
-        """Record that the server has outlived the beginning of its answer."""
-        if context.outlived_start:
+    def _record_survival(self, context: RequestContext, now: float) -> None:
+        """Record that the server has survived the start of its answer."""
+        if context.survived_start:
             return
-        context.outlived_start = True
+        context.survived_start = True
         evidence = self._state.crash_evidence
-        cleared = evidence.record_sound(context.shared_segments, now)
+        cleared = evidence.record_answered(context.shared_segments, now)
         if evidence.is_suspect(context.fingerprint):
-            cleared |= evidence.record_sound((context.fingerprint,), now)
+            cleared |= evidence.record_answered((context.fingerprint,), now)
         if cleared:
             self._log.request(
                 "crash suspect cleared",
@@ -219,7 +219,7 @@
         request.on_disconnect = lambda: _cancel_attempt(context, connection)
         context.send_count += 1
         context.sent_at = now
-        context.outlived_start = False
+        context.survived_start = False
         headers = make_request_headers(context, request, record, events, now)
         connection.send(request.method, request.target, headers, request.body)
         self._connection_by_request[context] = connection
@@ -307,7 +307,7 @@
         if result.attempt.response is ResponseKind.NOT_RUN:
             self._record_refusal(record, head)
         else:
-            self._record_sound(context, read_now())
+            self._record_survival(context, read_now())
         return result
 
     def _record_refusal(self, record: ServerRecord, head: ResponseHead) -> None:
@@ -400,7 +400,7 @@
                     if started_at is None:
                         started_at = now
                     elif now - started_at >= ANSWER_START_SECONDS:
-                        self._record_sound(context, now)
+                        self._record_survival(context, now)
                     if last_event_at is not None:
                         event_interval = now - last_event_at
                         context.longest_event_interval = max(
@@ -423,7 +423,7 @@
                 case _:
                     return _no_response_result(record, connection, event)
         self._release_connection(record, connection, head)
-        self._record_sound(context, read_now())
+        self._record_survival(context, read_now())
         if not events.delivered_count:
             return _classify_response(record, head, b"")
         request.end_response()
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -179,7 +179,7 @@
     ) -> tuple[int, str]:
         while True:
             now = read_now()
-            if self._ends_servers(context, now):
+            if self._crashes_servers(context, now):
                 return self._respond_unsent(
                     context, request, CRASHES_SERVER, NotRunCause.OUTAGE, events
                 )
@@ -251,7 +251,7 @@
             lost_targets=context.lost_attempts,
             has_other_target=context.send_count < route.max_attempts
             and unsent_attempts < MAX_UNSENT_ATTEMPTS
-            and not context.may_end_servers,
+            and not context.may_crash_servers,
             delivered=events.delivered_count,
             body_begun=events.delivered_count > 0,
             resumable=route.resumable,
@@ -295,8 +295,8 @@
             result.server_failed or result.attempt.response is not ResponseKind.NOT_RUN
         )
 
-    def _ends_servers(self, context: RequestContext, now: float) -> bool:
-        """Return whether servers have ended under requests like this one."""
+    def _crashes_servers(self, context: RequestContext, now: float) -> bool:
+        """Return whether servers have crashed on requests like this one."""
         suspect = self._state.crash_evidence.find_refused(context.suspects)
         if suspect is None:
             return False
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -354,7 +354,7 @@
             self._send_datagram(message.recipients, message.crashes)
 
     def _apply_evidence(self, source: str, now: float) -> None:
-        """Cancel what turns out to end servers, and log the new evidence."""
+        """Cancel what turns out to crash servers, and log the new evidence."""
         self._runner.withdraw_refused()
         evidence = self._state.crash_evidence
         self._log.belief(
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -90,7 +90,7 @@
         )
         self.crashes = Gauge(
             "lacewing_direct_server_crashes",
-            "Ends of backend servers at the beginning of an answer that are known.",
+            "Known crashes of backend servers at the start of an answer.",
             registry=self.registry,
         )
         self.refused_suspects = Gauge(
--- a/lacewingcleat/request_context.py
+++ b/lacewingcleat/request_context.py
@@ -36,10 +36,10 @@
     :param lost_attempts: number of retried attempts that the server did not refuse.
     :param may_have_run: whether an attempt has ended with an unknown result.
     :param failed_servers: names of the servers at which an attempt has failed.
-    :param outlived_start: whether the server of the current attempt has outlived the
-        beginning of its answer.
-    :param may_end_servers: whether a server has ended at the beginning of an answer and
-        another one might.
+    :param survived_start: whether the server of the current attempt has survived the
+        start of its answer.
+    :param may_crash_servers: whether a server has crashed at the start of its answer
+        and another one might.
     :param cancelled: whether the caller disconnected during an attempt.
     :param first_event_at: time at which the first event was forwarded.
     :param longest_event_interval: longest time in seconds between two forwarded events.
@@ -61,13 +61,13 @@
     may_have_run: bool = False
     failed_servers: frozenset[str] = frozenset()
     attempts: list[AttemptRecord] = field(default_factory=list)
-    outlived_start: bool = False
-    may_end_servers: bool = False
+    survived_start: bool = False
+    may_crash_servers: bool = False
     cancelled: bool = False
     first_event_at: float | None = None
     longest_event_interval: float = 0.0
 
     @property
     def suspects(self) -> tuple[str, ...]:
-        """Return what may be the cause if a server ends under the request."""
+        """Return what may be the cause if a server crashes on the request."""
         return (*self.shared_segments, self.fingerprint)
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -80,4 +80,4 @@
         is_accepted = evidence.find_refused(names) is None
         self.sound_accepted.append(is_accepted)
         if is_accepted:
-            evidence.record_sound(names, self.now)
+            evidence.record_answered(names, self.now)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -5,12 +5,12 @@
 from testtools import TestCase
 
 from lacewingcleat.crash_evidence import (
+    ANSWER_MEMORY_SECONDS,
+    ANSWERED_BEFORE_CRASH_SECONDS,
     MAX_CRASHES,
     MAX_MESSAGE_BYTES,
     MIN_CRASHES,
     RETENTION_SECONDS,
-    SOUND_BEFORE_CRASH_SECONDS,
-    SOUND_MEMORY_SECONDS,
     CrashEvidence,
     CrashRecord,
     split_into_messages,
@@ -51,22 +51,22 @@
         """Guards against refusing requests that were in flight beside the cause."""
         for number in range(2 * MIN_CRASHES):
             self._crash(number, "a", now=20.0 * number)
-            self.evidence.record_sound(("a",), 20.0 * number + 1.0)
+            self.evidence.record_answered(("a",), 20.0 * number + 1.0)
         self.assertIsNone(self.evidence.find_refused(("a",)))
 
     def test_segment_answered_shortly_before_is_no_suspect(self) -> None:
         """Guards against suspecting what is in most requests."""
-        self.evidence.record_sound(("a",), 0.0)
+        self.evidence.record_answered(("a",), 0.0)
         for number in range(MIN_CRASHES):
-            self._crash(number, "a", "bad", now=SOUND_BEFORE_CRASH_SECONDS)
+            self._crash(number, "a", "bad", now=ANSWERED_BEFORE_CRASH_SECONDS)
         self.assertIsNone(self.evidence.find_refused(("a",)))
         self.assertEqual("bad", self.evidence.find_refused(("a", "bad")))
 
     def test_segment_that_turns_bad_is_refused(self) -> None:
         """Guards against trusting for ever what was once answered."""
-        self.evidence.record_sound(("a",), 0.0)
+        self.evidence.record_answered(("a",), 0.0)
         for number in range(2 * MIN_CRASHES + 1):
-            self._crash(number, "a", now=SOUND_BEFORE_CRASH_SECONDS + number)
+            self._crash(number, "a", now=ANSWERED_BEFORE_CRASH_SECONDS + number)
         self.assertEqual("a", self.evidence.find_refused(("a",)))
 
     def test_segment_explained_by_another_is_not_refused(self) -> None:
@@ -84,8 +84,8 @@
         """Guards against ending a server of a second group by the retry."""
         self.assertTrue(self.evidence.may_send_again((), 0.0))
         self.assertFalse(self.evidence.may_send_again(("a",), 0.0))
-        self.evidence.record_sound(("a",), 0.0)
-        self.assertTrue(self.evidence.may_send_again(("a",), SOUND_MEMORY_SECONDS))
+        self.evidence.record_answered(("a",), 0.0)
+        self.assertTrue(self.evidence.may_send_again(("a",), ANSWER_MEMORY_SECONDS))
         self.assertFalse(self.evidence.may_send_again(("a", "b"), 0.0))
 
     def test_evidence_expires(self) -> None:
