--- a/tests/test_entry_soaks.py
+++ b/tests/test_entry_soaks.py
@@ -3,6 +3,7 @@
 import os
 import time
 from collections.abc import Callable
+from http.client import HTTPException
 from random import Random
 
 import pytest
@@ -58,7 +59,7 @@
         """Return the status, 0 if the entry does not answer."""
         try:
             return self.caller.call(entry, *segments)
-        except OSError:
+        except (OSError, HTTPException):
             return 0
 
     def _play(self, seed: int) -> None:
@@ -123,7 +124,7 @@
                 before = len(servers.arrivals)
                 try:
                     response, _ = entry.call("/get/x", request_id=f"{now}")
-                except OSError:
+                except (OSError, HTTPException):
                     return
                 if faults.is_in_touch(entry):
                     sound.append(response.status)
