--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -1,4 +1,4 @@
-"""Simulated fleet of entries before servers that end under a prompt segment."""
+"""Simulated fleet of entries before servers that a prompt segment crashes."""
 
 from lacewingcleat.crash_evidence import CrashEvidence
 from lacewingcleat.evidence_exchange import EvidenceExchange, EvidenceMessage
@@ -15,7 +15,7 @@
 
 
 class CrashFleet(SimulatedFleet):
-    """Send requests with and without a segment under which servers end.
+    """Send requests with and without a segment that crashes servers.
 
     :ivar late_requests: requests with the segment that reached a server from an entry
         in touch, later than the stability window after the fifth crash.
--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -1,4 +1,4 @@
-"""Backend servers that end when they begin to answer a prompt with a given segment."""
+"""Backend servers that crash when they start to answer a given prompt segment."""
 
 import socket
 import threading
@@ -24,10 +24,10 @@
 
 
 class CrashingServers:
-    """Register servers and replace each one that ends.
+    """Register servers and replace each one that crashes.
 
     :param count: number of servers that run at a time.
-    :param write_start: writes what a server sends before it ends.
+    :param write_start: writes what a server sends before it crashes.
     :ivar reached: names of the servers that got a request with the segment.
     """
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -1,4 +1,4 @@
-"""Evidence on what ends servers, and its exchange between entries."""
+"""Evidence on what crashes servers, and its exchange between entries."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -34,7 +34,7 @@
         self.evidence.record_crash(f"i-{number}:1", suspects, now)
 
     def test_segment_in_three_crashes_is_refused(self) -> None:
-        """Guards against ending server after server, and refusing after one crash."""
+        """Guards against crashing server after server, and refusing after one crash."""
         for number in range(MIN_CRASHES):
             self.assertIsNone(self.evidence.find_refused(("a", "bad")))
             self._crash(number, f"a{number}", "bad", f"r{number}")
@@ -42,7 +42,7 @@
         self.assertIsNone(self.evidence.find_refused(("a1", "r1")))
 
     def test_crash_counts_once_however_many_requests_it_broke(self) -> None:
-        """Guards against refusing a segment because one server ended."""
+        """Guards against refusing a segment because one server crashed."""
         for _ in range(MIN_CRASHES):
             self._crash(1, "a")
         self.assertIsNone(self.evidence.find_refused(("a",)))
@@ -81,7 +81,7 @@
         self.assertEqual("bad", self.evidence.find_refused(("bad",)))
 
     def test_only_answered_segments_are_sent_to_a_second_server(self) -> None:
-        """Guards against ending a server of a second group by the retry."""
+        """Guards against crashing a server of a second group by the retry."""
         self.assertTrue(self.evidence.may_send_again((), 0.0))
         self.assertFalse(self.evidence.may_send_again(("a",), 0.0))
         self.evidence.record_answered(("a",), 0.0)
@@ -125,7 +125,7 @@
 
 class FleetEvidenceTest(TestCase):
     def test_fleets_refuse_a_segment_over_restarts_cuts_and_joins(self) -> None:
-        """Guards against entries that send what has ended five servers."""
+        """Guards against entries that send what has crashed five servers."""
         for count in (8, 35, 98):
             for seed in (1, 2, 3):
                 fleet = CrashFleet(count, seed)
--- a/tests/test_crashing_segments.py
+++ b/tests/test_crashing_segments.py
@@ -1,4 +1,4 @@
-"""Requests that share a segment of their prompt under which servers end."""
+"""Requests that share a segment of their prompt that crashes servers."""
 
 import time
 from collections.abc import Callable
@@ -29,7 +29,7 @@
     def _call_bad(self, entry: EntryProcess) -> int:
         return self.caller.call(entry, SHARED_SEGMENT, CRASHING_SEGMENT)
 
-    def _end_five_servers(self, entries: list[EntryProcess]) -> None:
+    def _crash_five_servers(self, entries: list[EntryProcess]) -> None:
         for number in range(3 * KNOWN_AFTER_CRASHES):
             if len(set(self.servers.reached)) >= KNOWN_AFTER_CRASHES:
                 break
@@ -43,10 +43,10 @@
             self._call_bad(entries[number % len(entries)])
         return len(self.servers.reached) - reached_before
 
-    def test_segment_that_ends_servers_is_refused_by_all_entries(self) -> None:
-        """Guards against ending one server after the other by similar requests."""
+    def test_segment_that_crashes_servers_is_refused_by_all_entries(self) -> None:
+        """Guards against similar requests that crash one server after the other."""
         with run_entries(self.servers.store, 3) as entries:
-            self._end_five_servers(entries)
+            self._crash_five_servers(entries)
             late = self._count_late_requests(entries)
             self.assertLessEqual(late, ALLOWED_LATE_REQUESTS)
             self.assertEqual(503, self._call_bad(entries[0]))
@@ -54,7 +54,7 @@
     def test_sound_requests_are_served_beside_a_refused_segment(self) -> None:
         """Guards against refusing the account or the other segments as well."""
         with run_entries(self.servers.store, 2) as entries:
-            self._end_five_servers(entries)
+            self._crash_five_servers(entries)
             reached_before = len(self.servers.reached)
             statuses = []
             for number in range(20):
@@ -68,14 +68,14 @@
     def test_entries_that_join_or_restart_refuse_the_segment(self) -> None:
         """Guards against a new process that starts without what the others know."""
         with run_entries(self.servers.store, 2) as entries:
-            self._end_five_servers(entries)
+            self._crash_five_servers(entries)
             entries.append(add_entry(self.servers.store, entries[0].folder, entries))
             time.sleep(STABILITY_SECONDS)
             late = self._count_late_requests(entries[2:])
             self.assertLessEqual(late, ALLOWED_LATE_REQUESTS)
 
-    def test_order_that_ends_servers_is_refused_by_all_entries(self) -> None:
-        """Guards against copies of one request that end a server each."""
+    def test_order_that_crashes_servers_is_refused_by_all_entries(self) -> None:
+        """Guards against copies of one request that crash a server each."""
         with run_entries(self.servers.store, 3) as entries:
             statuses = [
                 self.caller.call(
--- a/tests/test_entry_soaks.py
+++ b/tests/test_entry_soaks.py
@@ -96,13 +96,13 @@
         self.assertGreaterEqual(served, MIN_SOUND_SHARE * len(sound), seed)
         self.assertLess(0, len(crash_times), seed)
 
-    def test_a_disturbed_fleet_refuses_what_ends_servers(self) -> None:
-        """Guards against entries that forget or miss what has ended servers."""
+    def test_a_disturbed_fleet_refuses_what_crashes_servers(self) -> None:
+        """Guards against entries that forget or miss what has crashed servers."""
         self._play(1)
 
     @pytest.mark.soak
     @pytest.mark.timeout(3600)
-    def test_disturbed_fleets_refuse_what_ends_servers(self) -> None:
+    def test_disturbed_fleets_refuse_what_crashes_servers(self) -> None:
         """Guards against the same in rarer orders of events."""
         play_seeds(self._play)
 
