Take no planned exit of a server for a crash

A request that a leaving server cut at its start was answered 502 if its segment was new: the exit counted as a crash, and such requests are not retried. Servers that have announced to leave, or whose registration is gone, now say nothing about the request. The fake servers stay registered for a second after a crash, as on the platform; checks and bounds are unchanged.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -136,15 +136,19 @@
     ) -> None:
         """Record a crash if the server has exited at the start of its answer.
 
-        The port of a process that has exited refuses connections at once.
+        The port of a process that has exited refuses connections at once. The exit of a
+        server that has announced to leave is no crash.
         """
         connection = await self._pool.connect(record)
         now = read_now()
         if isinstance(connection, ServerConnection):
             self._pool.add_idle(record, connection, None, now)
         has_exited = connection == CONNECTION_REFUSED
+        has_crashed = has_exited and self._state.directory.accepts_requests(
+            record.name, now
+        )
         evidence = self._state.crash_evidence
-        if has_exited:
+        if has_crashed:
             context.may_crash_servers = not evidence.may_send_again(
                 context.shared_segments, now
             )
@@ -158,6 +162,7 @@
             server=record.name,
             started_ms=record.started_ms,
             exited=has_exited,
+            crashed=has_crashed,
             may_send_again=not context.may_crash_servers,
             segments=list(context.shared_segments),
             reason=result.reason,
--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -21,6 +21,8 @@
 # reach servers afterwards.
 KNOWN_AFTER_CRASHES = 5
 ALLOWED_LATE_REQUESTS = 3
+# Time for which a server that has crashed stays registered.
+LAPSE_SECONDS = 1.0
 
 
 class CrashingServers:
@@ -72,8 +74,11 @@
             ended = next(server for server in self._servers if server.name == name)
             self._servers.remove(ended)
         ended.crash()
-        self.store.remove(f"servers/{name}")
         self._add()
+        remove = self.store.remove
+        lapse = threading.Timer(LAPSE_SECONDS, remove, (f"servers/{name}",))
+        lapse.daemon = True
+        lapse.start()
 
     def close(self) -> None:
         """Stop the store and all servers."""
--- a/tests/test_crashing_segments.py
+++ b/tests/test_crashing_segments.py
@@ -1,5 +1,6 @@
 """Requests that share a segment of their prompt that crashes servers."""
 
+import socket
 import time
 from collections.abc import Callable
 
@@ -13,8 +14,21 @@
     CrashingServers,
     PromptCaller,
 )
-from tests.entry_process import EntryProcess, add_entry, run_entries
-from tests.platform_fakes import ReceivedRequest, encode_unframed_stream_head
+from tests.entry_process import (
+    EntryProcess,
+    add_entry,
+    make_config_item,
+    run_entries,
+)
+from tests.platform_fakes import (
+    FakeServer,
+    FakeStore,
+    ReceivedRequest,
+    closing_all,
+    encode_chunk,
+    encode_stream_head,
+    encode_unframed_stream_head,
+)
 
 SHARED_SEGMENT = "aa01"
 
@@ -91,6 +105,34 @@
             self.assertLessEqual(len(self.servers.reached), KNOWN_AFTER_CRASHES)
 
 
+class PlannedExitTest(TestCase):
+    def test_request_is_retried_after_the_exit_of_a_leaving_server(self) -> None:
+        """Guards against taking a planned exit for a crash by the request."""
+        store = FakeStore()
+        store.put("op/config", make_config_item())
+
+        def leave(request: ReceivedRequest, stream: socket.socket) -> bool:
+            store.put("servers/i-1", leaving.store_record("s", "draining"))
+            time.sleep(0.3)
+            stream.sendall(encode_stream_head(request))
+            leaving.crash()
+            return False
+
+        def serve(request: ReceivedRequest, stream: socket.socket) -> bool:
+            event = encode_chunk(b"id: 1\ndata: x\n\n")
+            stream.sendall(encode_stream_head(request) + event + b"0\r\n\r\n")
+            return True
+
+        leaving, other = FakeServer("i-1", leave), FakeServer("i-2", serve)
+        caller = PromptCaller()
+        with closing_all(store, leaving, other), run_entries(store, 1) as entries:
+            for server in (leaving, other):
+                store.put(f"servers/{server.name}", server.store_record("s"))
+            time.sleep(1.0)
+            statuses = [caller.call(entries[0], f"new{number}") for number in range(8)]
+        self.assertEqual([200] * 8, statuses)
+
+
 class UnframedAnswerTest(TestCase):
     def _count_reached(self, write_start: Callable[[ReceivedRequest], bytes]) -> int:
         servers = CrashingServers(4, write_start)
