Announce the clearances of suspects instead of exchanging all evidence

Each clearance changed the hash of one entry's evidence, upon which it exchanged all of it with each peer. The tests of crash evidence and of crashing segments pass.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -1,6 +1,6 @@
 """transport: one attempt of a direct entry at a backend server."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from lacewingcleat.caller_connection import CallerRequest
@@ -77,7 +77,8 @@
     """Send requests to backend servers and read the responses.
 
     :param on_begin: called when a server has been chosen for an attempt.
-    :param on_crash: called with the identifier of a crash that has been recorded.
+    :param on_evidence: called with the identifiers of the crashes of which something
+        new has been recorded.
     :param on_limit: called with the incarnation of a server that has named another
         limit.
     """
@@ -88,11 +89,11 @@
         pool: ServerConnectionPool,
         log: DecisionLog,
         on_begin: Callable[[], None],
-        on_crash: Callable[[str], None],
+        on_evidence: Callable[[Collection[str]], None],
         on_limit: Callable[[str], None],
     ) -> None:
         self._on_begin = on_begin
-        self._on_crash = on_crash
+        self._on_evidence = on_evidence
         self._on_limit = on_limit
         self._connection_by_request: dict[RequestContext, ServerConnection] = {}
         self._log = log
@@ -154,7 +155,7 @@
             )
             crash_id = record.incarnation
             if evidence.record_crash(crash_id, context.suspects, now):
-                self._on_crash(crash_id)
+                self._on_evidence((crash_id,))
         self._log.request(
             "answer lost",
             now,
@@ -178,6 +179,7 @@
         if evidence.is_suspect(context.fingerprint):
             cleared |= evidence.record_answered((context.fingerprint,), now)
         if cleared:
+            self._on_evidence(set().union(*cleared.values()))
             self._log.request(
                 "crash suspect cleared",
                 now,
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -111,7 +111,7 @@
             self._pool,
             log,
             self._announce_request,
-            self._announce_crash,
+            self._announce_crashes,
             self._announce_limit,
         )
         self._dispatcher = DirectDispatcher(
@@ -333,12 +333,12 @@
             age=named.age,
         )
 
-    def _announce_crash(self, crash_id: str) -> None:
-        """Announce a crash to all peers at once."""
+    def _announce_crashes(self, crash_ids: Collection[str]) -> None:
+        """Announce new evidence of some crashes to all peers at once."""
         now = read_now()
         self._apply_evidence(self._settings.instance, now)
-        message = self._evidence_exchange.announce(crash_id, now)
-        self._send_datagram(message.recipients, message.crashes)
+        for message in self._evidence_exchange.announce(crash_ids, now):
+            self._send_datagram(message.recipients, message.crashes)
 
     def _record_peer_load(self, load: PeerLoad) -> None:
         now = read_now()
--- a/lacewingcleat/evidence_exchange.py
+++ b/lacewingcleat/evidence_exchange.py
@@ -1,10 +1,11 @@
 """coordination: exchange crash evidence between entries.
 
-A new crash is announced to all peers at once. Each load datagram carries a hash of the
-sender's evidence, so an entry that lacks some, since it has started, was cut off or has
-lost a datagram, is found by the next datagram to or from any peer.
+A new crash or clearance is announced to all peers at once. Each load datagram carries a
+hash of the sender's evidence, so an entry that lacks some, since it has started, was
+cut off or has lost a datagram, is found by the next datagram to or from any peer.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from lacewingcleat.crash_evidence import (
@@ -32,11 +33,13 @@
         self._evidence = evidence
         self._peers = peers
 
-    def announce(self, crash_id: str, now: float) -> EvidenceMessage:
-        """Return the message that announces a crash."""
+    def announce(self, crash_ids: Collection[str], now: float) -> list[EvidenceMessage]:
+        """Return the messages that announce what is known of some crashes."""
         records = self._evidence.records(now)
-        announced = [record for record in records if record.crash_id == crash_id]
-        return EvidenceMessage(self._peers.addresses(), announced)
+        announced = [record for record in records if record.crash_id in crash_ids]
+        recipients = self._peers.addresses()
+        messages = split_into_messages(announced)
+        return [EvidenceMessage(recipients, crashes) for crashes in messages]
 
     def merge(self, load: PeerLoad, now: float) -> bool:
         """Add the evidence in a datagram and return whether any of it is new."""
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -71,8 +71,12 @@
         self.crash_times.append(self.now)
         crash_id = f"i-{crashes}:1"
         if evidence.record_crash(crash_id, suspects, self.now):
-            exchange = self._exchange_by_name[entry.name]
-            self._send(entry, exchange.announce(crash_id, self.now))
+            self._announce(entry, {crash_id})
+
+    def _announce(self, entry: SimulatedEntry, crash_ids: set[str]) -> None:
+        exchange = self._exchange_by_name[entry.name]
+        for message in exchange.announce(crash_ids, self.now):
+            self._send(entry, message)
 
     def _send_sound(self, entry: SimulatedEntry) -> None:
         evidence = self._evidence_by_name[entry.name]
@@ -80,4 +84,6 @@
         is_accepted = evidence.find_refused(names) is None
         self.sound_accepted.append(is_accepted)
         if is_accepted:
-            evidence.record_answered(names, self.now)
+            cleared = evidence.record_answered(names, self.now)
+            if cleared:
+                self._announce(entry, set().union(*cleared.values()))
