--- a/lacewingcleat/crash_suspects.py
+++ b/lacewingcleat/crash_suspects.py
@@ -3,7 +3,8 @@
 A request that was in flight when a server crashed is a suspect: it may run only on a
 server that runs nothing else. If that server crashes too, the request is convicted,
 that is refused from then on. If it completes, it is cleared. Each entry and agent has
-a copy of the table of suspects and floods its updates to its neighbours.
+a copy of the table of suspects and floods its updates to its neighbours. The prompt
+segments that different requests share are judged by `crash_evidence`.
 """
 
 from collections import OrderedDict
