Count requests in a window in one place, and name the stability window once

Two functions of the tests counted the busiest window, one with and one without a request at its very end; the one that stays includes it, so no check is looser.

--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -15,8 +15,6 @@
 )
 
 CRASHING_SEGMENT = "bad0"
-# The deployments' `stability_window_ms`.
-STABILITY_SECONDS = 3.0
 # Crashes after which entries have to know the segment, and requests with it that may
 # reach servers afterwards.
 KNOWN_AFTER_CRASHES = 5
--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -1,7 +1,5 @@
 """Simulated fleet of entries before servers of which one names a limit."""
 
-from bisect import bisect_left
-
 from lacewingcleat.load_gossip import LoadGossip, PeerLoad
 from lacewingcleat.server_rate_limits import ServerRateLimits
 from tests.fleet_simulation import (
@@ -9,7 +7,6 @@
     SimulatedEntry,
     SimulatedFleet,
 )
-from tests.limited_servers import WINDOW_SECONDS
 
 LIMITED_SERVER = "i-0:1"
 SERVER_COUNT = 8
@@ -91,14 +88,3 @@
         told_at = self._told_at.get(entry.name, float("inf"))
         is_told = self.now - told_at >= TOLD_SECONDS
         return is_told and self.now - self._first_named_at >= STABILITY_SECONDS
-
-
-def busiest_window_count(arrivals: list[float]) -> int:
-    """Return the largest number of arrivals in a window; the times are in order."""
-    return max(
-        (
-            bisect_left(arrivals, start + WINDOW_SECONDS) - index
-            for index, start in enumerate(arrivals)
-        ),
-        default=0,
-    )
--- a/tests/limited_servers.py
+++ b/tests/limited_servers.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 import time
+from bisect import bisect_right
 from contextlib import suppress
 
 from tests.entry_process import EntryProcess, make_config_item
@@ -15,8 +16,6 @@
 
 LIMIT_PER_SECOND = 1.0
 WINDOW_SECONDS = 4.0
-# The deployments' `stability_window_ms`.
-STABILITY_SECONDS = 3.0
 
 
 def allowed_arrivals(limit: float) -> float:
@@ -26,10 +25,11 @@
 
 def busiest_window(arrivals: list[float]) -> int:
     """Return the largest number of arrivals in a window."""
+    times = sorted(arrivals)
     return max(
         (
-            sum(start <= arrival <= start + WINDOW_SECONDS for arrival in arrivals)
-            for start in arrivals
+            bisect_right(times, start + WINDOW_SECONDS) - index
+            for index, start in enumerate(times)
         ),
         default=0,
     )
--- a/tests/test_crashing_segments.py
+++ b/tests/test_crashing_segments.py
@@ -10,7 +10,6 @@
     ALLOWED_LATE_REQUESTS,
     CRASHING_SEGMENT,
     KNOWN_AFTER_CRASHES,
-    STABILITY_SECONDS,
     CrashingServers,
     PromptCaller,
 )
@@ -20,6 +19,7 @@
     make_config_item,
     run_entries,
 )
+from tests.fleet_simulation import STABILITY_SECONDS
 from tests.platform_fakes import (
     FakeServer,
     FakeStore,
--- a/tests/test_entry_soaks.py
+++ b/tests/test_entry_soaks.py
@@ -13,14 +13,19 @@
     ALLOWED_LATE_REQUESTS,
     CRASHING_SEGMENT,
     KNOWN_AFTER_CRASHES,
-    STABILITY_SECONDS,
     CrashingServers,
     PromptCaller,
 )
 from tests.entry_faults import EntryFaults
 from tests.entry_process import EntryProcess, run_entries
-from tests.limit_simulation import TOLD_SECONDS, busiest_window_count
-from tests.limited_servers import LIMIT_PER_SECOND, LimitedServers, allowed_arrivals
+from tests.fleet_simulation import STABILITY_SECONDS
+from tests.limit_simulation import TOLD_SECONDS
+from tests.limited_servers import (
+    LIMIT_PER_SECOND,
+    LimitedServers,
+    allowed_arrivals,
+    busiest_window,
+)
 
 SHARED_SEGMENT = "aa01"
 ENTRY_COUNT = 8
@@ -137,7 +142,7 @@
                     counted.append(now)
 
             play_faults(faults, random, 0.04, step)
-        most = busiest_window_count(counted)
+        most = busiest_window(counted)
         served = sum(status == 200 for status in sound)
         print(f"{most} requests in a window, {served} of {len(sound)} sound served")
         self.assertLessEqual(most, allowed_arrivals(LIMIT_PER_SECOND), seed)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -5,9 +5,9 @@
 from testtools import TestCase
 
 from tests.entry_process import EntryProcess, add_entry, run_entries
+from tests.fleet_simulation import STABILITY_SECONDS
 from tests.limited_servers import (
     LIMIT_PER_SECOND,
-    STABILITY_SECONDS,
     WINDOW_SECONDS,
     LimitedServers,
     SteadyCallers,
--- a/tests/test_server_rate_limits.py
+++ b/tests/test_server_rate_limits.py
@@ -10,8 +10,8 @@
     NamedLimit,
     ServerRateLimits,
 )
-from tests.limit_simulation import LimitFleet, busiest_window_count
-from tests.limited_servers import WINDOW_SECONDS, allowed_arrivals
+from tests.limit_simulation import LimitFleet
+from tests.limited_servers import WINDOW_SECONDS, allowed_arrivals, busiest_window
 
 # What the users ask of a larger fleet against a smaller one.
 MIN_SERVED_SHARE = 0.7
@@ -67,7 +67,7 @@
                 server = random.choice(allowed)
                 limits.take(server, now)
                 arrivals[server].append(now)
-        most = max(map(busiest_window_count, arrivals.values()))
+        most = max(map(busiest_window, arrivals.values()))
         self.assertLessEqual(most, allowed_arrivals(1.0), count)
         return sum(map(len, arrivals.values())) / 20.0 / len(servers)
 
@@ -130,7 +130,7 @@
             for seed, limit in ((1, 0.4), (2, 1.1), (3, 6.0)):
                 fleet = LimitFleet(count, seed, limit)
                 fleet.play_disturbed_day(requests_per_second=count * 2.0)
-                most = busiest_window_count(fleet.counted_arrivals)
+                most = busiest_window(fleet.counted_arrivals)
                 case = (count, seed, limit, most)
                 self.assertLessEqual(most, allowed_arrivals(limit), case)
                 self.assertEqual(0, fleet.refused, case)
