Log the era of the store, its listings and configurations that are not newer

Cause: the logs could not tell whether entries listed the restored store anew or went on watching, and what the store held then. Change: answers of the store carry their era; entries log a new era, lost history, each listing and each configuration that is not newer, and export the era and the number of listings. No decision uses the era. In the run of the tests beside this change test_each_kind_is_ended_and_the_request_goes_elsewhere failed once (six workers) and passed alone; it is being traced.

--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -187,6 +187,8 @@
             self._metrics.config_age.set(min(1e6, self._store_reader.view.age(now)))
             self._metrics.open_requests.set(self._caller_factory.open_requests)
             self._metrics.store_calls.set(self._store_reader.call_count)
+            self._metrics.store_listings.set(self._store_reader.listing_count)
+            self._metrics.store_era.set(self._store_reader.era)
             self._metrics.lost_log_lines.set(self._log.dropped_lines)
             self._metrics.map_orders.set(self._map_driver.order_count)
             self._metrics.peers.set(self._peers.peer_count)
@@ -223,11 +225,16 @@
             self._log.belief("malformed config", now, error=decoded.err_value)
             return
         config = decoded.ok_value
+        previous = self._state.config
+        age = round(self._store_reader.view.age(now), 3)
         if not self._state.apply_config(config):
+            in_force = previous.version if previous else None
+            self._log.belief(
+                "config ignored", now, version=config.version, in_force=in_force
+            )
             return
         self._caller_factory.limits = config.limits
-        age = self._store_reader.view.age(now)
-        self._log.belief("config", now, version=config.version, age=round(age, 3))
+        self._log.belief("config", now, version=config.version, age=age)
 
     def _apply_server(self, key: str, value: bytes | None, now: float) -> None:
         name = key.removeprefix(SERVER_PREFIX)
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -26,6 +26,8 @@
         "retries",
         "server_connections",
         "store_calls",
+        "store_era",
+        "store_listings",
     )
 
     def __init__(self) -> None:
@@ -68,6 +70,16 @@
             "Calls to the platform's store since the start.",
             registry=self.registry,
         )
+        self.store_listings = Gauge(
+            "lacewing_direct_store_listings",
+            "Complete listings of the platform's store since the start.",
+            registry=self.registry,
+        )
+        self.store_era = Gauge(
+            "lacewing_direct_store_era",
+            "Era of the platform's store, which rises when it is restored.",
+            registry=self.registry,
+        )
         self.server_connections = Gauge(
             "lacewing_direct_server_connections",
             "Connections opened to backend servers since the start.",
--- a/lacewingcleat/http_fetch.py
+++ b/lacewingcleat/http_fetch.py
@@ -1,14 +1,16 @@
 """transport: fetch one document over an existing connection to a server."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lacewingcleat.clock import read_now
 from lacewingcleat.server_connection import (
     BodyChunk,
+    Headers,
     ResponseComplete,
     ResponseFailed,
     ResponseHead,
     ServerConnection,
+    find_header,
 )
 
 MAX_DOCUMENT_BYTES = 16 << 20
@@ -20,6 +22,11 @@
 
     status: int
     body: bytes
+    headers: Headers = field(default_factory=list)
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of a header; names are in lower case."""
+        return find_header(self.headers, name)
 
 
 async def fetch(
@@ -47,12 +54,13 @@
         headers.append((b"content-length", b"%d" % len(body)))
         connection.send(b"POST", target, headers, body)
     status = 0
+    response_headers: Headers = []
     content = bytearray()
     while True:
         event = await connection.next_event(deadline - read_now())
         match event:
-            case ResponseHead(received_status, _):
-                status = received_status
+            case ResponseHead(received_status, received_headers):
+                status, response_headers = received_status, received_headers
             case BodyChunk(data):
                 content += data
                 if len(content) > MAX_DOCUMENT_BYTES:
@@ -61,7 +69,7 @@
             case ResponseComplete():
                 if not connection.make_idle():
                     connection.abort()
-                return FetchedResponse(status, bytes(content))
+                return FetchedResponse(status, bytes(content), response_headers)
             case ResponseFailed(reason):
                 connection.abort()
                 return reason
--- a/lacewingcleat/platform/store_calls.py
+++ b/lacewingcleat/platform/store_calls.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from lacewingcleat.store_items import (
+    UNKNOWN_ERA,
     HistoryCompacted,
     ListPage,
     ListRead,
@@ -18,6 +19,7 @@
 )
 
 MS_PER_SECOND = 1000
+ERA_HEADER = b"store-era"
 STATUS_OK = 200
 STATUS_HISTORY_LOST = 410
 
@@ -52,22 +54,33 @@
             return f"/kv-watch?{query}&wait_ms={wait_ms}"
 
 
-def decode_store_response(read: StoreRead, status: int, body: bytes) -> StoreResponse:
-    """Decode the response to a read."""
+def decode_era(value: bytes | None) -> int:
+    """Decode the header with the era of the store."""
+    return int(value) if value is not None and value.isdigit() else UNKNOWN_ERA
+
+
+def decode_store_response(
+    read: StoreRead, status: int, body: bytes, era: int = UNKNOWN_ERA
+) -> StoreResponse:
+    """Decode the response to a read.
+
+    :param era: era of the store, from the header of the response.
+    """
     if status == STATUS_HISTORY_LOST:
-        return HistoryCompacted()
+        return HistoryCompacted(era)
     if status != STATUS_OK:
-        return ReadFailure(f"status {status}")
+        return ReadFailure(f"status {status}", era)
     try:
         match read:
             case ListRead():
                 page = msgspec.json.decode(body, type=_Page)
-                return ListPage(_convert_items(page.items), page.has_more, page.at)
+                items = _convert_items(page.items)
+                return ListPage(items, page.has_more, page.at, era)
             case WatchRead():
                 changes = msgspec.json.decode(body, type=_Events)
-                return WatchChanges(_convert_items(changes.events), changes.at)
+                return WatchChanges(_convert_items(changes.events), changes.at, era)
     except (ValueError, RecursionError) as error:
-        return ReadFailure(f"malformed answer: {error}")
+        return ReadFailure(f"malformed answer: {error}", era)
 
 
 def _convert_items(items: list[_Item]) -> tuple[StoreItem, ...]:
--- a/lacewingcleat/server_connection.py
+++ b/lacewingcleat/server_connection.py
@@ -40,6 +40,11 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the value of a header; names are in lower case."""
+    return next((value for key, value in headers if key == name), None)
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Represent the status and headers of a response."""
@@ -49,7 +54,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header; names are in lower case."""
-        return next((value for key, value in self.headers if key == name), None)
+        return find_header(self.headers, name)
 
     @property
     def ends_with_connection(self) -> bool:
--- a/lacewingcleat/store_items.py
+++ b/lacewingcleat/store_items.py
@@ -5,6 +5,10 @@
 
 from dataclasses import dataclass
 
+# The store counts how often it was restored from an older copy of itself. Revisions of
+# different eras cannot be compared: they go back and are given out again.
+UNKNOWN_ERA = 0
+
 
 @dataclass(frozen=True, slots=True)
 class StoreItem:
@@ -25,11 +29,13 @@
 
     :param has_more: whether further pages follow.
     :param store_revision: store revision at which the page was read.
+    :param era: era of the store, see `UNKNOWN_ERA`.
     """
 
     items: tuple[StoreItem, ...]
     has_more: bool
     store_revision: int
+    era: int = UNKNOWN_ERA
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,10 +43,12 @@
     """Represent the response to a watch: the changes since its start revision.
 
     :param store_revision: store revision up to which the changes are complete.
+    :param era: era of the store, see `UNKNOWN_ERA`.
     """
 
     items: tuple[StoreItem, ...]
     store_revision: int
+    era: int = UNKNOWN_ERA
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,17 +56,23 @@
     """Represent the response that the start revision of a watch has been compacted.
 
     The store no longer has all changes since that revision.
+
+    :param era: era of the store, see `UNKNOWN_ERA`.
     """
 
+    era: int = UNKNOWN_ERA
+
 
 @dataclass(frozen=True, slots=True)
 class ReadFailure:
     """Represent a read that failed.
 
     :param reason: description of the failure, for logs.
+    :param era: era of the store, see `UNKNOWN_ERA`; unknown without an answer.
     """
 
     reason: str
+    era: int = UNKNOWN_ERA
 
 
 StoreResponse = ListPage | WatchChanges | HistoryCompacted | ReadFailure
--- a/lacewingcleat/store_reader.py
+++ b/lacewingcleat/store_reader.py
@@ -8,10 +8,23 @@
 from lacewingcleat.clock import read_now
 from lacewingcleat.decision_log import DecisionLog
 from lacewingcleat.http_fetch import fetch
-from lacewingcleat.platform.store_calls import decode_store_response, encode_read
+from lacewingcleat.platform.store_calls import (
+    ERA_HEADER,
+    decode_era,
+    decode_store_response,
+    encode_read,
+)
 from lacewingcleat.server_connection import ServerConnection, ServerConnectionPool
 from lacewingcleat.server_record import ServerRecord
-from lacewingcleat.store_items import ReadFailure, StoreRead, StoreResponse, WatchRead
+from lacewingcleat.store_items import (
+    UNKNOWN_ERA,
+    HistoryCompacted,
+    ListPage,
+    ReadFailure,
+    StoreRead,
+    StoreResponse,
+    WatchRead,
+)
 from lacewingcleat.store_view import StoreView, ViewChange
 
 # A slow store responds after a few hundred milliseconds. An unresponsive connection
@@ -51,6 +64,8 @@
         self._refreshing: defer.Deferred[None] | None = None
         self.view = StoreView()
         self.call_count = 0
+        self.listing_count = 0
+        self.era = UNKNOWN_ERA
 
     def start(self) -> None:
         """Start to read."""
@@ -97,6 +112,7 @@
             # The watch in progress decides whether the store is reachable.
             return
         now = read_now()
+        self._log_progress(read, response, now)
         change = self.view.apply_refresh(response, sent_at, now)
         self._on_change(change, now)
 
@@ -109,6 +125,7 @@
             response = await self._read(read)
             now = read_now()
             self._log_reachability(response, now)
+            self._log_progress(read, response, now)
             change = self.view.apply_response(response, sent_at, now)
             if not isinstance(response, ReadFailure):
                 self._on_change(change, now)
@@ -131,6 +148,29 @@
                         age=round(self.view.age(now), 3),
                     )
 
+    def _log_progress(
+        self, read: StoreRead, response: StoreResponse, now: float
+    ) -> None:
+        """Log what cannot be told from the changes alone: eras and listings."""
+        if response.era not in (UNKNOWN_ERA, self.era):
+            self._log.belief(
+                "store era", now, era=response.era, previous=self.era, read=str(read)
+            )
+            self.era = response.era
+        match response:
+            case HistoryCompacted():
+                self._log.belief("store history lost", now, read=str(read))
+            case ListPage(items, has_more, store_revision):
+                self.listing_count += not has_more
+                self._log.belief(
+                    "store listed",
+                    now,
+                    era=response.era,
+                    revision=store_revision,
+                    items=len(items),
+                    has_more=has_more,
+                )
+
     async def _read(self, read: StoreRead) -> StoreResponse:
         connection = self._connection
         self._connection = None
@@ -153,4 +193,5 @@
         fetched = await fetch(connection, self._address, target, timeout_seconds)
         if isinstance(fetched, str):
             return ReadFailure(fetched)
-        return decode_store_response(read, fetched.status, fetched.body)
+        era = decode_era(fetched.header(ERA_HEADER))
+        return decode_store_response(read, fetched.status, fetched.body, era)
