Reproduce the faults of a restored store and configuration service

Cause: a position in a store (the revision of a watch, the version of a value) is kept and compared after the store was restored from an older copy, in which the same numbers stand for other contents. Change: the stand-ins learn the fault: the fake store keeps eras, copies and restores; the model of the configuration service gives versions out again and answers watches only by a higher one, as the real stand-in does. No logic is changed.

--- a/bench/spread_model.py
+++ b/bench/spread_model.py
@@ -102,6 +102,28 @@
         self.published_at = now
         self.published_by_revision.setdefault(split.manifest.revision, now)
 
+    def copy(self) -> "ConfigCopy":
+        """Return a copy to restore from."""
+        return ConfigCopy(self.version, self.manifest, dict(self.part_by_digest))
+
+    def restore(self, copy: "ConfigCopy") -> None:
+        """Lose all that was published since the copy; versions are given out again."""
+        self.version, self.manifest = copy.version, copy.manifest
+        self.part_by_digest = dict(copy.part_by_digest)
+
+    def has_changed(self, after: str) -> bool:
+        """Return whether a watch from a version is answered with the manifest."""
+        return bool(self.manifest) and self.version > int(after or 0)
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigCopy:
+    """Hold an older copy of the configuration service."""
+
+    version: int
+    manifest: bytes
+    part_by_digest: dict[str, bytes]
+
 
 class SpreadModel:
     """Run relays, a network and a configuration service.
@@ -148,6 +170,15 @@
             if process.watch is not None:
                 self._serve_watch(name, process.watch_number)
 
+    def restore_config(self, copy: ConfigCopy) -> None:
+        """Restore the configuration service, which cuts the open watches."""
+        was_up, self.config.up = self.config.up, False
+        for name, process in self.process_by_name.items():
+            if process.watch is not None:
+                self._serve_watch(name, process.watch_number)
+        self.config.restore(copy)
+        self.config.up = was_up
+
     def pause(self, name: str) -> None:
         """Stop a process without telling it; its messages wait."""
         self.process_by_name[name].paused = True
@@ -346,7 +377,7 @@
         process.watch = after
         process.watch_number += 1
         number = process.watch_number
-        if after != str(self.config.version) and self.config.manifest:
+        if self.config.has_changed(after):
             self._at(0.0, lambda: self._serve_watch(name, number))
         elif not self._service_reachable(process):
             self._at(SERVICE_SECONDS, lambda: self._serve_watch(name, number))
@@ -362,7 +393,7 @@
         after, process.watch = process.watch, None
         config = self.config
         version, data = str(config.version), config.manifest
-        changed = after != version and bool(data)
+        changed = config.has_changed(after)
         reachable = self._service_reachable(process)
         delay = SERVICE_SECONDS + self._delay(near=True)
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -9,6 +9,10 @@
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 
+from tests.store_contents import StoreContents, StoreEvent
+
+MAX_PAGE_ITEMS = 500
+
 
 @dataclass
 class ReceivedRequest:
@@ -80,6 +84,10 @@
     def end(self) -> None:
         """Close the port and all connections, like a process that crashes."""
         self.close()
+        self.cut_connections()
+
+    def cut_connections(self) -> None:
+        """Close all connections."""
         for stream in list(self._open_streams):
             with suppress(OSError):
                 stream.shutdown(socket.SHUT_RDWR)
@@ -89,37 +97,56 @@
     """Serve listings and watches; answers 503 while `down` is set."""
 
     def __init__(self) -> None:
-        self.revision = 1
         self.down = False
-        self.compacted_revision = 0
-        self._items: dict[str, tuple[int, bytes]] = {}
-        self._events: list[tuple[int, str, bytes | None]] = []
+        self._contents = StoreContents()
         self._changed = threading.Condition()
         self._listener = Listener(self._serve)
         self.address = self._listener.address
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last write."""
+        return self._contents.revision
+
     def put(self, key: str, value: object) -> None:
         """Write an item."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         with self._changed:
-            self.revision += 1
-            self._items[key] = (self.revision, data)
-            self._events.append((self.revision, key, data))
+            self._contents.write(key, data)
             self._changed.notify_all()
 
     def remove(self, key: str) -> None:
         """Remove an item."""
         with self._changed:
-            self.revision += 1
-            self._items.pop(key, None)
-            self._events.append((self.revision, key, None))
+            self._contents.write(key, None)
             self._changed.notify_all()
 
     def compact(self) -> None:
         """Drop the history, so that watches fail and clients have to list again."""
         with self._changed:
-            self.compacted_revision = self.revision
+            self._contents.compact()
+            self._changed.notify_all()
+
+    def copy(self) -> StoreContents:
+        """Return a copy to restore from."""
+        with self._changed:
+            return self._contents.copy()
+
+    @contextmanager
+    def restoring(self, copy: StoreContents) -> Iterator[None]:
+        """Go away, lose all writes since the copy, and return after the block.
+
+        What the block writes is in the restored store before anybody can read it.
+        """
+        with self._changed:
+            self.down = True
+            self._contents.restore(copy)
             self._changed.notify_all()
+        self._listener.cut_connections()
+        try:
+            yield
+        finally:
+            self.down = False
 
     def close(self) -> None:
         """Stop listening."""
@@ -127,48 +154,52 @@
 
     def _serve(self, stream: socket.socket) -> None:
         while (request := read_request(stream)) is not None:
-            if self.down:
-                stream.sendall(encode_response(503, b"{}"))
-                continue
             path, _, query = request.target.partition("?")
             values = dict(part.partition("=")[::2] for part in query.split("&"))
             if path == "/kv-range":
-                stream.sendall(encode_response(200, self._list()))
-                continue
-            status, body = self._watch(
-                int(values["after"]), int(values["wait_ms"]) / 1000.0
-            )
-            stream.sendall(encode_response(status, body))
+                answer = self._list()
+            else:
+                answer = self._watch(
+                    int(values["after"]), int(values["wait_ms"]) / 1000.0
+                )
+            stream.sendall(answer)
+
+    def _encode_answer(self, status: int, **body: object) -> bytes:
+        era = f"Store-Era: {self._contents.era}"
+        return encode_response(status, json.dumps(body).encode(), era)
 
     def _list(self) -> bytes:
         with self._changed:
-            items = [_item(key, at, data) for key, (at, data) in self._items.items()]
-            return json.dumps(
-                {"items": items, "has_more": False, "at": self.revision}
-            ).encode()
+            if self.down:
+                return self._encode_answer(503)
+            page, has_more = self._contents.page("", MAX_PAGE_ITEMS)
+            items = [_encode_event(event) for event in page]
+            return self._encode_answer(
+                200, items=items, has_more=has_more, at=self._contents.revision
+            )
 
-    def _watch(self, after: int, wait: float) -> tuple[int, bytes]:
+    def _watch(self, after: int, wait: float) -> bytes:
         deadline = time.monotonic() + wait
         with self._changed:
-            while True:
-                if after < self.compacted_revision:
-                    return 410, b"{}"
-                events = [event for event in self._events if event[0] > after]
+            while not self.down:
+                changes = self._contents.changes_after(after)
+                if changes is None:
+                    return self._encode_answer(410)
                 remaining_seconds = deadline - time.monotonic()
-                if events or remaining_seconds <= 0.0 or self.down:
-                    break
+                if changes or remaining_seconds <= 0.0:
+                    events = [_encode_event(event) for event in changes]
+                    return self._encode_answer(
+                        200, events=events, at=self._contents.revision
+                    )
                 self._changed.wait(remaining_seconds)
-            if self.down:
-                return 503, b"{}"
-            items = [_item(key, at, data) for at, key, data in events]
-            return 200, json.dumps({"events": items, "at": self.revision}).encode()
+            return self._encode_answer(503)
 
 
-def _item(key: str, revision: int, data: bytes | None) -> dict[str, object]:
-    if data is None:
-        return {"key": key, "revision": revision, "removed": True}
-    value = base64.b64encode(data).decode()
-    return {"key": key, "revision": revision, "value": value}
+def _encode_event(event: StoreEvent) -> dict[str, object]:
+    encoded: dict[str, object] = {"key": event.key, "revision": event.revision}
+    if event.value is None:
+        return {**encoded, "removed": True}
+    return {**encoded, "value": base64.b64encode(event.value).decode()}
 
 
 RequestHandler = Callable[[ReceivedRequest, socket.socket], bool]
--- a/tests/test_sheet_relay_faults.py
+++ b/tests/test_sheet_relay_faults.py
@@ -10,6 +10,7 @@
     rule,
     run_state_machine_as_test,
 )
+from testtools import TestCase
 
 from bench.spread_model import Network, SpreadModel
 from lacewingcleat.sheet_check import PartCache
@@ -19,6 +20,8 @@
 PROCESS_NAMES = sorted(SpreadModel(ZONE_SIZES, Network()).process_by_name)
 # Longer than the maximum retry delay of a reader plus the repair by heartbeats.
 RECOVERY_SECONDS = 15.0
+# Time within which a published revision has to be in force everywhere.
+IN_FORCE_SECONDS = 6.0
 CACHE = PartCache()
 
 process_names = st.sampled_from(PROCESS_NAMES)
@@ -37,6 +40,7 @@
         self.model = SpreadModel(ZONE_SIZES, network, seed, CACHE)
         self.revision = 1
         self.model.publish(make_split_sheet(1))
+        self.copy = self.model.config.copy()
         self.model.run(3.0)
 
     @rule(rate=st.sampled_from([10, 20]), seconds=st.sampled_from([0.0, 0.01, 0.5]))
@@ -83,6 +87,16 @@
     def config_service(self, up: bool) -> None:
         self.model.config.up = up
 
+    @rule()
+    def copy_config(self) -> None:
+        self.copy = self.model.config.copy()
+
+    @rule(seconds=st.sampled_from([0.0, 0.01, 0.5]))
+    def restore_config(self, seconds: float) -> None:
+        """Restore the service from the last copy; versions are given out again."""
+        self.model.restore_config(self.copy)
+        self.model.run(seconds)
+
     @invariant()
     def never_reverts(self) -> None:
         """Guards against a process that reverts to an earlier revision.
@@ -126,6 +140,23 @@
             assert process.relay.ready(model.now)
 
 
+class RestoredServiceTest(TestCase):
+    def test_a_revision_under_a_version_given_out_again_is_in_force(self) -> None:
+        """Guards against readers that wait for a version which is there already."""
+        model = SpreadModel(ZONE_SIZES, Network(), 1, CACHE)
+        model.publish(make_split_sheet(1))
+        model.run(3.0)
+        copy = model.config.copy()
+        model.publish(make_split_sheet(2))
+        model.publish(make_split_sheet(3))
+        model.run(3.0)
+        model.restore_config(copy)
+        model.publish(make_split_sheet(3))
+        model.publish(make_split_sheet(4))
+        model.run(IN_FORCE_SECONDS)
+        self.assertEqual({4}, set(model.revisions().values()))
+
+
 class _NoModel:
     process_by_name: dict[str, object] = {}
 
