Read the store anew after it was restored from an older copy

Callers saw: 401 for a valid key, as a configuration below the watched revision was never read; requests went on to a server that the restored store does not have; 503 for a service whose servers had to register again, as the outage was too short to be noticed. Cause: StoreView took a revision for a position in the store, although a restored store gives the same revisions out again. A watch that the restored store had overtaken went on, and confirmed the age of the view. Change: each read is sent in an era. A response of an earlier era, or to a revision of one, is discarded; a later era makes the view list the store anew, and counts as the end of an outage for servers that have to register again. A watch answered with a revision before its own is treated in the same way. Conclusion: an era scopes every position that is kept, so no order of reads, refreshes and restores hides a change.

--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -2,11 +2,15 @@
 
 The view is known to have been complete when the last successful read was sent, because
 the response covers everything that the store had acknowledged by then.
+
+A restored store begins a new era. Revisions and responses of an earlier era say nothing
+about it, so the view is then read anew by a listing.
 """
 
 from dataclasses import dataclass, field
 
 from lacewingcleat.store_items import (
+    UNKNOWN_ERA,
     HistoryCompacted,
     ListPage,
     ListRead,
@@ -38,13 +42,25 @@
 class ViewChange:
     """Represent the keys changed by a read.
 
-    :param after_outage: whether this is the first read after an outage of the store.
+    :param after_outage: whether this is the first read after an outage of the store,
+        or the first listing since it was restored.
     """
 
     keys: tuple[str, ...]
     after_outage: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _OpenRead:
+    """Represent a read that was sent.
+
+    :param era: era that the view was read from at that time.
+    """
+
+    read: StoreRead
+    era: int
+
+
 @dataclass(slots=True)
 class _Listing:
     """Collect the pages of one listing.
@@ -66,14 +82,19 @@
 
     :ivar item_by_key: the items as last read.
     :ivar complete_at: last time at which the view is known to have been complete.
-    :ivar recovered_at: end of the last outage of the store.
+    :ivar recovered_at: end of the last outage of the store, or of the first listing
+        after a restore.
     """
 
     __slots__ = (
         "_consecutive_failures",
+        "_era",
         "_failed_since",
+        "_is_restored",
         "_listing",
         "_next_read_at",
+        "_open_read",
+        "_open_refresh",
         "_watch_revision",
         "complete_at",
         "item_by_key",
@@ -89,6 +110,10 @@
         self._consecutive_failures = 0
         self._failed_since: float | None = None
         self._next_read_at = NEVER
+        self._era = UNKNOWN_ERA
+        self._is_restored = False
+        self._open_read = _OpenRead(ListRead(""), UNKNOWN_ERA)
+        self._open_refresh = _OpenRead(WatchRead(0, 0.0), UNKNOWN_ERA)
 
     def age(self, now: float) -> float:
         """Return the seconds since the view is known to have been complete."""
@@ -97,17 +122,24 @@
     def next_read(self, now: float) -> tuple[StoreRead, float]:
         """Return the next read and the seconds to wait before sending it."""
         wait = max(0.0, self._next_read_at - now)
+        read = self._choose_read(now + wait)
+        self._open_read = _OpenRead(read, self._era)
+        return read, wait
+
+    def _choose_read(self, sent_at: float) -> StoreRead:
         if self._watch_revision is not None and self._listing is None:
-            return WatchRead(self._watch_revision, WATCH_WAIT_SECONDS), wait
+            return WatchRead(self._watch_revision, WATCH_WAIT_SECONDS)
         if self._listing is None:
-            self._listing = _Listing(now + wait)
-        return ListRead(self._listing.after_key), wait
+            self._listing = _Listing(sent_at)
+        return ListRead(self._listing.after_key)
 
     def refresh_read(self) -> WatchRead | None:
         """Return a read that only confirms the view, none if there is no view yet."""
         if self._watch_revision is None or self._listing is not None:
             return None
-        return WatchRead(self._watch_revision, 0.0)
+        read = WatchRead(self._watch_revision, 0.0)
+        self._open_refresh = _OpenRead(read, self._era)
+        return read
 
     def apply_refresh(
         self, response: StoreResponse, sent_at: float, now: float
@@ -116,6 +148,8 @@
 
         :param sent_at: time at which the read was sent.
         """
+        if not self._belongs_to_view(response, self._open_refresh):
+            return ViewChange((), False)
         if isinstance(response, WatchChanges) and self._watch_revision is not None:
             return self._apply_changes(
                 response.items, response.store_revision, sent_at, now
@@ -132,6 +166,9 @@
 
         :param sent_at: time at which the read was sent.
         """
+        if not self._belongs_to_view(response, self._open_read):
+            self._next_read_at = now
+            return ViewChange((), False)
         match response:
             case ReadFailure():
                 self._consecutive_failures += 1
@@ -151,6 +188,44 @@
             case WatchChanges(items, store_revision):
                 return self._apply_changes(items, store_revision, sent_at, now)
 
+    def _belongs_to_view(self, response: StoreResponse, sent: _OpenRead) -> bool:
+        """Return whether a response is about the store that the view is read from.
+
+        A response of a later era makes the view start anew. It then belongs to the view
+        only if it does not depend on anything read before.
+        """
+        if isinstance(response, ReadFailure):
+            self._enter_era(response.era)
+            return True
+        if response.era != UNKNOWN_ERA and response.era < self._era:
+            return False
+        self._enter_era(response.era)
+        if sent.read == ListRead("") or isinstance(response, HistoryCompacted):
+            return True
+        if sent.era != self._era:
+            return False
+        if isinstance(response, WatchChanges) and isinstance(sent.read, WatchRead):
+            if response.store_revision < sent.read.after_revision:
+                self._start_anew()
+                return False
+        return True
+
+    def _enter_era(self, era: int) -> None:
+        if era == UNKNOWN_ERA or era <= self._era:
+            return
+        if self._era != UNKNOWN_ERA:
+            self._start_anew()
+        self._era = era
+
+    def _start_anew(self) -> None:
+        """Discard what was read of the store before it was restored.
+
+        The items stay until the listing is complete.
+        """
+        self._watch_revision = None
+        self._listing = None
+        self._is_restored = True
+
     def _apply_page(
         self,
         items: tuple[StoreItem, ...],
@@ -210,11 +285,14 @@
         self, keys: list[str], sent_at: float, now: float
     ) -> ViewChange:
         failed_since = self._failed_since
-        after_outage = (
+        is_first_listing = self._is_restored and self._watch_revision is not None
+        after_outage = is_first_listing or (
             failed_since is not None and now - failed_since > MIN_OUTAGE_SECONDS
         )
         if after_outage:
             self.recovered_at = now
+        if is_first_listing:
+            self._is_restored = False
         self._failed_since = None
         self.complete_at = max(self.complete_at, sent_at)
         self._consecutive_failures = 0
