Keep what is known of servers that left when the store is restored

Callers saw: requests sent to servers that were draining or gone, cut off when those ended. Cause: a restored store shows servers as they were when its copy was made. The directory took any record for news, so a server that had announced to leave became ready again. Change: that a server leaves is final for its run. A record that may come from the copy (a revision not above that of the first listing after the restore) does not bring back a server that was removed: it is held until its registration has outlived that of a dead server, four heartbeat intervals of the settings, or the server writes again. A copy of an earlier run of a server is ignored. Conclusion: knowledge of a run of a server outlives the store it came from.

--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -47,6 +47,7 @@
 from lacewingcleat.server_connection import ServerConnectionPool
 from lacewingcleat.server_rate_limits import NamedLimit
 from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.store_items import StoreItem
 from lacewingcleat.store_reader import StoreReader
 from lacewingcleat.store_view import ViewChange
 
@@ -213,11 +214,10 @@
         items = self._store_reader.view.item_by_key
         for key in change.keys:
             item = items.get(key)
-            value = item.value if item else None
-            if key == CONFIG_KEY and value is not None:
-                self._apply_config(value, now)
+            if key == CONFIG_KEY and item is not None and item.value is not None:
+                self._apply_config(item.value, now)
             elif key.startswith(SERVER_PREFIX):
-                self._apply_server(key, value, now)
+                self._apply_server(key, item, now)
 
     def _apply_config(self, value: bytes, now: float) -> None:
         decoded = decode_config(value)
@@ -236,16 +236,16 @@
         self._caller_factory.limits = config.limits
         self._log.belief("config", now, version=config.version, age=age)
 
-    def _apply_server(self, key: str, value: bytes | None, now: float) -> None:
+    def _apply_server(self, key: str, item: StoreItem | None, now: float) -> None:
         name = key.removeprefix(SERVER_PREFIX)
         directory = self._state.directory
-        if value is None:
+        if item is None or item.value is None:
             was_removed = directory.remove(
                 name, self._store_reader.view.recovered_at, now
             )
             self._log.belief("server missing", now, server=name, dropped=was_removed)
             return
-        decoded = decode_server(key, value)
+        decoded = decode_server(key, item.value)
         if isinstance(decoded, Err):
             self._log.belief(
                 "malformed server", now, server=name[:60], error=decoded.err_value
@@ -253,7 +253,12 @@
             directory.remove(name, float("-inf"), now)
             return
         record = decoded.ok_value
-        previous = directory.put(record)
+        may_be_copied = self._store_reader.view.may_be_copied(item)
+        if may_be_copied:
+            previous = directory.put_copied(record, now)
+        else:
+            previous = directory.put(record)
+        record = directory.find(name) or record
         if previous is not None and previous == record:
             return
         if previous is not None and previous.started_ms != record.started_ms:
@@ -265,6 +270,8 @@
             service=record.service,
             address=record.address,
             leaving=record.leaving,
+            accepts=directory.accepts_requests(name, now),
+            copied=may_be_copied,
             started_ms=record.started_ms,
         )
 
--- a/lacewingcleat/direct_settings.py
+++ b/lacewingcleat/direct_settings.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+# Used if the settings do not say how often servers renew their registration.
+DEFAULT_HEARTBEAT_SECONDS = 1.2
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformBounds:
@@ -14,6 +17,7 @@
     :param retry_ratio: retries allowed per request of a service.
     :param extra_retries: additional retries allowed in each window, over all entries.
     :param retry_window_seconds: length of the windows of the retry budget.
+    :param heartbeat_seconds: interval in which servers renew their registration.
     """
 
     revocation_seconds: float
@@ -23,6 +27,7 @@
     retry_ratio: float
     extra_retries: float
     retry_window_seconds: float
+    heartbeat_seconds: float = DEFAULT_HEARTBEAT_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -87,7 +87,7 @@
         self._occupancy_by_group: dict[str, float] = {}
         self.config: RoutingConfig | None = None
         self.max_event_interval_seconds = 0.0
-        self.directory = ServerDirectory()
+        self.directory = ServerDirectory(bounds.heartbeat_seconds)
         self.groups = GroupTracker()
         self.loads = ServerLoads()
         self.connection_backoff = ConnectionBackoff()
--- a/lacewingcleat/platform/settings_file.py
+++ b/lacewingcleat/platform/settings_file.py
@@ -3,7 +3,11 @@
 import msgspec
 from result import Err, Ok, Result
 
-from lacewingcleat.direct_settings import DirectSettings, PlatformBounds
+from lacewingcleat.direct_settings import (
+    DEFAULT_HEARTBEAT_SECONDS,
+    DirectSettings,
+    PlatformBounds,
+)
 from lacewingcleat.platform.json_body import decode_json
 
 SETTINGS_VARIABLE = "LACEWINGCLEAT_SETTINGS"
@@ -37,6 +41,7 @@
     bounds: _Bounds
     platform: _Store
     seeds: list[str] = []
+    heartbeat_interval_ms: float = DEFAULT_HEARTBEAT_SECONDS * MS_PER_SECOND
 
 
 def decode_settings(data: bytes) -> Result[DirectSettings, str]:
@@ -63,6 +68,7 @@
                 retry_ratio=bounds.retry_budget_ratio,
                 extra_retries=bounds.retry_budget_extra,
                 retry_window_seconds=bounds.budget_window_s,
+                heartbeat_seconds=settings.heartbeat_interval_ms / MS_PER_SECOND,
             ),
         ),
     )
--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -36,6 +36,8 @@
 # that is long enough to have caused missed heartbeats lasts longer than this.
 MIN_OUTAGE_SECONDS = 1.5
 NEVER = float("-inf")
+# Revisions of the store begin above 0.
+NO_REVISION = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +90,7 @@
 
     __slots__ = (
         "_consecutive_failures",
+        "_copied_revision",
         "_era",
         "_failed_since",
         "_is_restored",
@@ -112,6 +115,7 @@
         self._next_read_at = NEVER
         self._era = UNKNOWN_ERA
         self._is_restored = False
+        self._copied_revision = NO_REVISION
         self._open_read = _OpenRead(ListRead(""), UNKNOWN_ERA)
         self._open_refresh = _OpenRead(WatchRead(0, 0.0), UNKNOWN_ERA)
 
@@ -119,6 +123,10 @@
         """Return the seconds since the view is known to have been complete."""
         return now - self.complete_at
 
+    def may_be_copied(self, item: StoreItem) -> bool:
+        """Return whether an item may be as old as the copy of a restored store."""
+        return item.revision <= self._copied_revision
+
     def next_read(self, now: float) -> tuple[StoreRead, float]:
         """Return the next read and the seconds to wait before sending it."""
         wait = max(0.0, self._next_read_at - now)
@@ -248,6 +256,8 @@
         previous_items = self.item_by_key
         self.item_by_key = listing.item_by_key
         self._watch_revision = listing.store_revision
+        if self._is_restored:
+            self._copied_revision = listing.store_revision
         self._listing = None
         changed_keys = [
             key
