Deny nothing while a restored store may lack the newest configuration

Callers saw: 404 for a route that had been added and confirmed, from an entry that had not read it before the store lost it. Cause: a fresh listing counted as proof that nothing newer was acknowledged. That does not hold for a restored store until its writers have written again what it lost. Change: for 2 s after the first listing of a restored store, or until the configuration is written in the new era, unknown routes and keys get 503 with Retry-After instead of 404 and 401. Keys and routes in force are served as before. Conclusion: what a restored store does not show is no ground for a denial.

--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -50,6 +50,8 @@
 
     :param config_age: returns the age in seconds of the configuration at a given time.
     :param refresh_config: tries to bring the configuration up to date.
+    :param config_may_be_lost: returns whether the store may have lost the newest
+        configuration at a given time.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         metrics: DirectMetrics,
         config_age: Callable[[float], float],
         refresh_config: Callable[[], Awaitable[None]],
+        config_may_be_lost: Callable[[float], bool] = lambda _now: False,
     ) -> None:
         self._settings = settings
         self._state = state
@@ -69,6 +72,7 @@
         self._metrics = metrics
         self._config_age = config_age
         self._refresh_config = refresh_config
+        self._config_may_be_lost = config_may_be_lost
 
     def handle(self, request: CallerRequest) -> None:
         """Answer one request."""
@@ -120,6 +124,7 @@
             _parse_bearer_key(request.header(names.AUTHORIZATION)),
             self._settings.bounds.revocation_seconds,
             self._settings.bounds.config_apply_seconds,
+            self._config_may_be_lost(now),
         )
         version = config.version if config else 0
         caller_timeout = names.parse_deadline_seconds(request.header(names.DEADLINE_MS))
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -123,6 +123,7 @@
             self._metrics,
             self._store_reader.view.age,
             self._store_reader.refresh,
+            lambda now: self._store_reader.view.may_be_lost(CONFIG_KEY, now),
         )
         self._caller_factory = CallerFactory(
             reactor,
--- a/lacewingcleat/request_access.py
+++ b/lacewingcleat/request_access.py
@@ -69,6 +69,7 @@
     key: str | None,
     revocation_seconds: float,
     apply_seconds: float,
+    may_be_lost: bool = False,
 ) -> Granted | Denied:
     """Return whether a request is permitted.
 
@@ -76,10 +77,11 @@
     :param key: API key of the caller, `None` if the request has none.
     :param revocation_seconds: time within which a removed key must stop working.
     :param apply_seconds: time within which a new configuration must be applied.
+    :param may_be_lost: whether the store may have lost the newest configuration.
     """
     if config is None:
         return Denied(503, DenialReason.NO_CONFIG)
-    may_deny = age <= apply_seconds * DENIAL_AGE_FRACTION
+    may_deny = age <= apply_seconds * DENIAL_AGE_FRACTION and not may_be_lost
     route = config.find_route(host, path)
     if route is None:
         return Denied(404, DenialReason.NO_ROUTE) if may_deny else _deny_stale()
--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -36,6 +36,8 @@
 # that is long enough to have caused missed heartbeats lasts longer than this.
 MIN_OUTAGE_SECONDS = 1.5
 NEVER = float("-inf")
+# Time within which its writers write again what a restored store has lost.
+REWRITE_SECONDS = 2.0
 # Revisions of the store begin above 0.
 NO_REVISION = 0
 
@@ -98,6 +100,7 @@
         "_next_read_at",
         "_open_read",
         "_open_refresh",
+        "_restored_at",
         "_watch_revision",
         "complete_at",
         "item_by_key",
@@ -116,6 +119,7 @@
         self._era = UNKNOWN_ERA
         self._is_restored = False
         self._copied_revision = NO_REVISION
+        self._restored_at = NEVER
         self._open_read = _OpenRead(ListRead(""), UNKNOWN_ERA)
         self._open_refresh = _OpenRead(WatchRead(0, 0.0), UNKNOWN_ERA)
 
@@ -123,6 +127,18 @@
         """Return the seconds since the view is known to have been complete."""
         return now - self.complete_at
 
+    def may_be_lost(self, key: str, now: float) -> bool:
+        """Return whether the store may have lost the newest version of an item.
+
+        The writers of a restored store need some time to write it again.
+        """
+        if self._is_restored:
+            return True
+        if now - self._restored_at >= REWRITE_SECONDS:
+            return False
+        item = self.item_by_key.get(key)
+        return item is None or self.may_be_copied(item)
+
     def may_be_copied(self, item: StoreItem) -> bool:
         """Return whether an item may be as old as the copy of a restored store."""
         return item.revision <= self._copied_revision
@@ -303,6 +319,7 @@
             self.recovered_at = now
         if is_first_listing:
             self._is_restored = False
+            self._restored_at = now
         self._failed_since = None
         self.complete_at = max(self.complete_at, sent_at)
         self._consecutive_failures = 0
--- a/tests/test_request_access.py
+++ b/tests/test_request_access.py
@@ -42,6 +42,16 @@
         if age > APPLY:
             self.assertEqual(Denied(503, DenialReason.STALE_CONFIG), access)
 
+    @given(age=st.floats(0.0, 60.0), path=st.sampled_from(["/a/x", "/none/"]))
+    def test_a_config_that_may_be_lost_denies_nothing(
+        self, age: float, path: str
+    ) -> None:
+        """Guards against 404 for a route that the restored store has lost."""
+        access = authorize_request(
+            make_config(), age, "h", path, "unknown", REVOCATION, APPLY, True
+        )
+        self.assertEqual(Denied(503, DenialReason.STALE_CONFIG), access)
+
     def test_missing_config_gives_503(self) -> None:
         """Guards against 404 from a process that has no configuration yet."""
         self.assertEqual(Denied(503, DenialReason.NO_CONFIG), _authorize(None, 0.0))
--- a/tests/test_store_view_restored.py
+++ b/tests/test_store_view_restored.py
@@ -9,7 +9,7 @@
     WatchChanges,
     WatchRead,
 )
-from lacewingcleat.store_view import StoreView
+from lacewingcleat.store_view import REWRITE_SECONDS, StoreView
 from tests.builders_direct import make_item
 from tests.store_simulation import ViewSimulation
 
@@ -38,6 +38,22 @@
         self.assertEqual(("b", "c", "d"), change.keys)
         self.assertEqual(2.1, view.recovered_at)
 
+    def test_an_item_may_be_lost_until_it_is_written_again(self) -> None:
+        """Guards against denials from an old configuration of a restored store."""
+        view = _view()
+        self.assertFalse(view.may_be_lost("a", 0.2))
+        view.next_read(1.0)
+        view.apply_response(HistoryCompacted(era=2), 1.0, 1.1)
+        self.assertTrue(view.may_be_lost("a", 1.1))
+        view.next_read(1.1)
+        items = (make_item("a", 3), make_item("b", 5))
+        view.apply_response(ListPage(items, False, 6, era=2), 1.1, 1.2)
+        view.next_read(1.2)
+        view.apply_response(WatchChanges((make_item("b", 7),), 7, 2), 1.2, 1.3)
+        self.assertTrue(view.may_be_lost("a", 1.3))
+        self.assertFalse(view.may_be_lost("b", 1.3))
+        self.assertFalse(view.may_be_lost("a", 1.2 + REWRITE_SECONDS))
+
     def test_a_refresh_that_meets_the_restored_store_leads_to_a_listing(self) -> None:
         """Guards against a watch in flight that hides the restore again."""
         view = _view()
