Take a configuration for outdated while a peer has a newer one in force

Callers saw: a key that was removed and confirmed 5 s before was admitted by an entry that started between the restore of the store and the operator's repeated write. Cause: an entry without memory takes what the store shows for the newest configuration; nothing told it that the store had lost a newer one. Change: datagrams carry the version in force and for how long. An entry with an older version counts its configuration as outdated for that long, so the bounds on its age apply: it denies nothing and then admits no key. An entry that starts is told by the seed that it contacts at once, and waits for that for up to 1 s if it has seeds. Conclusion: the fleet remembers what the store forgot, for as long as one entry that knows it runs. If all restart at once, nothing does.

--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -39,6 +39,7 @@
 )
 from lacewingcleat.load_socket import LoadSocket
 from lacewingcleat.map_driver import MapDriver
+from lacewingcleat.peer_configs import PeerConfigs
 from lacewingcleat.platform.config_item import CONFIG_KEY, decode_config
 from lacewingcleat.platform.server_item import SERVER_PREFIX, decode_server
 from lacewingcleat.platform.settings_file import SETTINGS_VARIABLE, decode_settings
@@ -90,6 +91,9 @@
         )
         random = Random(os.urandom(8))
         self._state = DirectState(settings.zone, settings.bounds, self._peers, random)
+        self._peer_configs = PeerConfigs(
+            bool(settings.control_address) and self._peers.has_seeds, read_now()
+        )
         self._evidence_exchange = EvidenceExchange(
             self._state.crash_evidence, self._peers
         )
@@ -121,7 +125,7 @@
             self._runner,
             log,
             self._metrics,
-            self._store_reader.view.age,
+            self._config_age,
             self._store_reader.refresh,
             lambda now: self._store_reader.view.may_be_lost(CONFIG_KEY, now),
         )
@@ -167,7 +171,12 @@
 
     def _is_config_fresh(self, now: float) -> bool:
         limit = max_key_admission_age(self._settings.bounds.revocation_seconds)
-        return self._store_reader.view.age(now) <= limit
+        return self._config_age(now) <= limit
+
+    def _config_age(self, now: float) -> float:
+        """Return the seconds since the configuration is known to have been current."""
+        age = self._store_reader.view.age(now)
+        return max(age, self._peer_configs.outdated_seconds(now))
 
     def _is_ready(self, now: float) -> bool:
         has_config = self._state.config is not None
@@ -186,7 +195,7 @@
     def _respond_to_probe(self, request: CallerRequest) -> None:
         now = read_now()
         if request.target.startswith(b"/metrics"):
-            self._metrics.config_age.set(min(1e6, self._store_reader.view.age(now)))
+            self._metrics.config_age.set(min(1e6, self._config_age(now)))
             self._metrics.open_requests.set(self._caller_factory.open_requests)
             self._metrics.store_calls.set(self._store_reader.call_count)
             self._metrics.store_listings.set(self._store_reader.listing_count)
@@ -235,6 +244,7 @@
             )
             return
         self._caller_factory.limits = config.limits
+        self._peer_configs.put_in_force(config.version, now)
         self._log.belief("config", now, version=config.version, age=age)
 
     def _apply_server(self, key: str, item: StoreItem | None, now: float) -> None:
@@ -327,8 +337,16 @@
         """Send the counts, with some crash evidence and limits of servers."""
         counts = self._state.loads.in_flight_by_name()
         digest = self._state.crash_evidence.digest
-        is_ready = self._is_ready(read_now())
-        message = self._peers.next_message(counts, is_ready, digest, crashes, limits)
+        now = read_now()
+        is_ready = self._is_ready(now)
+        message = self._peers.next_message(
+            counts,
+            is_ready,
+            digest,
+            crashes,
+            limits,
+            self._peer_configs.in_force(now),
+        )
         self._peer_socket.send(message, recipients)
 
     def _announce_limit(self, server: str) -> None:
@@ -357,10 +375,15 @@
 
     def _record_peer_load(self, load: PeerLoad) -> None:
         now = read_now()
+        is_new_process = self._peers.is_new_process(load)
         if self._peers.record(load, now):
             self._state.loads.record_peer_counts(
                 load.instance, load.count_by_server, now
             )
+            self._record_peer_config(load, now)
+            if is_new_process:
+                # It is not ready before it knows the version in force here.
+                self._send_counts([load.address])
         for named in self._state.rate_limits.merge(load.limits, now):
             self._log_server_limit(named, load.instance, now)
         if self._evidence_exchange.merge(load, now):
@@ -368,6 +391,20 @@
         for message in self._evidence_exchange.replies(load, now):
             self._send_datagram(message.recipients, message.crashes)
 
+    def _record_peer_config(self, load: PeerLoad, now: float) -> None:
+        known_version = self._peer_configs.newest_version()
+        self._peer_configs.record(
+            load.address, load.config_version, load.config_seconds, now
+        )
+        if load.config_version > known_version:
+            self._log.belief(
+                "newer config at peer",
+                now,
+                source=load.instance,
+                version=load.config_version,
+                age=round(load.config_seconds, 3),
+            )
+
     def _apply_evidence(self, source: str, now: float) -> None:
         """Cancel what turns out to crash servers, and log the new evidence."""
         self._runner.withdraw_refused()
@@ -386,6 +423,7 @@
         for name in self._state.directory.expire(now):
             self._log.belief("server gone", now, server=name)
         self._state.crash_evidence.expire(now)
+        self._peer_configs.retain(self._peers.addresses())
         for event in self._state.update_outliers(now):
             self._log.belief("outlier", now, change=str(event))
         for change in self._state.adjust_concurrency(now):
@@ -398,7 +436,7 @@
             self._was_ready = ready
             self._log.lifecycle(
                 "ready" if ready else "not ready",
-                config_age=round(min(1e6, self._store_reader.view.age(now)), 3),
+                config_age=round(min(1e6, self._config_age(now)), 3),
                 stopping=self._stopping_since is not None,
             )
         if self._stopping_since is not None:
--- a/lacewingcleat/load_gossip.py
+++ b/lacewingcleat/load_gossip.py
@@ -59,6 +59,9 @@
     :param evidence_digest: hash of all crash evidence of the sender.
     :param crashes: crash evidence, if the recipient may lack it.
     :param limits: limits that servers have lately named to the sender.
+    :param config_version: version of the configuration that the sender has in force, 0
+        for none.
+    :param config_seconds: time for which the sender has had it in force.
     """
 
     instance: str
@@ -72,6 +75,8 @@
     evidence_digest: int = 0
     crashes: list[CrashRecord] = []
     limits: list[NamedLimit] = []
+    config_version: int = 0
+    config_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -144,6 +149,16 @@
         """Return the number of tracked peers."""
         return len(self._peer_by_address)
 
+    @property
+    def has_seeds(self) -> bool:
+        """Return whether there are other entries to discover peers from."""
+        return bool(self._seeds)
+
+    def is_new_process(self, load: PeerLoad) -> bool:
+        """Return whether a datagram is the first one from its process."""
+        peer = self._peer_by_address.get(load.address)
+        return peer is None or peer.incarnation != load.incarnation
+
     def record(self, load: PeerLoad, now: float) -> bool:
         """Record a datagram and return whether it is newer than the last one."""
         if load.address == self._address:
@@ -232,8 +247,12 @@
         evidence_digest: int = 0,
         crashes: Sequence[CrashRecord] = (),
         limits: Sequence[NamedLimit] = (),
+        config_in_force: tuple[int, float] = (0, 0.0),
     ) -> PeerLoad:
-        """Build the next datagram."""
+        """Build the next datagram.
+
+        :param config_in_force: see `PeerConfigs.in_force`.
+        """
         self._sequence += 1
         responsive = [
             address for address, peer in self._peer_by_address.items() if peer.instance
@@ -251,6 +270,7 @@
             evidence_digest,
             list(crashes),
             list(limits),
+            *config_in_force,
         )
 
     def announces_to_all(self) -> bool:
