Read the configuration service anew after a failed watch

Callers saw: a published revision that was not in force within 6 s, at all instances of the product's own way in. A service restored from a copy gives versions out again, so a watch waited for a version that was already there under another content, up to 25 s. Change: after a failed watch the next one returns the content at once; the same version with another content counts as a change. Revisions still never step back. Conclusion: a version is a position only while watches succeed.

--- a/bench/process_fleet.py
+++ b/bench/process_fleet.py
@@ -289,9 +289,13 @@
 
     def publish(self, revision: int) -> None:
         """Publish the sheet under another revision."""
+        self.write_sheet(revision)
+        self.signal("config", signal.SIGHUP)
+
+    def write_sheet(self, revision: int) -> None:
+        """Write the sheet that the configuration service publishes next."""
         self.sheet["revision"] = revision
         Path(self.sheet_path).write_text(json.dumps(self.sheet))
-        self.signal("config", signal.SIGHUP)
 
     def revision(self, name: str) -> int:
         """Return the revision that a process has in force."""
--- a/lacewingcleat/config_client.py
+++ b/lacewingcleat/config_client.py
@@ -60,6 +60,7 @@
         self._manifest_watch: defer.Deferred[None] | None = None
         self._instances_watch: defer.Deferred[None] | None = None
         self._instances_version = ""
+        self._manifest = b""
 
     def watch_manifest(self, after: str) -> None:
         """Watch the manifest; an open watch is cancelled.
@@ -96,8 +97,10 @@
         path = f"/v1/watch/instances?after={self._instances_version or 0}"
         result = await self._read(path, WATCH_TIMEOUT_SECONDS)
         if result is None:
-            # The list is optional and always somewhat outdated, so a longer retry delay
-            # is sufficient.
+            # The service may have been restored and versions given out again. The list
+            # is optional and always somewhat outdated, so a longer retry delay is
+            # sufficient.
+            self._instances_version = ""
             await task.deferLater(
                 self._reactor, INSTANCES_RETRY_DELAY_SECONDS, lambda: None
             )
@@ -119,9 +122,11 @@
             self._owner.perform(relay.handle_manifest_failure(now))
             return
         version, content = result
-        if version == after:
+        # A service that was restored from a copy gives versions out again.
+        if version == after and content == self._manifest:
             self._owner.perform(relay.handle_manifest_unchanged(now))
             return
+        self._manifest = content
         self._owner.perform(relay.handle_manifest(content, version, now))
 
     async def _read_part(self, digest: str) -> None:
--- a/lacewingcleat/config_reader.py
+++ b/lacewingcleat/config_reader.py
@@ -76,9 +76,13 @@
     def record_watch_failure(self, now: float) -> bool:
         """Record a failed watch and back off exponentially.
 
+        The service may have been restored from a copy meanwhile, and versions given out
+        again, so the next watch returns the manifest at once.
+
         :return: whether it was counted; reads that fail together count as one failure.
         """
         self._watch_opened_at = None
+        self.reset_version()
         return self._record_failure(now)
 
     def reset_version(self) -> None:
--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -193,6 +193,20 @@
         for name in (*ENTRIES, "draft-1"):
             self.assertEqual(5, self.fleet.revision(name))
 
+    def test_revision_of_a_restored_configuration_service_is_in_force(self) -> None:
+        """Guards against readers that wait for a version that is given out again.
+
+        The configuration service comes back from an older copy, and the next revision
+        is published before the readers reach it again.
+        """
+        for revision in (2, 3, 4):
+            self.fleet.publish(revision)
+            self._wait_for_revision(revision, ENTRIES)
+        self.fleet.kill("config")
+        self.fleet.write_sheet(5)
+        self.fleet.start_config()
+        self._wait_for_revision(5, (*ENTRIES, "draft-1"))
+
     def _wait_for_revision(self, revision: int, names: tuple[str, ...]) -> None:
         end = time.monotonic() + 6.0
         while time.monotonic() < end:
