Trust no unnamed refusal on a connection that was used before

Callers saw: 503 "not run" for a request that a server had run or was running, after the server had written an earlier refusal once more on a kept connection. The request could also run at a second server. Cause: a refusal was accepted without a request identifier. On a kept connection it may be a late copy, whose request was another one. Requests that must not run twice use new connections and were not affected. Change: on a connection that was used before, a refusal has to name its request. Otherwise the attempt counts as broken, so the request may have run.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -285,7 +285,7 @@
         head: ResponseHead,
         timeout_at: float,
     ) -> AttemptResult:
-        fault = find_response_fault(context, head)
+        fault = find_response_fault(context, head, connection.request_count)
         if fault:
             connection.abort()
             return _broken_result(record, fault)
@@ -380,7 +380,7 @@
             return await self._read_body(
                 context, record, connection, head, context.deadline
             )
-        fault = find_response_fault(context, head)
+        fault = find_response_fault(context, head, connection.request_count)
         if fault:
             connection.abort()
             return _broken_result(record, fault)
@@ -493,14 +493,23 @@
     return [(key, value) for key, value in headers if key not in HOP_BY_HOP_HEADERS]
 
 
-def find_response_fault(context: RequestContext, head: ResponseHead) -> str:
-    """Return why a response does not belong to this request, empty if it does."""
+def find_response_fault(
+    context: RequestContext, head: ResponseHead, request_count: int
+) -> str:
+    """Return why a response does not belong to this request, empty if it does.
+
+    A refusal that names no request can only be trusted on a new connection. On one that
+    was used before it may be a late copy of an earlier refusal.
+
+    :param request_count: number of requests sent on the connection.
+    """
     request_id = head.header(names.REQUEST_ID)
     not_run = head.header(names.NOT_RUN) is not None
     if request_id is not None and request_id.decode("latin-1") != context.request_id:
         return "answer to another request"
     if head.status == names.STATUS_MISDIRECTED or not_run:
-        return ""
+        is_unnamed = request_id is None and request_count > 1
+        return "refusal without a request identifier" if is_unnamed else ""
     if request_id is None:
         return "answer without a request identifier"
     if head.status < 300 and head.header(names.RESPONSE_SIGNATURE) is None:
--- a/tests/test_hostile_servers.py
+++ b/tests/test_hostile_servers.py
@@ -22,6 +22,7 @@
     encode_signed_response,
     encode_stream_head,
 )
+from tests.raw_caller import call_raw, looks_complete
 
 # Statuses with which an entry may answer instead of a response that it cannot trust.
 FAILURES = {502, 503, 504}
@@ -249,36 +250,6 @@
         self.assertEqual(_all_events(), body)
 
 
-def _call_raw(entry: EntryProcess, path: str, version: str) -> tuple[bytes, bool]:
-    """Return the bytes of a response and whether the connection ended cleanly."""
-    with socket.create_connection(("127.0.0.1", entry.port), 10) as caller:
-        caller.sendall(
-            f"GET {path} HTTP/{version}\r\nHost: h\r\nX-Request-Id: q\r\n"
-            "Authorization: Bearer k\r\nX-Deadline-Milliseconds: 1500\r\n"
-            "Connection: close\r\n\r\n".encode()
-        )
-        data = b""
-        try:
-            while more := caller.recv(65_536):
-                data += more
-        except ConnectionResetError:
-            return data, False
-    return data, True
-
-
-def _looks_complete(data: bytes, ended_cleanly: bool) -> bool:
-    """Return whether a caller would take a response for a complete success."""
-    head, _, body = data.partition(b"\r\n\r\n")
-    if b" 200 " not in head.partition(b"\r\n")[0]:
-        return False
-    if b"chunked" in head.lower():
-        return body.endswith(b"0\r\n\r\n")
-    for line in head.lower().split(b"\r\n"):
-        if line.startswith(b"content-length:"):
-            return len(body) >= int(line.partition(b":")[2])
-    return ended_cleanly
-
-
 def _send_and_close(
     data: Callable[[ReceivedRequest], bytes], reset: bool
 ) -> FakeServer:
@@ -302,8 +273,8 @@
     ) -> None:
         with run_entry(_send_and_close(data, reset)) as (entry, _):
             for version in ("1.1", "1.0"):
-                response = _call_raw(entry, path, version)
-                self.assertFalse(_looks_complete(*response), response)
+                response = call_raw(entry, path, version)
+                self.assertFalse(looks_complete(*response), response)
 
     def test_shorter_than_its_length(self) -> None:
         """Guards against a body that is cut off before its length."""
