Never continue a stream with an answer that is no stream

Callers saw: the text of an error in the middle of their stream, which then ended as if it were complete, after the stream had broken off and the next engine answered with 500. Cause: the product's own entry chose by the content type of each answer how to forward it. A plain answer to a resumed stream was written into the body that had begun, and ended it. Change: once a response has begun, only a successful stream continues it; anything else counts as broken, so the stream goes on elsewhere or ends with an error event and without its end. The engine stand-in learns to fail when resumed. Conclusion: the direct entry did not have this fault, since its writer aborts a second response.

--- a/lacewingcleat/engine_stand_in.py
+++ b/lacewingcleat/engine_stand_in.py
@@ -27,6 +27,8 @@
 PREFIX_BLOCK_CHARS = 64
 # A prompt with this text ends the engine, as some real requests do.
 CRASH_MARKER = "crash the engine"
+# A stream with this text breaks off halfway and fails when it is resumed.
+FAILED_RESUME_MARKER = "fail when resumed"
 
 
 def answer_tokens(prompt: str, count: int) -> list[str]:
@@ -66,6 +68,12 @@
     is_chat: bool
     request_id: str
 
+    @property
+    def breaks_off(self) -> bool:
+        """Return whether the stream breaks off now."""
+        is_halfway = self.position == len(self.tokens) // 2
+        return is_halfway and FAILED_RESUME_MARKER in _prompt(self.body)
+
 
 class EngineStandIn:
     """Answer model requests one token per step for all running requests.
@@ -170,6 +178,10 @@
         count = body.max_completion_tokens or body.max_tokens or 16
         tokens = answer_tokens(prompt, count)
         offset = max(0, min(body.lacewing_resume_offset, len(tokens)))
+        if offset and FAILED_RESUME_MARKER in prompt:
+            failure = {"error": {"message": "cannot resume", "type": "internal"}}
+            request.respond(500, JSON, msgspec.json.encode(failure))
+            return
         run = _Run(request, body, tokens, offset, path == CHAT_PATH, request_id)
         self._run_by_request_id[request_id] = run
         self._remember_prefixes(prompt)
@@ -206,6 +218,9 @@
                 self._drop(request_id)
             elif run.position >= len(run.tokens):
                 self._finish(request_id, run)
+            elif run.breaks_off:
+                self._drop(request_id)
+                run.request.channel.forceAbortClient()
             elif run.body.stream:
                 run.request.write(encode_event(_chunk(run)))
                 run.position += 1
--- a/lacewingcleat/entry_answer.py
+++ b/lacewingcleat/entry_answer.py
@@ -17,6 +17,7 @@
     BackpressureProducer,
     BodyReceiver,
     copy_headers,
+    discard_body,
     first_header,
 )
 from lacewingcleat.http_headers import Outcome
@@ -24,6 +25,7 @@
 from lacewingcleat.retries import ResponseKind
 from lacewingcleat.token_stream import Deliver, Fail
 
+HTTP_OK = 200
 MAX_BUFFERED_BYTES = 1 << 20
 STREAM_IDLE_TIMEOUT_SECONDS = 10.0
 
@@ -39,9 +41,17 @@
         self._call = call
 
     async def forward(self, response: Any, ticket: str) -> ResponseKind:
-        """Forward a response and return how it ended."""
+        """Forward a response and return how it ended.
+
+        Once a stream has begun, only a stream can continue it. Anything else, such as
+        an error of the server that should resume it, counts as a broken response.
+        """
         content_type = first_header(response.headers, "Content-Type")
-        if content_type.startswith(event_stream.CONTENT_TYPE):
+        is_stream = content_type.startswith(event_stream.CONTENT_TYPE)
+        if self._call.head_written and not (is_stream and response.code == HTTP_OK):
+            discard_body(response)
+            return ResponseKind.BROKEN
+        if is_stream:
             return await self._forward_stream(response)
         return await self._forward_body(response, ticket)
 
--- a/lacewingcleat/http_client.py
+++ b/lacewingcleat/http_client.py
@@ -232,10 +232,7 @@
             # Any other error may have occurred after the request was transmitted.
             return Err(SendFailure(SendState.SENT, _describe_exception(reason)))
         if response.code not in VALID_STATUS_CODES:
-            discarding_receiver = BodyReceiver(lambda _: None, lambda _: None)
-            answer: Any = response
-            answer.deliverBody(discarding_receiver)
-            discarding_receiver.abort()
+            discard_body(response)
             text = f"the answer has the status {response.code}"
             return Err(SendFailure(SendState.SENT, text))
         return Ok(response)
@@ -317,6 +314,13 @@
         return closing
 
 
+def discard_body(response: Any) -> None:
+    """Close the connection of a response whose body is not wanted."""
+    receiver = BodyReceiver(lambda _: None, lambda _: None)
+    response.deliverBody(receiver)
+    receiver.abort()
+
+
 def _describe_exception(exception: BaseException) -> str:
     return f"{type(exception).__name__}: {exception}"[:200]
 
--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -9,7 +9,11 @@
 from testtools import TestCase
 
 from bench.process_fleet import ENTRIES, KEY, ProcessFleet
-from lacewingcleat.engine_stand_in import CRASH_MARKER, answer_tokens
+from lacewingcleat.engine_stand_in import (
+    CRASH_MARKER,
+    FAILED_RESUME_MARKER,
+    answer_tokens,
+)
 from lacewingcleat.stand_in_main import CRASH_EXIT_CODE
 
 CHAT = "/v1/chat/completions"
@@ -142,6 +146,23 @@
         ]
         self.assertEqual(6, len(complete))
 
+    def test_no_error_of_the_next_engine_is_in_a_stream(self) -> None:
+        """Guards against an error text in the middle of a stream.
+
+        The stream breaks off, and the engine that should go on answers with 500.
+        """
+        caller = _StreamCaller(self.fleet, "entry-1", FAILED_RESUME_MARKER, 10)
+        caller.start()
+        caller.join(DEADLINE_SECONDS + 5)
+        events = caller.content.split(b"\n\n")
+        self.assertEqual(b"", events.pop())
+        self.assertTrue(all(event.startswith(b"data: ") for event in events), events)
+        tokens = _parse_tokens(caller.content)
+        self.assertEqual(answer_tokens(FAILED_RESUME_MARKER, 10)[:5], tokens[:5])
+        self.assertNotIn(b"cannot resume", caller.content)
+        self.assertNotIn(b"[DONE]", caller.content)
+        self.assertTrue(caller.connection_broken)
+
     def test_agent_killed_in_the_middle_of_streams(self) -> None:
         """Guards against callers that hang after their agent was killed."""
         callers = self._start_callers(6)
