Play restores of the store in the soak of entries

Change: an operator and servers that write to a store which is restored from copies up to some seconds old, before five entries that are killed, paused and added. Checked are removed keys (always, and in touch), added keys, servers that left, and that an entry never admits a key again that it has denied as removed.

--- a/tests/test_entry_soaks.py
+++ b/tests/test_entry_soaks.py
@@ -26,9 +26,16 @@
     allowed_arrivals,
     busiest_window,
 )
+from tests.restored_stores import RestoredStore
 
 SHARED_SEGMENT = "aa01"
+APPLY_SECONDS = 2.0
+DRAIN_SECONDS = 2.0
+REVOCATION_SECONDS = 5.0
 ENTRY_COUNT = 8
+RESTORED_ENTRY_COUNT = 5
+# Keys removed last that are tried again.
+KEY_MEMORY = 4
 MIN_RUNNING_ENTRIES = 3
 PLAY_SECONDS = 16.0
 FAULTS_PER_SECOND = 0.75
@@ -157,3 +164,85 @@
     def test_disturbed_fleets_keep_to_the_limit_of_a_server(self) -> None:
         """Guards against the same in rarer orders of events."""
         play_seeds(self._play)
+
+
+class RestoredStoreSoak(TestCase):
+    """The store is restored while configurations change and servers come and go."""
+
+    def _play(self, seed: int) -> None:
+        random = Random(seed)
+        writers = RestoredStore(random)
+        self.addCleanup(writers.close)
+        self.denied: set[tuple[EntryProcess, str]] = set()
+        served: dict[str, int] = {}
+        faults: list[str] = []
+        with run_entries(writers.store, RESTORED_ENTRY_COUNT) as entries:
+            entry_faults = EntryFaults(writers.store, entries, random)
+
+            def step() -> None:
+                writers.step()
+                match random.randrange(120):
+                    case 0:
+                        writers.change_config()
+                    case 1 | 2 | 3:
+                        writers.change_server()
+                    case 4:
+                        writers.restore()
+                entry = random.choice(entry_faults.running())
+                removed = [*writers.key_removed_at][-KEY_MEMORY:]
+                key = random.choice([*writers.keys, *removed])
+                self._check_call(writers, entry_faults, entry, key, served, faults)
+
+            play_faults(entry_faults, random, 0.05, step)
+        self.assertEqual([], faults, seed)
+        print(f"{sum(served.values())} requests: {served}")
+        self.assertLess(0, served.get("200", 0), seed)
+
+    def _check_call(
+        self,
+        writers: RestoredStore,
+        entry_faults: EntryFaults,
+        entry: EntryProcess,
+        key: str,
+        served: dict[str, int],
+        faults: list[str],
+    ) -> None:
+        """Send a request with a key and check its answer against what holds now."""
+        sent_at = time.monotonic()
+        left = {
+            item.fake.name: writers.left_seconds(item.fake.name)
+            for item in writers.servers
+        }
+        try:
+            response, body = entry.call("/get/x", key=key, request_id=f"{sent_at}")
+        except (OSError, HTTPException):
+            return
+        status = response.status
+        served[str(status)] = served.get(str(status), 0) + 1
+        in_touch = entry_faults.is_in_touch(entry) and writers.is_stable()
+        removed_since = sent_at - writers.key_removed_at.get(key, sent_at)
+        added_since = sent_at - writers.key_added_at[key]
+        if status == 401 and removed_since > 0.0:
+            self.denied.add((entry, key))
+        if status == 200 and (entry, key) in self.denied:
+            faults.append(f"{key} admitted again after it was denied as removed")
+        if status == 200 and removed_since > REVOCATION_SECONDS:
+            faults.append(f"{key} admitted {removed_since:.2f} s after its removal")
+        if in_touch and status == 200 and removed_since > APPLY_SECONDS:
+            faults.append(f"{key} in force {removed_since:.2f} s after its removal")
+        is_added = key in writers.keys and added_since > APPLY_SECONDS
+        if in_touch and is_added and status in (401, 403, 404):
+            faults.append(f"{key} denied with {status} after {added_since:.2f} s")
+        name = body.rpartition(b" ")[2].decode()
+        if in_touch and status == 200 and left.get(name, 0.0) > DRAIN_SECONDS:
+            faults.append(f"{name} got a request {left[name]:.2f} s after it left")
+
+    def test_entries_follow_a_store_that_is_restored(self) -> None:
+        """Guards against requests to servers that left before the store's restore."""
+        self._play(6)
+
+    @pytest.mark.soak
+    @pytest.mark.timeout(3600)
+    def test_entries_follow_stores_that_are_restored(self) -> None:
+        """Guards against the same in rarer orders of events."""
+        play_seeds(self._play)
