--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -173,6 +173,24 @@
             self.assertTrue(served, entry.output.read_text())
             self.assertEqual(404, entry.call("/get/x")[0].status)
 
+    def test_a_removal_that_no_entry_has_read_holds_after_an_outage(self) -> None:
+        """Guards against a key whose removal was confirmed and then lost."""
+        server = FakeServer("i-1")
+        with run_entry(server) as (entry, store):
+            copy = store.copy()
+            with store.restoring(copy):
+                removed_at = time.monotonic()
+                time.sleep(REVOCATION_SECONDS)
+            statuses = set()
+            while time.monotonic() < removed_at + REVOCATION_SECONDS + 1.5:
+                statuses.add(entry.call("/get/x")[0].status)
+                time.sleep(0.05)
+            self.assertEqual({503}, statuses)
+            self.assertEqual([], server.served_requests)
+            store.put("op/config", make_config_item(2, ("k2",)))
+            served = self._call_until_served(entry, "/get/x", "k2", APPLY_SECONDS)
+            self.assertTrue(served, entry.output.read_text())
+
     def test_a_second_restore_is_noticed(self) -> None:
         """Guards against an entry that follows only the first restore."""
         with run_entry(FakeServer("i-1")) as (entry, store):
