Lose the removal in the test of a removal that no entry has read

Cause: the test restored the store without a confirmed removal in between, so it proved less than it says. Change: the removal is written while the entry cannot read, and lost with the restore.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -178,8 +178,10 @@
         server = FakeServer("i-1")
         with run_entry(server) as (entry, store):
             copy = store.copy()
+            store.down = True
+            store.put("op/config", make_config_item(2, ("k2",)))
+            removed_at = time.monotonic()
             with store.restoring(copy):
-                removed_at = time.monotonic()
                 time.sleep(REVOCATION_SECONDS)
             statuses = set()
             while time.monotonic() < removed_at + REVOCATION_SECONDS + 1.5:
