Bound the digits of the store's era

Cause: a header of more than 4,300 digits raised an error in the conversion, after which the reads of the store started anew. Change: an era of more than 18 digits counts as unknown, like any malformed one. Measured: test_era_of_the_store raised ValueError for 5,000 digits with the conversion as before, by reading of the code; it passes now.

--- a/lacewingcleat/platform/store_calls.py
+++ b/lacewingcleat/platform/store_calls.py
@@ -1,5 +1,6 @@
 """protocol: read requests to the platform's store and their responses."""
 
+import re
 from binascii import a2b_base64
 from urllib.parse import quote
 
@@ -22,6 +23,7 @@
 ERA_HEADER = b"store-era"
 STATUS_OK = 200
 STATUS_HISTORY_LOST = 410
+_DIGITS = re.compile(rb"[0-9]{1,18}")
 
 
 class _Item(msgspec.Struct):
@@ -55,8 +57,10 @@
 
 
 def decode_era(value: bytes | None) -> int:
-    """Decode the header with the era of the store."""
-    return int(value) if value is not None and value.isdigit() else UNKNOWN_ERA
+    """Decode the header with the era of the store, unknown if it is malformed."""
+    if value is None or not _DIGITS.fullmatch(value):
+        return UNKNOWN_ERA
+    return int(value)
 
 
 def decode_store_response(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -27,9 +27,14 @@
 from lacewingcleat.platform.report_call import decode_report
 from lacewingcleat.platform.server_item import decode_server
 from lacewingcleat.platform.settings_file import decode_settings
-from lacewingcleat.platform.store_calls import decode_store_response, encode_read
+from lacewingcleat.platform.store_calls import (
+    decode_era,
+    decode_store_response,
+    encode_read,
+)
 from lacewingcleat.routing_config import RequestKind
 from lacewingcleat.store_items import (
+    UNKNOWN_ERA,
     HistoryCompacted,
     ListPage,
     ListRead,
@@ -174,9 +179,18 @@
         self.assertEqual(
             HistoryCompacted(), decode_store_response(WatchRead(3, 1.0), 410, b"")
         )
-        self.assertIsInstance(
-            decode_store_response(ListRead(""), 503, b"{}"), ReadFailure
+        failed = decode_store_response(ListRead(""), 503, b"{}", 4)
+        self.assertEqual(ReadFailure("status 503", 4), failed)
+
+    def test_era_of_the_store(self) -> None:
+        """Guards against an era that is lost, or malformed."""
+        events = _encode({"events": [], "at": 9})
+        self.assertEqual(
+            WatchChanges((), 9, 4),
+            decode_store_response(WatchRead(3, 1.0), 200, events, decode_era(b"4")),
         )
+        for value in (None, b"", b"-1", b"x", b"1.5", b"9" * 5_000):
+            self.assertEqual(UNKNOWN_ERA, decode_era(value))
 
     def test_store_reads(self) -> None:
         """Guards against a wrong position or time limit in a read."""
