Say what a view waits for after a restore

Cause: _is_restored read as a state of the store, but it ends with the first listing. Measured: tests of the view pass. Conclusion: no behaviour changes.

--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -91,11 +91,11 @@
     """
 
     __slots__ = (
+        "_awaits_listing",
         "_consecutive_failures",
         "_copied_revision",
         "_era",
         "_failed_since",
-        "_is_restored",
         "_listing",
         "_next_read_at",
         "_open_read",
@@ -117,7 +117,8 @@
         self._failed_since: float | None = None
         self._next_read_at = NEVER
         self._era = UNKNOWN_ERA
-        self._is_restored = False
+        # Set from the time at which a restore is noticed until the store is listed anew.
+        self._awaits_listing = False
         self._copied_revision = NO_REVISION
         self._restored_at = NEVER
         self._open_read = _OpenRead(ListRead(""), UNKNOWN_ERA)
@@ -132,7 +133,7 @@
 
         The writers of a restored store need some time to write it again.
         """
-        if self._is_restored:
+        if self._awaits_listing:
             return True
         if now - self._restored_at >= REWRITE_SECONDS:
             return False
@@ -248,7 +249,7 @@
         """
         self._watch_revision = None
         self._listing = None
-        self._is_restored = True
+        self._awaits_listing = True
 
     def _apply_page(
         self,
@@ -272,7 +273,7 @@
         previous_items = self.item_by_key
         self.item_by_key = listing.item_by_key
         self._watch_revision = listing.store_revision
-        if self._is_restored:
+        if self._awaits_listing:
             self._copied_revision = listing.store_revision
         self._listing = None
         changed_keys = [
@@ -311,14 +312,14 @@
         self, keys: list[str], sent_at: float, now: float
     ) -> ViewChange:
         failed_since = self._failed_since
-        is_first_listing = self._is_restored and self._watch_revision is not None
+        is_first_listing = self._awaits_listing and self._watch_revision is not None
         after_outage = is_first_listing or (
             failed_since is not None and now - failed_since > MIN_OUTAGE_SECONDS
         )
         if after_outage:
             self.recovered_at = now
         if is_first_listing:
-            self._is_restored = False
+            self._awaits_listing = False
             self._restored_at = now
         self._failed_since = None
         self.complete_at = max(self.complete_at, sent_at)
