--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -117,7 +117,7 @@
         self._failed_since: float | None = None
         self._next_read_at = NEVER
         self._era = UNKNOWN_ERA
-        # Set from the time at which a restore is noticed until the store is listed anew.
+        # Set from the moment a restore is noticed until the store is listed anew.
         self._awaits_listing = False
         self._copied_revision = NO_REVISION
         self._restored_at = NEVER
