Write again beside an entry that starts in the soak of restores

It had configuration 4, its peers 6 for 5.8 s, and rightly waited for the operator's repeated write, which the soak's only thread did not make before the entry was ready. Conclusion: a fault of the soak, not of the entry.

--- a/tests/restored_stores.py
+++ b/tests/restored_stores.py
@@ -1,5 +1,6 @@
 """An operator and servers that write to a store which is restored again and again."""
 
+import threading
 import time
 from dataclasses import dataclass
 from random import Random
@@ -45,7 +46,6 @@
         self._copies: list[StoreContents] = []
         self._copied_at = float("-inf")
         self._version = 0
-        self._pending: list[tuple[float, _Server | None]] = []
         self.disturbed_until = float("-inf")
         self.keys: list[str] = []
         self.key_added_at: dict[str, float] = {}
@@ -125,12 +125,13 @@
             first_count = self._random.randint(0, len(writers))
             for writer in writers[:first_count]:
                 self._write_again(writer)
-        now = time.monotonic()
-        self._pending = [
-            (now + self._random.uniform(*REWRITE_SECONDS), writer)
-            for writer in writers[first_count:]
-        ]
-        self.disturbed_until = max([now, *(at for at, _ in self._pending)])
+        # On threads of their own, as an entry that starts may wait for these writes.
+        delays = [self._random.uniform(*REWRITE_SECONDS) for _ in writers[first_count:]]
+        for delay, writer in zip(delays, writers[first_count:], strict=True):
+            timer = threading.Timer(delay, self._write_again, (writer,))
+            timer.daemon = True
+            timer.start()
+        self.disturbed_until = time.monotonic() + max([0.0, *delays])
         self._copies = [copy]
 
     def _write_again(self, writer: _Server | None) -> None:
@@ -141,12 +142,8 @@
             self._write_server(writer)
 
     def step(self) -> None:
-        """Write again what is due, and take copies."""
+        """Take copies to restore from."""
         now = time.monotonic()
-        due = [writer for at, writer in self._pending if at <= now]
-        self._pending = [item for item in self._pending if item[0] > now]
-        for writer in due:
-            self._write_again(writer)
         if now - self._copied_at >= COPY_INTERVAL_SECONDS:
             self._copied_at = now
             self._copies = [*self._copies[1 - KEPT_COPIES :], self.store.copy()]
