Never answer a request that may have run with a status that denies it

Callers saw 503 or 429 for orders that a server had run and failed, took it for the promise that the order has not run, and sent it again. The status of a server's own failure was forwarded although only the mark of a refusal says "not run" between server and entry, while the status alone does between entry and caller. 429 and 408 counted as complete answers.

Such a status without the mark is now a failure of unknown effect: repeatable requests go to another server, all others get 502 without signature and Retry-After.

The own interface tells the outcome in a header; its new test passed at once.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -560,12 +560,15 @@
         reason = f"refused {head.status} {faulty_server}".rstrip()
         return AttemptResult(attempt, reason)
     response = ServerResponse(head.status, response_headers(head.headers), body)
-    if head.status >= 500:
+    claims_not_run = head.status in names.NOT_RUN_STATUSES
+    if head.status >= 500 or claims_not_run:
         attempt = Attempt(
             record.name, SendProgress.SOME, ResponseKind.UNKNOWN, "server-error"
         )
         reason = f"status {head.status}"
-        return AttemptResult(attempt, reason, response, server_failed=True)
+        # The request may have run, so the caller must not see such a status.
+        forwarded = None if claims_not_run else response
+        return AttemptResult(attempt, reason, forwarded, server_failed=True)
     attempt = Attempt(record.name, SendProgress.SOME, ResponseKind.COMPLETE)
     return AttemptResult(attempt, f"status {head.status}", response)
 
--- a/lacewingcleat/platform/request_headers.py
+++ b/lacewingcleat/platform/request_headers.py
@@ -28,6 +28,8 @@
 FAULTY_SERVER = b"at-server"
 RETRY_AFTER = b"retry-after"
 STATUS_MISDIRECTED = 421
+# Statuses by which callers learn that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, STATUS_MISDIRECTED, 429, 503})
 MAX_DEADLINE_MS = 3_600_000
 MAX_SHARED_SEGMENTS = 16
 MAX_SEGMENT_ID_BYTES = 64
--- a/tests/raw_backend.py
+++ b/tests/raw_backend.py
@@ -15,6 +15,7 @@
     "/two-lengths": OK_HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
     "/negative-length": OK_HEAD + b"Content-Length: -5\r\n\r\nab",
     "/limited": OK_HEAD + b"Lacewing-Rate-Limit: 1.0\r\nContent-Length: 4\r\n\r\ngood",
+    "/unavailable": b"HTTP/1.1 503 Unavailable\r\nContent-Length: 6\r\n\r\nfailed",
     "/no-body": b"HTTP/1.1 204 No Content\r\n\r\n",
     "/cut-status": b"HTTP/1.1 200 O",
     "/cut-header": OK_HEAD + b"Content-Len",
--- a/tests/test_hostile_servers.py
+++ b/tests/test_hostile_servers.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from functools import partial
-from http.client import HTTPException
+from http.client import HTTPException, HTTPResponse
 
 from testtools import TestCase
 
@@ -19,6 +19,7 @@
     FakeServer,
     ReceivedRequest,
     encode_chunk,
+    encode_response,
     encode_signed_response,
     encode_stream_head,
 )
@@ -350,6 +351,51 @@
             self.assertEqual(502, response.status)
 
 
+class FailureWithoutMarkTest(TestCase):
+    """Servers that run a request and fail with a status that says the contrary."""
+
+    def _call(
+        self, path: str, method: str, status: int, *headers: str
+    ) -> tuple[HTTPResponse, int]:
+        """Return the answer before two such servers, and how often it ran."""
+        runs = []
+
+        def serve(request: ReceivedRequest, stream: socket.socket) -> bool:
+            runs.append(request.target)
+            request_id = f"X-Request-Id: {request.headers['x-request-id']}"
+            stream.sendall(encode_response(status, b"failed", request_id, *headers))
+            return True
+
+        servers = [FakeServer("i-1", serve), FakeServer("i-2", serve)]
+        with run_entry(*servers) as (entry, _):
+            response, _ = entry.call(path, method, b"x")
+        return response, len(runs)
+
+    def test_order_that_has_run_is_never_answered_as_not_run(self) -> None:
+        """Guards against callers that send an order again after it has run."""
+        for status in (408, 429, 503):
+            for headers in ((), ("X-Response-Signature: sig", "Retry-After: 0")):
+                response, runs = self._call("/order/x", "POST", status, *headers)
+                self.assertEqual((502, 1), (response.status, runs), status)
+                self.assertIs(None, response.getheader("X-Response-Signature"))
+                self.assertIs(None, response.getheader("Retry-After"))
+
+    def test_repeatable_request_goes_elsewhere_after_such_a_failure(self) -> None:
+        """Guards against a failure that is taken for the answer, or for "not run"."""
+        for status in (408, 429, 503):
+            for path in ("/get/x", "/stream/x"):
+                response, runs = self._call(path, "GET", status)
+                self.assertEqual((502, 2), (response.status, runs), (path, status))
+
+    def test_other_failures_are_forwarded(self) -> None:
+        """Guards against answers that are replaced though they promise nothing."""
+        for status in (400, 409, 500, 504):
+            signature = "X-Response-Signature: sig"
+            response, runs = self._call("/order/x", "POST", status, signature)
+            self.assertEqual((status, 1), (response.status, runs))
+            self.assertEqual("sig", response.getheader("X-Response-Signature"))
+
+
 def _endless(head: bytes, part: bytes) -> Callable[[ReceivedRequest], bytes]:
     """Return the bytes of an answer: its head and many times a part."""
     return lambda request: head + part * (65_536 // len(part))
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -330,6 +330,15 @@
         self.assertNotIn("Lacewing-Outcome-Code", headers)
         self.assertNotIn("Lacewing-Ticket", headers)
 
+    def test_failure_of_a_service_does_not_say_that_the_request_has_not_run(
+        self,
+    ) -> None:
+        """Guards against a service's own 503 that is told as "not run"."""
+        status, headers, _ = self.fleet.send(
+            ENTRY, "GET", "/services/orders/unavailable"
+        )
+        self.assertEqual((503, "ran"), (status, headers["Lacewing-Outcome"]))
+
     # Invalid responses of a backend server
 
     def test_invalid_responses_of_a_service(self) -> None:
