Apply each item of the store on its own

Callers saw a key work up to 22 s after its removal was confirmed. An item of another program among the servers, with a port of superscript digits, raised an error while the items of a read were applied. All later items of that read were lost, but the view had advanced beyond them and counted as current.

Each item is now applied on its own, an error is logged and counted, and the item names no server. Addresses are parsed strictly, with one parser for the adapter and the settings. A configuration that cannot be read ages the one in force, and if reporting a read's changes fails, the store is listed anew with all items reported.

--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -40,17 +40,16 @@
 from lacewingcleat.load_socket import LoadSocket
 from lacewingcleat.map_driver import MapDriver
 from lacewingcleat.peer_configs import PeerConfigs
-from lacewingcleat.platform.config_item import CONFIG_KEY, decode_config
-from lacewingcleat.platform.server_item import SERVER_PREFIX, decode_server
+from lacewingcleat.platform.config_item import CONFIG_KEY
 from lacewingcleat.platform.settings_file import SETTINGS_VARIABLE, decode_settings
 from lacewingcleat.report_poller import ReportPoller
 from lacewingcleat.request_access import max_key_admission_age
+from lacewingcleat.routing_config import RoutingConfig
 from lacewingcleat.server_connection import ServerConnectionPool
 from lacewingcleat.server_rate_limits import NamedLimit
 from lacewingcleat.server_record import ServerRecord
-from lacewingcleat.store_items import StoreItem
+from lacewingcleat.store_changes import StoreChanges
 from lacewingcleat.store_reader import StoreReader
-from lacewingcleat.store_view import ViewChange
 
 EXIT_OK = 0
 EXIT_INVALID_SETTINGS = 1
@@ -99,7 +98,14 @@
         )
         self._pool = ServerConnectionPool(reactor)
         self._store_reader = StoreReader(
-            reactor, settings.store_address, "", self._apply_change, log
+            reactor,
+            settings.store_address,
+            "",
+            lambda change, now: self._store_changes.apply(change, now),
+            log,
+        )
+        self._store_changes = StoreChanges(
+            self._state, self._store_reader.view, log, self._apply_limits
         )
         self._report_poller = ReportPoller(self._pool, self._record_status, log)
         self._map_driver = MapDriver(
@@ -175,8 +181,11 @@
 
     def _config_age(self, now: float) -> float:
         """Return the seconds since the configuration is known to have been current."""
-        age = self._store_reader.view.age(now)
-        return max(age, self._peer_configs.outdated_seconds(now))
+        return max(
+            self._store_reader.view.age(now),
+            self._store_changes.unread_config_seconds(now),
+            self._peer_configs.outdated_seconds(now),
+        )
 
     def _is_ready(self, now: float) -> bool:
         has_config = self._state.config is not None
@@ -221,71 +230,10 @@
             return
         request.respond(200 if self._is_ready(now) else 503, [], b"")
 
-    def _apply_change(self, change: ViewChange, now: float) -> None:
-        items = self._store_reader.view.item_by_key
-        for key in change.keys:
-            item = items.get(key)
-            if key == CONFIG_KEY and item is not None and item.value is not None:
-                self._apply_config(item.value, now)
-            elif key.startswith(SERVER_PREFIX):
-                self._apply_server(key, item, now)
-
-    def _apply_config(self, value: bytes, now: float) -> None:
-        decoded = decode_config(value)
-        if isinstance(decoded, Err):
-            self._log.belief("malformed config", now, error=decoded.err_value)
-            return
-        config = decoded.ok_value
-        previous = self._state.config
-        age = round(self._store_reader.view.age(now), 3)
-        if not self._state.apply_config(config):
-            in_force = previous.version if previous else None
-            self._log.belief(
-                "config ignored", now, version=config.version, in_force=in_force
-            )
-            return
+    def _apply_limits(self, config: RoutingConfig, now: float) -> None:
+        """Apply what a new configuration changes outside the state."""
         self._caller_factory.limits = config.limits
         self._peer_configs.put_in_force(config.version, now)
-        self._log.belief("config", now, version=config.version, age=age)
-
-    def _apply_server(self, key: str, item: StoreItem | None, now: float) -> None:
-        name = key.removeprefix(SERVER_PREFIX)
-        directory = self._state.directory
-        if item is None or item.value is None:
-            was_removed = directory.remove(
-                name, self._store_reader.view.recovered_at, now
-            )
-            self._log.belief("server missing", now, server=name, dropped=was_removed)
-            return
-        decoded = decode_server(key, item.value)
-        if isinstance(decoded, Err):
-            self._log.belief(
-                "malformed server", now, server=name[:60], error=decoded.err_value
-            )
-            directory.remove(name, float("-inf"), now)
-            return
-        record = decoded.ok_value
-        may_be_copied = self._store_reader.view.may_be_copied(item)
-        if may_be_copied:
-            previous = directory.put_copied(record, now)
-        else:
-            previous = directory.put(record)
-        record = directory.find(name) or record
-        if previous is not None and previous == record:
-            return
-        if previous is not None and previous.started_ms != record.started_ms:
-            self._state.groups.discard_server(name)
-        self._log.belief(
-            "server",
-            now,
-            server=name,
-            service=record.service,
-            address=record.address,
-            leaving=record.leaving,
-            accepts=directory.accepts_requests(name, now),
-            copied=may_be_copied,
-            started_ms=record.started_ms,
-        )
 
     def _record_status(
         self,
--- a/lacewingcleat/fields.py
+++ b/lacewingcleat/fields.py
@@ -5,10 +5,10 @@
 result if there are findings.
 """
 
-import ipaddress
 import re
 from collections.abc import Iterable
 
+from lacewingcleat.addresses import is_address
 from lacewingcleat.documents import member_path
 from lacewingcleat.findings import Findings
 
@@ -200,16 +200,3 @@
         if value is None:
             self.report(name, "must not be null")
         return value
-
-
-def is_address(text: str, min_port: int = 1) -> bool:
-    """Return whether a text has the form `IP:port`."""
-    host, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdigit() and len(port) <= 5):
-        return False
-    bracketed = host.startswith("[") and host.endswith("]")
-    try:
-        ip = ipaddress.ip_address(host[1:-1] if bracketed else host)
-    except ValueError:
-        return False
-    return bracketed == (ip.version == 6) and min_port <= int(port) <= 65_535
--- a/lacewingcleat/platform/server_item.py
+++ b/lacewingcleat/platform/server_item.py
@@ -3,6 +3,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from lacewingcleat.addresses import Address
 from lacewingcleat.platform.json_body import decode_json
 from lacewingcleat.server_record import ServerRecord
 
@@ -28,8 +29,7 @@
     entry = decoded.ok_value
     if entry.state not in (STATE_READY, STATE_DRAINING):
         return Err(f"unknown state {entry.state[:40]!r}")
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if Address.parse(entry.address) is None:
         return Err(f"malformed address {entry.address[:60]!r}")
     return Ok(
         ServerRecord(
--- a/lacewingcleat/settings.py
+++ b/lacewingcleat/settings.py
@@ -10,8 +10,9 @@
 
 from result import Err, Ok, Result
 
+from lacewingcleat.addresses import is_address
 from lacewingcleat.documents import parse_document
-from lacewingcleat.fields import RecordReader, is_address
+from lacewingcleat.fields import RecordReader
 from lacewingcleat.findings import Finding, Findings
 
 MAX_SETTINGS_BYTES = 64 * 1024
--- a/lacewingcleat/store_reader.py
+++ b/lacewingcleat/store_reader.py
@@ -1,6 +1,7 @@
 """transport: read one prefix of the platform's store and keep a view up to date."""
 
 from collections.abc import Callable
+from traceback import format_exc
 from typing import Any
 
 from twisted.internet import defer, task
@@ -114,7 +115,7 @@
         now = read_now()
         self._log_progress(read, response, now)
         change = self.view.apply_refresh(response, sent_at, now)
-        self._on_change(change, now)
+        self._report_change(change, now)
 
     async def _run(self) -> None:
         while True:
@@ -128,7 +129,15 @@
             self._log_progress(read, response, now)
             change = self.view.apply_response(response, sent_at, now)
             if not isinstance(response, ReadFailure):
-                self._on_change(change, now)
+                self._report_change(change, now)
+
+    def _report_change(self, change: ViewChange, now: float) -> None:
+        """Report the changed items; after an error, all items are read again."""
+        try:
+            self._on_change(change, now)
+        except Exception:
+            self._log.failure("store change failed", traceback=format_exc())
+            self.view.list_anew(now)
 
     def _log_reachability(self, response: StoreResponse, now: float) -> None:
         match response:
--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -48,10 +48,13 @@
 
     :param after_outage: whether this is the first read after an outage of the store,
         or the first listing since it was restored.
+    :param confirmed_at: last time at which the view was known to have been complete
+        before this read.
     """
 
     keys: tuple[str, ...]
     after_outage: bool
+    confirmed_at: float = NEVER
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +103,7 @@
         "_next_read_at",
         "_open_read",
         "_open_refresh",
+        "_reports_all",
         "_restored_at",
         "_watch_revision",
         "complete_at",
@@ -119,6 +123,7 @@
         self._era = UNKNOWN_ERA
         # Set from the moment a restore is noticed until the store is listed anew.
         self._awaits_listing = False
+        self._reports_all = False
         self._copied_revision = NO_REVISION
         self._restored_at = NEVER
         self._open_read = _OpenRead(ListRead(""), UNKNOWN_ERA)
@@ -144,6 +149,14 @@
         """Return whether an item may be as old as the copy of a restored store."""
         return item.revision <= self._copied_revision
 
+    def list_anew(self, now: float) -> None:
+        """List the store anew and report all items, as changes have been lost."""
+        self._watch_revision = None
+        self._listing = None
+        self._reports_all = True
+        self._next_read_at = now + MAX_RETRY_DELAY_SECONDS
+        self.complete_at = NEVER
+
     def next_read(self, now: float) -> tuple[StoreRead, float]:
         """Return the next read and the seconds to wait before sending it."""
         wait = max(0.0, self._next_read_at - now)
@@ -279,8 +292,9 @@
         changed_keys = [
             key
             for key in previous_items.keys() | self.item_by_key.keys()
-            if previous_items.get(key) != self.item_by_key.get(key)
+            if self._reports_all or previous_items.get(key) != self.item_by_key.get(key)
         ]
+        self._reports_all = False
         return self._record_success(sorted(changed_keys), listing.started_at, now)
 
     def _apply_changes(
@@ -322,6 +336,7 @@
             self._awaits_listing = False
             self._restored_at = now
         self._failed_since = None
+        confirmed_at = self.complete_at
         self.complete_at = max(self.complete_at, sent_at)
         self._consecutive_failures = 0
-        return ViewChange(tuple(keys), after_outage)
+        return ViewChange(tuple(keys), after_outage, confirmed_at)
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -110,7 +110,7 @@
 
     def put(self, key: str, value: object) -> None:
         """Write an item."""
-        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        data = value if isinstance(value, bytes) else encode_json(value)
         with self._changed:
             self._contents.write(key, data)
             self._changed.notify_all()
@@ -202,6 +202,28 @@
     return {**encoded, "value": base64.b64encode(event.value).decode()}
 
 
+def encode_json(value: object) -> bytes:
+    """Encode a value of the store."""
+    return json.dumps(value).encode()
+
+
+def make_store_record(
+    address: str = "127.0.0.1:1", service: str = "s", state: str = "ready"
+) -> dict[str, object]:
+    """Make the record of a server in the store."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "z",
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "cold_remaining_ms": 0,
+        "sequence": 0,
+        "born": 1,
+    }
+
+
 RequestHandler = Callable[[ReceivedRequest, socket.socket], bool]
 
 
@@ -234,17 +256,7 @@
 
     def store_record(self, service: str, state: str = "ready") -> dict[str, object]:
         """Return the record of the server in the store."""
-        return {
-            "service": service,
-            "address": self.address,
-            "zone": "z",
-            "version": "v1",
-            "slots": 4,
-            "state": state,
-            "cold_remaining_ms": 0,
-            "sequence": 0,
-            "born": 1,
-        }
+        return make_store_record(self.address, service, state)
 
     def _serve(self, stream: socket.socket) -> None:
         while (request := read_request(stream)) is not None:
--- a/tests/restored_stores.py
+++ b/tests/restored_stores.py
@@ -3,10 +3,12 @@
 import threading
 import time
 from dataclasses import dataclass
+from itertools import cycle
 from random import Random
 
 from tests.entry_process import make_config_item
 from tests.fleet_simulation import STABILITY_SECONDS
+from tests.odd_store_items import ODD_VALUE_BY_KIND
 from tests.platform_fakes import FakeServer, FakeStore
 from tests.store_contents import StoreContents
 
@@ -16,6 +18,8 @@
 REWRITE_SECONDS = (0.05, 1.5)
 KEY_COUNT = 3
 SERVER_COUNT = 4
+# Items of another program that are there at the same time.
+ODD_ITEM_COUNT = 5
 # Servers that are draining or gone at the same time.
 MAX_LEAVING = 2
 
@@ -47,6 +51,8 @@
         self._copied_at = float("-inf")
         self._version = 0
         self.disturbed_until = float("-inf")
+        self._odd_numbers = cycle(range(ODD_ITEM_COUNT))
+        self._odd_values = cycle(ODD_VALUE_BY_KIND.values())
         self.keys: list[str] = []
         self.key_added_at: dict[str, float] = {}
         self.key_removed_at: dict[str, float] = {}
@@ -104,6 +110,10 @@
         if server.state == "ready":
             server.acknowledged_at = float("-inf")
 
+    def write_odd_item(self) -> None:
+        """Write an item of another program among the records of the servers."""
+        self.store.put(f"servers/a-{next(self._odd_numbers)}", next(self._odd_values))
+
     def left_seconds(self, name: str) -> float:
         """Return for how long a server has been known to leave, or to be gone."""
         server = next(item for item in self.servers if item.fake.name == name)
--- a/tests/test_entry_soaks.py
+++ b/tests/test_entry_soaks.py
@@ -188,6 +188,8 @@
                         writers.change_server()
                     case 4:
                         writers.restore()
+                    case 5 | 6 | 7 | 8:
+                        writers.write_odd_item()
                 entry = random.choice(entry_faults.running())
                 removed = [*writers.key_removed_at][-KEY_MEMORY:]
                 key = random.choice([*writers.keys, *removed])
