Refuse records of servers with numbers out of range

Callers saw 502 for each request of a service, also after a restart of all entries: one item of another program had 401 digits in slots, and the choice of a server, which compares all servers of a service, failed at it.

The decoder states the ranges of slots and start, and which names can be sent in a header. A record beyond names no server.

--- a/lacewingcleat/platform/server_item.py
+++ b/lacewingcleat/platform/server_item.py
@@ -1,6 +1,10 @@
 """protocol: format of a backend server's record in the platform's store."""
 
+import re
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 from result import Err, Ok, Result
 
 from lacewingcleat.addresses import Address
@@ -10,19 +14,27 @@
 SERVER_PREFIX = "servers/"
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
+# Largest numbers of which estimates and identifiers of a run are exact.
+MAX_SLOTS = 1_000_000
+MAX_UNIX_MS = 1 << 53
+# Names are sent in a header.
+_NAME = re.compile(r"[!-~]{1,200}")
 
 
 class _Entry(msgspec.Struct):
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
     state: str
-    born: int = 0
+    born: Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)] = 0
 
 
 def decode_server(key: str, data: bytes) -> Result[ServerRecord, str]:
     """Decode the record of a server, or return an error message."""
+    name = key.removeprefix(SERVER_PREFIX)
+    if not _NAME.fullmatch(name):
+        return Err(f"malformed name {name[:40]!r}")
     decoded = decode_json(data, _Entry)
     if isinstance(decoded, Err):
         return decoded
@@ -33,7 +45,7 @@
         return Err(f"malformed address {entry.address[:60]!r}")
     return Ok(
         ServerRecord(
-            name=key.removeprefix(SERVER_PREFIX),
+            name=name,
             service=entry.service,
             address=entry.address,
             zone=entry.zone,
--- a/tests/odd_store_items.py
+++ b/tests/odd_store_items.py
@@ -43,4 +43,10 @@
     "state unknown": _encode(state="odd"),
     "service of another type": _encode(service=None),
     "slots of another type": _encode(slots="six"),
+    "slots of 401 digits": _encode_number("slots", "9" * 401),
+    "slots of 5,000 digits": _encode_number("slots", "9" * 5_000),
+    "slots beyond a float": _encode_number("slots", "1e400"),
+    "slots negative": _encode(slots=-1),
+    "start of 401 digits": _encode_number("born", "9" * 401),
+    "start beyond a float": _encode_number("born", "1e400"),
 }
--- a/tests/test_odd_store_items.py
+++ b/tests/test_odd_store_items.py
@@ -45,6 +45,20 @@
             response, body = entry.call("/get/x")
             self.assertEqual((200, b"answer of i-1"), (response.status, body))
 
+    def test_requests_are_served_beside_odd_items(self) -> None:
+        """Guards against an odd item that makes each choice of a server fail."""
+        server = FakeServer("i-1")
+        with run_entry(server) as (entry, store):
+            for number, odd in enumerate(ODD_VALUE_BY_KIND.values()):
+                store.put(f"servers/a-{number}", odd)
+            expected = len(ODD_VALUE_BY_KIND)
+            self.assertTrue(
+                wait_for(lambda: len(entry.log_lines("malformed server")) == expected)
+            )
+            for number in range(10):
+                response, _ = entry.call("/get/x", request_id=f"q{number}")
+                self.assertEqual(200, response.status)
+
     def test_a_server_that_leaves_beside_an_odd_item_gets_no_more_requests(
         self,
     ) -> None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -153,6 +153,9 @@
         ):
             found = decode_server("servers/i-1", _encode({**SERVER, **change}))
             self.assertIsInstance(found, Err, change)
+        for name in ("", "a b", "a\r\nX-Tenant: t", "\u00e9", "a" * 201):
+            found = decode_server(f"servers/{name}", _encode(SERVER))
+            self.assertIsInstance(found, Err, name)
 
     @given(data=st.binary(max_size=200))
     def test_malformed_data_raises_no_exception(self, data: bytes) -> None:
