--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -3,8 +3,17 @@
 import re
 import traceback
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
 
+from lacewingcleat.attempt_result import (
+    AttemptResult,
+    broken_result,
+    classify_response,
+    internal_error_result,
+    is_answer_lost,
+    no_response_result,
+    response_headers,
+    unsent_result,
+)
 from lacewingcleat.caller_connection import CallerRequest
 from lacewingcleat.clock import read_now
 from lacewingcleat.connection_headers import HOP_BY_HOP_HEADERS
@@ -20,10 +29,8 @@
     CONNECTION_REFUSED,
     BodyChunk,
     Headers,
-    RequestCancelled,
     ResponseComplete,
     ResponseEvent,
-    ResponseFailed,
     ResponseHead,
     ServerConnection,
     ServerConnectionPool,
@@ -50,33 +57,6 @@
 HTTP_VERSION_PREFIX = b"HTTP/1."
 
 
-@dataclass(frozen=True, slots=True)
-class ServerResponse:
-    """Represent a server's complete response."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptResult:
-    """Represent the result of an attempt.
-
-    :param server_response: response of the server, none if missing or already streamed.
-    :param streamed: whether the whole stream was forwarded to the caller.
-    :param timed_out: whether the attempt ended with a timeout.
-    :param server_failed: whether the server or the connection to it failed.
-    """
-
-    attempt: Attempt
-    reason: str
-    server_response: ServerResponse | None = None
-    streamed: bool = False
-    timed_out: bool = False
-    server_failed: bool = False
-
-
 class AttemptRunner:
     """Send requests to backend servers and read the responses.
 
@@ -212,21 +192,21 @@
                 record.name, connected, read_now()
             )
             if isinstance(opened, str):
-                return _unsent_result(record, f"connect: {opened}", server_failed=True)
+                return unsent_result(record, f"connect: {opened}", server_failed=True)
             connection = opened
         if context.cancelled or request.caller_disconnected:
             connection.abort()
-            return _unsent_result(record, "caller gone")
+            return unsent_result(record, "caller gone")
         now = read_now()
         if not self._state.directory.accepts_requests(record.name, now):
             connection.abort()
-            return _unsent_result(record, "server leaving")
+            return unsent_result(record, "server leaving")
         if now >= context.deadline:
             connection.abort()
-            return _unsent_result(record, "deadline passed")
+            return unsent_result(record, "deadline passed")
         if self._state.crash_evidence.find_refused(context.suspects):
             connection.abort()
-            return _unsent_result(record, "crash suspect")
+            return unsent_result(record, "crash suspect")
         request.on_disconnect = lambda: _cancel_attempt(context, connection)
         context.send_count += 1
         context.sent_at = now
@@ -250,7 +230,7 @@
                 traceback=traceback.format_exc(),
             )
             connection.abort()
-            return _internal_error_result(record)
+            return internal_error_result(record)
         finally:
             del self._connection_by_request[context]
 
@@ -267,7 +247,7 @@
             timeout_at = min(timeout_at, read_now() + retry_timeout)
         head = await self._next_event(context, record, connection, timeout_at)
         if not isinstance(head, ResponseHead):
-            return _no_response_result(record, connection, head)
+            return no_response_result(record, connection, head)
         self._record_load(record, head)
         return await self._read_body(context, record, connection, head, timeout_at)
 
@@ -303,7 +283,7 @@
         fault = find_response_fault(context, head, connection.request_count)
         if fault:
             connection.abort()
-            return _broken_result(record, fault)
+            return broken_result(record, fault)
         self._record_limit(record, head, context.sent_at)
         body = bytearray()
         try:
@@ -313,19 +293,19 @@
                     case BodyChunk(data):
                         if not self._buffers.reserve(len(body), len(data)):
                             connection.abort()
-                            return _broken_result(record, "answer too large")
+                            return broken_result(record, "answer too large")
                         body += data
                     case ResponseComplete():
                         break
                     case _:
-                        return _no_response_result(record, connection, event)
+                        return no_response_result(record, connection, event)
         finally:
             self._buffers.release(len(body))
         if contains_other_response(connection, body):
             connection.abort()
-            return _broken_result(record, "answer inside an answer")
+            return broken_result(record, "answer inside an answer")
         self._release_connection(record, connection, head)
-        result = _classify_response(record, head, bytes(body))
+        result = classify_response(record, head, bytes(body))
         if result.attempt.response is ResponseKind.NOT_RUN:
             self._record_refusal(record, head)
         else:
@@ -390,7 +370,7 @@
             timeout_at = min(timeout_at, read_now() + FIRST_EVENT_TIMEOUT_SECONDS)
         head = await self._next_event(context, record, connection, timeout_at)
         if not isinstance(head, ResponseHead):
-            return _no_response_result(record, connection, head)
+            return no_response_result(record, connection, head)
         if head.status != 200 or head.header(names.NOT_RUN) is not None:
             return await self._read_body(
                 context, record, connection, head, context.deadline
@@ -398,7 +378,7 @@
         fault = find_response_fault(context, head, connection.request_count)
         if fault:
             connection.abort()
-            return _broken_result(record, fault)
+            return broken_result(record, fault)
         self._record_limit(record, head, context.sent_at)
         self._record_load(record, head)
         self._state.groups.record_response_start(record.name)
@@ -412,7 +392,7 @@
                         new_events = events.feed(data)
                     except ValueError as error:
                         connection.abort()
-                        return _broken_result(record, str(error))
+                        return broken_result(record, str(error))
                     if not new_events:
                         continue
                     _forward_events(request, head, events, new_events)
@@ -438,31 +418,21 @@
                 case ResponseComplete():
                     if events.has_partial_event:
                         connection.abort()
-                        return _broken_result(record, "stream ended inside an event")
+                        return broken_result(record, "stream ended inside an event")
                     if started_at is None and head.ends_with_connection:
-                        return _broken_result(record, "stream ended before an event")
+                        return broken_result(record, "stream ended before an event")
                     break
                 case _:
-                    return _no_response_result(record, connection, event)
+                    return no_response_result(record, connection, event)
         self._release_connection(record, connection, head)
         self._record_survival(context, read_now())
         if not events.delivered_count:
-            return _classify_response(record, head, b"")
+            return classify_response(record, head, b"")
         request.end_response()
         attempt = Attempt(record.name, SendProgress.SOME, ResponseKind.COMPLETE)
         return AttemptResult(attempt, "streamed", streamed=True)
 
 
-def is_answer_lost(result: AttemptResult) -> bool:
-    """Return whether the connection broke before the end of an answer."""
-    return (
-        result.server_failed
-        and not result.timed_out
-        and result.server_response is None
-        and result.attempt.sent is SendProgress.SOME
-    )
-
-
 def make_request_headers(
     context: RequestContext,
     request: CallerRequest,
@@ -503,11 +473,6 @@
     )
 
 
-def response_headers(headers: Headers) -> Headers:
-    """Return the headers of a server's response that are forwarded to the caller."""
-    return [(key, value) for key, value in headers if key not in HOP_BY_HOP_HEADERS]
-
-
 def find_response_fault(
     context: RequestContext, head: ResponseHead, request_count: int
 ) -> str:
@@ -547,84 +512,12 @@
     request.send_data(new_events)
 
 
-def _classify_response(
-    record: ServerRecord, head: ResponseHead, body: bytes
-) -> AttemptResult:
-    not_run = head.header(names.NOT_RUN) is not None
-    if not_run or head.status == names.STATUS_MISDIRECTED:
-        retry_after = _parse_retry_after(head.header(names.RETRY_AFTER))
-        attempt = Attempt(
-            record.name, SendProgress.SOME, ResponseKind.NOT_RUN, "refused", retry_after
-        )
-        faulty_server = (head.header(names.FAULTY_SERVER) or b"").decode("latin-1")
-        reason = f"refused {head.status} {faulty_server}".rstrip()
-        return AttemptResult(attempt, reason)
-    response = ServerResponse(head.status, response_headers(head.headers), body)
-    claims_not_run = head.status in names.NOT_RUN_STATUSES
-    if head.status >= 500 or claims_not_run:
-        attempt = Attempt(
-            record.name, SendProgress.SOME, ResponseKind.UNKNOWN, "server-error"
-        )
-        reason = f"status {head.status}"
-        # The request may have run, so the caller must not see such a status.
-        forwarded = None if claims_not_run else response
-        return AttemptResult(attempt, reason, forwarded, server_failed=True)
-    attempt = Attempt(record.name, SendProgress.SOME, ResponseKind.COMPLETE)
-    return AttemptResult(attempt, f"status {head.status}", response)
-
-
-def _unsent_result(
-    record: ServerRecord, reason: str, server_failed: bool = False
-) -> AttemptResult:
-    attempt = Attempt(record.name, SendProgress.NOTHING, ResponseKind.NOTHING)
-    return AttemptResult(attempt, reason, server_failed=server_failed)
-
-
-def _broken_result(record: ServerRecord, reason: str) -> AttemptResult:
-    attempt = Attempt(record.name, SendProgress.SOME, ResponseKind.BROKEN)
-    return AttemptResult(attempt, reason, server_failed=True)
-
-
-def _internal_error_result(record: ServerRecord) -> AttemptResult:
-    """Return the result of an attempt that a fault of this program has ended."""
-    attempt = Attempt(record.name, SendProgress.SOME, ResponseKind.NOTHING)
-    return AttemptResult(attempt, "internal error")
-
-
-def _no_response_result(
-    record: ServerRecord,
-    connection: ServerConnection,
-    event: object,
-) -> AttemptResult:
-    connection.abort()
-    attempt = Attempt(record.name, SendProgress.SOME, ResponseKind.NOTHING)
-    match event:
-        case TimedOut():
-            return AttemptResult(
-                attempt, "no answer in time", timed_out=True, server_failed=True
-            )
-        case ResponseFailed(reason):
-            return AttemptResult(attempt, reason, server_failed=True)
-        case RequestCancelled(reason):
-            return AttemptResult(attempt, reason)
-        case _:
-            return AttemptResult(attempt, f"unexpected {type(event).__name__}")
-
-
 def _cancel_attempt(context: RequestContext, connection: ServerConnection) -> None:
     context.cancelled = True
     connection.abort()
     connection.cancel_wait("caller gone")
 
 
-def _parse_retry_after(value: bytes | None) -> float:
-    try:
-        return max(0.0, float(value)) if value else 0.0
-    except ValueError:
-        # A date or a malformed value; the default delay applies.
-        return 0.0
-
-
 def _parse_keep_alive(value: bytes | None) -> float | None:
     for part in (value or b"").split(b","):
         name, _, number = part.strip().partition(b"=")
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -5,10 +5,11 @@
 
 from twisted.internet import defer
 
+from lacewingcleat.attempt_result import AttemptResult
 from lacewingcleat.caller_connection import CallerRequest
 from lacewingcleat.clock import read_now
 from lacewingcleat.decision_log import DecisionLog
-from lacewingcleat.direct_attempt import AttemptResult, AttemptRunner
+from lacewingcleat.direct_attempt import AttemptRunner
 from lacewingcleat.direct_metrics import DirectMetrics
 from lacewingcleat.direct_settings import DirectSettings
 from lacewingcleat.direct_state import DirectState
--- a/tests/test_direct_attempt.py
+++ b/tests/test_direct_attempt.py
@@ -8,7 +8,8 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
-from lacewingcleat.direct_attempt import AttemptResult, AttemptRunner
+from lacewingcleat.attempt_result import AttemptResult
+from lacewingcleat.direct_attempt import AttemptRunner
 from lacewingcleat.direct_settings import PlatformBounds
 from lacewingcleat.direct_state import DirectState
 from lacewingcleat.load_gossip import LoadGossip
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from lacewingcleat.direct_attempt import AttemptResult
+from lacewingcleat.attempt_result import AttemptResult
 from lacewingcleat.direct_dispatch import DirectDispatcher
 from lacewingcleat.direct_settings import PlatformBounds
 from lacewingcleat.direct_state import MIN_BUDGET_ENTRIES, DirectState
