Refuse what cannot end before a planned stop does

Reported by other operators; callers here saw it too: an order whose body ended 5 s after SIGTERM was passed on and cut without an answer at the end of the grace period, and so was an order that had been passed on earlier. The stop decided which connections stay open, but not which requests may still begin, and ended without answers.

A request that comes once callers are no longer routed here begins only if its deadline lies before the end.

--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -48,6 +48,7 @@
 # Used for callers that send no deadline.
 DEFAULT_CALLER_TIMEOUT_SECONDS = 2.0
 CRASHES_SERVER = "crashes-server"
+STOPPING = "stopping"
 
 
 class DirectDispatcher:
@@ -57,6 +58,8 @@
     :param refresh_config: tries to bring the configuration up to date.
     :param config_may_be_lost: returns whether the store may have lost the newest
         configuration at a given time.
+    :param may_begin: returns whether a request with a deadline may be sent to a server
+        at a given time.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         config_age: Callable[[float], float],
         refresh_config: Callable[[], Awaitable[None]],
         config_may_be_lost: Callable[[float], bool] = lambda _now: False,
+        may_begin: Callable[[float, float], bool] = lambda _deadline, _now: True,
     ) -> None:
         self._settings = settings
         self._state = state
@@ -78,11 +82,26 @@
         self._config_age = config_age
         self._refresh_config = refresh_config
         self._config_may_be_lost = config_may_be_lost
+        self._may_begin = may_begin
+        self._open_requests: set[CallerRequest] = set()
 
     def handle(self, request: CallerRequest) -> None:
         """Answer one request."""
+        self._open_requests.add(request)
         handling = defer.ensureDeferred(self._handle(request))
         handling.addErrback(self._handle_error, request)
+        handling.addBoth(lambda _: self._open_requests.discard(request))
+
+    def end_open_requests(self) -> None:
+        """Answer all requests whose responses have not begun, as the process ends."""
+        for request in list(self._open_requests):
+            if request.response_started or request.response_ended:
+                continue
+            has_attempt = request.on_disconnect is not None
+            reply = LocalReply(502 if has_attempt else 503, STOPPING)
+            self._write_local_reply(request, reply)
+            if request.on_disconnect is not None:
+                request.on_disconnect()
 
     def _handle_error(self, failure: Any, request: CallerRequest) -> None:
         """Answer 502 after an internal error, as the request may have been sent."""
@@ -98,7 +117,7 @@
         ):
             # The key or route may have been added since the configuration was read.
             await self._refresh_config()
-            if request.caller_disconnected:
+            if request.caller_disconnected or request.response_ended:
                 return
             admission = self._admit(request, read_now())
         now = read_now()
@@ -164,12 +183,21 @@
             if caller_timeout is not None
             else route_deadline
         )
+        deadline = min(route_deadline, caller_deadline)
+        if not self._may_begin(deadline, now):
+            self._log.request(
+                "denied", now, request=request_id_text, status=503, reason=STOPPING
+            )
+            retry_after = retry_after_seconds(
+                NotRunCause.OTHER_ENTRY, caller_deadline, self._state.random, now
+            )
+            return LocalReply(503, STOPPING, retry_after)
         return RequestContext(
             request_id_text,
             access,
             choose_service(access.route, self._state.random.random()),
             request.arrived_at,
-            min(route_deadline, caller_deadline),
+            deadline,
             caller_deadline,
             version,
             age,
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -30,6 +30,7 @@
 from lacewingcleat.direct_settings import DirectSettings
 from lacewingcleat.direct_state import DirectState, LimitChange
 from lacewingcleat.evidence_exchange import EvidenceExchange
+from lacewingcleat.graceful_stop import FLUSH_SECONDS, GracefulStop
 from lacewingcleat.group_tracker import RankStatus
 from lacewingcleat.load_gossip import (
     ANNOUNCE_DELAY_SECONDS,
@@ -56,11 +57,6 @@
 EXIT_CANNOT_LISTEN = 3
 LISTEN_BACKLOG = 1024
 TICK_INTERVAL_SECONDS = 0.25
-# The platform stops routing callers to an instance after two failed readiness checks
-# one second apart. Connections are accepted until then.
-STOP_LISTENING_DELAY_SECONDS = 2.6
-# Requests in flight are aborted this long before the end of the grace period.
-GRACE_MARGIN_SECONDS = 0.4
 DEFAULT_METRICS_PORT = 9464
 
 
@@ -81,6 +77,7 @@
         self._settings_path = settings_path
         self._log = log
         self._metrics = DirectMetrics()
+        self._stop = GracefulStop(settings.bounds.grace_seconds)
         self._peers = LoadGossip(
             settings.instance,
             settings.control_address,
@@ -134,6 +131,7 @@
             self._config_age,
             self._store_reader.refresh,
             lambda now: self._store_reader.view.may_be_lost(CONFIG_KEY, now),
+            self._stop.may_begin,
         )
         self._caller_factory = CallerFactory(
             reactor,
@@ -141,10 +139,9 @@
             self._should_close,
             self._record_rejected,
             self._record_unread,
-            lambda: self._stopping_since is not None,
+            lambda: self._stop.is_stopping,
         )
         self._probe_factory = CallerFactory(reactor, self._respond_to_probe)
-        self._stopping_since: float | None = None
         self._was_ready = False
         self._caller_port: Any = None
         self._announcement: Any = None
@@ -173,7 +170,7 @@
         )
 
     def _should_close(self) -> bool:
-        return self._stopping_since is not None or not self._is_config_fresh(read_now())
+        return self._stop.is_stopping or not self._is_config_fresh(read_now())
 
     def _is_config_fresh(self, now: float) -> bool:
         limit = max_key_admission_age(self._settings.bounds.revocation_seconds)
@@ -189,9 +186,7 @@
 
     def _is_ready(self, now: float) -> bool:
         has_config = self._state.config is not None
-        return (
-            has_config and self._stopping_since is None and self._is_config_fresh(now)
-        )
+        return has_config and not self._stop.is_stopping and self._is_config_fresh(now)
 
     def _record_rejected(self, status: int) -> None:
         now = read_now()
@@ -386,10 +381,10 @@
             self._log.lifecycle(
                 "ready" if ready else "not ready",
                 config_age=round(min(1e6, self._config_age(now)), 3),
-                stopping=self._stopping_since is not None,
+                stopping=self._stop.is_stopping,
             )
-        if self._stopping_since is not None:
-            self._continue_shutdown(now - self._stopping_since)
+        if not self._stop.accepts_connections(now):
+            self._finish_requests()
 
     def _log_limit(self, change: LimitChange, now: float) -> None:
         pace = change.pace
@@ -405,25 +400,32 @@
 
     def stop(self) -> None:
         """Start a graceful shutdown, which lets requests in flight finish."""
-        if self._stopping_since is None:
-            self._stopping_since = read_now()
-            self._log.lifecycle(
-                "stop", open_requests=self._caller_factory.open_requests
-            )
-
-    def _continue_shutdown(self, elapsed: float) -> None:
-        if elapsed < STOP_LISTENING_DELAY_SECONDS:
+        if not self._stop.start(read_now()):
             return
+        self._reactor.callLater(self._stop.max_seconds, self._end_requests)
+        self._log.lifecycle("stop", open_requests=self._caller_factory.open_requests)
+
+    def _finish_requests(self) -> None:
+        """Accept no more connections, and exit once all are closed."""
         if self._caller_port is not None:
             self._caller_port.stopListening()
             self._caller_port = None
         self._caller_factory.close_idle()
-        grace_limit = self._settings.bounds.grace_seconds - GRACE_MARGIN_SECONDS
         # A response that is complete may still have bytes in the write buffer.
-        if not self._caller_factory.connections or elapsed >= grace_limit:
-            self._log.lifecycle(
-                "stopped", open_requests=self._caller_factory.open_requests
-            )
+        if not self._caller_factory.connections:
+            self._exit()
+
+    def _end_requests(self) -> None:
+        """Answer the requests that are still open, and exit."""
+        self._log.lifecycle(
+            "grace period ends", open_requests=self._caller_factory.open_requests
+        )
+        self._dispatcher.end_open_requests()
+        self._reactor.callLater(FLUSH_SECONDS, self._exit)
+
+    def _exit(self) -> None:
+        self._log.lifecycle("stopped", open_requests=self._caller_factory.open_requests)
+        if self._reactor.running:
             self._reactor.stop()
 
     def reload(self) -> None:
