Close callers' connections with their next response when an entry stops

Callers of the product's own entry that kept their connections busy went on being served after SIGTERM, and a request that crossed the exit got no answer; with steady traffic the entry did not stop for up to ten minutes. Nothing told callers that the connection ends.

From the signal on each response carries Connection: close and ends its connection, also if its head was written before; idle connections are closed once the entry stops listening.

test_kept_connections_end_with_a_planned_stop failed before (RemoteDisconnected) and passes.

--- a/lacewingcleat/entry_process.py
+++ b/lacewingcleat/entry_process.py
@@ -23,9 +23,15 @@
         super().__init__(reactor, self.node, self.server, self.node.explain)
 
     async def stop(self) -> None:
-        """Drain the requests in flight, then close."""
+        """Drain the requests in flight, then close.
+
+        Connections end with their next response, as callers that keep them busy would
+        keep the entry from stopping.
+        """
         self.node.announce_leaving()
+        self.server.factory.is_closing = True
         seconds = STOP_LISTENING_DELAY_SECONDS
         await task.deferLater(self._reactor, seconds, lambda: None)
         await self.stop_accepting()
+        self.server.factory.close_idle()
         await super().stop()
--- a/lacewingcleat/http_server.py
+++ b/lacewingcleat/http_server.py
@@ -151,11 +151,24 @@
         self.setHeader(OUTCOME_CODE.encode(), problem.code.encode())
         self.respond_problem(problem, "")
 
+    def write(self, data: bytes) -> None:
+        """Write a part of the response; the head tells whether the connection ends."""
+        if not self.startedWriting and self._ends_connection():
+            self.setHeader(b"Connection", b"close")
+        super().write(data)
+
     def finish(self) -> None:
         """End the response and release the memory of the body."""
         self._release_memory()
+        if self._ends_connection():
+            # The head may have been written before the process began to stop.
+            channel: Any = self.channel
+            channel.persistent = False
         super().finish()
 
+    def _ends_connection(self) -> bool:
+        return self._bounded_factory is not None and self._bounded_factory.is_closing
+
     def registerProducer(self, producer: Any, streaming: bool) -> None:
         """Register a producer, paused if the send buffer is already full."""
         super().registerProducer(producer, streaming)
@@ -222,6 +235,11 @@
         """Return whether the send buffer is full."""
         return bool(self._waitingForTransport)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being read or answered."""
+        return not self.requests and not self._buffer
+
     def dataReceived(self, data: bytes) -> None:
         """Start the timer at the first byte of a request line."""
         super().dataReceived(data)
@@ -253,6 +271,7 @@
 
     :param handle: called with each request received.
     :param body_limit_bytes: maximum size of a body in bytes.
+    :ivar is_closing: whether each connection ends with its next response.
     """
 
     def __init__(
@@ -264,6 +283,7 @@
         self.handle = handle
         self._channels: WeakSet[Any] = WeakSet()
         self.body_limit_bytes = body_limit_bytes
+        self.is_closing = False
         self.buffered_bytes = 0
         self.buffer_limit_bytes = MAX_BUFFERED_BODIES * body_limit_bytes
 
@@ -277,6 +297,12 @@
         self._channels.add(channel)
         return channel
 
+    def close_idle(self) -> None:
+        """Close all connections on which no request is being read or answered."""
+        for channel in list(self._channels):
+            if channel.transport is not None and channel.is_idle:
+                channel.loseConnection()
+
     def abort_connections(self) -> None:
         """Abort all connections, as if the process had ended."""
         for channel in list(self._channels):
--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -269,6 +269,32 @@
         status, _, _ = self.fleet.send("entry-2", "POST", CHAT, _chat_body("later", 3))
         self.assertEqual(200, status)
 
+    def test_kept_connections_end_with_a_planned_stop(self) -> None:
+        """Guards against requests taken until a stopping entry exits and cuts them.
+
+        Callers kept their connections busy, so the stop never became idle.
+        """
+        address = self.fleet.request_by_entry["entry-1"]
+        connections = [http.client.HTTPConnection(address, timeout=10) for _ in "12"]
+        headers = {"Authorization": f"Bearer {KEY}"}
+        for connection in connections:
+            connection.request("GET", "/services/orders/x", headers=headers)
+            connection.getresponse().read()
+        busy, idle = connections
+        self.fleet.signal("entry-1", signal.SIGTERM)
+        statuses: list[int] = []
+        closes = False
+        deadline = time.monotonic() + DEADLINE_SECONDS
+        while not closes and time.monotonic() < deadline:
+            busy.request("GET", "/services/orders/x", headers=headers)
+            response = busy.getresponse()
+            response.read()
+            statuses.append(response.status)
+            closes = response.getheader("Connection") == "close"
+        self.assertTrue(closes, f"{len(statuses)} requests were answered")
+        self.assertEqual(b"", idle.sock.recv(1))
+        self.assertEqual(0, self.fleet.process_by_name["entry-1"].wait(10))
+
     def test_request_that_crashes_engines(self) -> None:
         """Guards against a request that crashes one engine after the other.
 
