Decode each entry of the list of instances on its own

Reported by other operators for lists of servers: one odd entry, and the machines stop following the list. The product's own entry and agent did so: an entry of the configuration service's list of instances that is no name made them drop the whole list, without a log line, while they advanced to its version.

test_an_odd_entry_hides_no_instance failed before and passes.

--- a/lacewingcleat/config_client.py
+++ b/lacewingcleat/config_client.py
@@ -10,6 +10,7 @@
 
 from lacewingcleat.clock import read_now
 from lacewingcleat.http_client import HttpClient, first_header
+from lacewingcleat.logs import ComponentLogger
 from lacewingcleat.membership import Membership
 from lacewingcleat.peer_table import PlatformList
 from lacewingcleat.relay_actions import RelayAction
@@ -21,11 +22,14 @@
 MAX_VALUE_BYTES = 1 << 20
 VERSION_HEADER = "X-Version"
 INSTANCES_RETRY_DELAY_SECONDS = 5.0
+_LOG = ComponentLogger("config")
 
 
 class _InstanceList(msgspec.Struct):
-    live: list[str]
-    leaving: list[str] = []
+    """Represent the list of instances; an entry that is no name stands for nobody."""
+
+    live: list[msgspec.Raw]
+    leaving: list[msgspec.Raw] = []
 
 
 class RelayOwner(Protocol):
@@ -108,9 +112,11 @@
         self._instances_version, content = result
         try:
             listed = msgspec.json.decode(content, type=_InstanceList)
-        except (msgspec.MsgspecError, RecursionError):
+        except (msgspec.MsgspecError, RecursionError) as error:
+            _LOG.warning(f"the list of instances cannot be read: {error}")
             return
-        platform = PlatformList(frozenset(listed.live), frozenset(listed.leaving))
+        live, leaving = _decode_names(listed.live), _decode_names(listed.leaving)
+        platform = PlatformList(live, leaving)
         self._owner.membership.update_platform_list(platform, read_now())
 
     async def _watch_manifest(self, after: str) -> None:
@@ -156,5 +162,16 @@
         return first_header(response.headers, VERSION_HEADER), content
 
 
+def _decode_names(entries: list[msgspec.Raw]) -> frozenset[str]:
+    """Return the names among the entries, each of which is decoded on its own."""
+    names = set()
+    for entry in entries:
+        try:
+            names.add(msgspec.json.decode(entry, type=str))
+        except (ValueError, RecursionError) as error:
+            _LOG.warning(f"an entry of the list of instances is no name: {error}")
+    return frozenset(names)
+
+
 def _ignore_cancel(failure: Any) -> None:
     failure.trap(defer.CancelledError)
--- a/tests/test_config_client.py
+++ b/tests/test_config_client.py
@@ -76,6 +76,15 @@
         self.assertEqual("/v1/watch/instances?after=0", http_client.paths[2])
         self.assertEqual([frozenset("a"), frozenset("b")], owner.live)
 
+    def test_an_odd_entry_hides_no_instance(self) -> None:
+        """Guards against a list that is no longer followed for one odd entry."""
+        for odd in (b"7", b"null", b"[[[{}]]]", b"1e999", b"9" * 5_000):
+            content = b'{"live": ["a", %s, "b"], "leaving": [%s, "c"]}' % (odd, odd)
+            owner = _Owner()
+            client = _client(owner, _ScriptedHttpClient(("7", content)), Clock())
+            client.watch_instances()
+            self.assertEqual([frozenset("ab")], owner.live, odd[:20])
+
     def test_another_manifest_under_the_watched_version_is_handled(self) -> None:
         """Guards against a manifest under a version that was given out again."""
         http_client = _ScriptedHttpClient(("7", b"one"), ("7", b"two"), ("7", b"two"))
