Never cut a begun stream by the next server's error while its own is silent

Found when the change was read again: callers of a begun stream were reset when its server was silent and the next one answered with an error, although the first would have gone on. A complete response was taken for the answer whatever else was open.

test_a_stream_goes_on_when_the_next_server_answers_with_an_error failed before and passes. Also: what is answered at the end of a stop is logged and counted, and the exit happens once.

--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -97,11 +97,18 @@
         for request in list(self._open_requests):
             if request.response_started or request.response_ended:
                 continue
-            has_attempt = request.on_disconnect is not None
-            reply = LocalReply(502 if has_attempt else 503, STOPPING)
+            cancel = request.on_disconnect
+            reply = LocalReply(503 if cancel is None else 502, STOPPING)
+            self._metrics.count_request(reply.status, reply.reason)
+            self._log.request(
+                "answered at the end of a stop",
+                read_now(),
+                request=(request.header(names.REQUEST_ID) or b"").decode("latin-1"),
+                status=reply.status,
+            )
             self._write_local_reply(request, reply)
-            if request.on_disconnect is not None:
-                request.on_disconnect()
+            if cancel is not None:
+                cancel()
 
     def _handle_error(self, failure: Any, request: CallerRequest) -> None:
         """Answer 502 after an internal error, as the request may have been sent."""
@@ -351,7 +358,11 @@
         decision = self._decide_retry(result.attempt, context, events, now)
         if self._prepare_retry(context, result.attempt, decision, result.reason):
             return self._start_attempt(context, request, events, race)
-        if isinstance(decision, ReturnResult):
+        # A complete response cannot continue a stream that has begun elsewhere.
+        answers_caller = isinstance(decision, ReturnResult) and not (
+            race.has_open and events.delivered_count
+        )
+        if answers_caller:
             return self._forward_response(request, result)
         if race.has_open:
             return None
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -143,6 +143,7 @@
         )
         self._probe_factory = CallerFactory(reactor, self._respond_to_probe)
         self._was_ready = False
+        self._has_exited = False
         self._caller_port: Any = None
         self._announcement: Any = None
 
@@ -424,9 +425,11 @@
         self._reactor.callLater(FLUSH_SECONDS, self._exit)
 
     def _exit(self) -> None:
+        if self._has_exited:
+            return
+        self._has_exited = True
         self._log.lifecycle("stopped", open_requests=self._caller_factory.open_requests)
-        if self._reactor.running:
-            self._reactor.stop()
+        self._reactor.stop()
 
     def reload(self) -> None:
         """Reload the settings file and apply its seeds.
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -76,6 +76,11 @@
     return True
 
 
+def _fail_plainly(request: ReceivedRequest, stream: socket.socket) -> bool:
+    stream.sendall(encode_signed_response(request, 404, b"not here"))
+    return True
+
+
 def _stall(request: ReceivedRequest, stream: socket.socket) -> bool:
     """Send nothing until the caller closes."""
     while stream.recv(65_536):
@@ -158,6 +163,10 @@
         """Guards against waiting for the last server that was tried only."""
         self._check("/stream/x", _pause_inside, _stall, _all_events())
 
+    def test_a_stream_goes_on_when_the_next_server_answers_with_an_error(self) -> None:
+        """Guards against an error of the next server that cuts a sound stream."""
+        self._check("/stream/x", _pause_inside, _fail_plainly, _all_events())
+
     def test_a_stopping_entry_waits_for_a_silent_server(self) -> None:
         """Guards against streams of sound servers that a planned stop cuts."""
 
