--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -253,6 +253,19 @@
         self._wait_for_revision(7, (*ENTRIES, "draft-1"))
         self.assertIn("was paused", self.fleet.log("entry-3"))
 
+    def test_a_stream_outlasts_the_silence_of_its_only_engine(self) -> None:
+        """Guards against a sound stream that is cut though no other engine takes it."""
+        self.fleet.signal("draft-2", signal.SIGTERM)
+        self.fleet.process_by_name["draft-2"].wait(10)
+        caller = _StreamCaller(self.fleet, "entry-1", "prompt", 60)
+        caller.start()
+        time.sleep(0.8)
+        self.fleet.signal("backend-draft-1", signal.SIGSTOP)
+        time.sleep(11.0)
+        self.fleet.signal("backend-draft-1", signal.SIGCONT)
+        self._join_and_check([caller])
+        self.assertTrue(caller.content.endswith(b"[DONE]\n\n"), caller.content[-300:])
+
     def test_sigterm_interrupts_no_stream(self) -> None:
         """Guards against a graceful stop that interrupts responses in flight."""
         callers = self._start_callers(6)
