Send no request to a zone that the operator evacuates

Cause: direct entries did not know the orders `op/evacuate/ZONE`.

Change: `server_restrictions` holds why a server or zone must not be sent requests now. Choices of servers, alternatives beside a silent server, the check before a request is written and polls of reports consult it. Orders are compared with the whole view after each read; one that a restored store lacks holds until its writers have had time to write it again.

Choices without an order are those recorded on the code before.

Conclusion: an order is in force with the next read of the store.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -264,6 +264,9 @@
             return SUPERSEDED
         if not self._state.directory.accepts_requests(attempt.record.name, now):
             return "server leaving"
+        restriction = self._state.find_restriction(attempt.record, now)
+        if restriction is not None:
+            return f"server {restriction.reason}"
         if now >= context.deadline:
             return "deadline passed"
         if self._state.crash_evidence.find_refused(context.suspects):
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -25,6 +25,7 @@
 from lacewingcleat.server_directory import ServerDirectory
 from lacewingcleat.server_rate_limits import ServerRateLimits
 from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.server_restrictions import Restriction, ServerRestrictions
 
 # Minimum number of entries among which the fleet's extra retries are divided, because
 # an entry that has just started or is partitioned off sees few peers.
@@ -72,6 +73,7 @@
         "peers",
         "random",
         "rate_limits",
+        "restrictions",
     )
 
     def __init__(
@@ -97,6 +99,7 @@
         self.peers = peers
         self.random = random
         self.rate_limits = ServerRateLimits(peers.own_address)
+        self.restrictions = ServerRestrictions()
 
     def has_ready_peer(self, now: float) -> bool:
         """Return whether a peer has reported that it is ready for requests."""
@@ -175,18 +178,55 @@
             and not self.connection_backoff.is_backing_off(record.name, now)
             and self.groups.is_open(record.name)
             and self.groups.find_group_name(record.name) not in failed_groups
+            and self.restrictions.find(record, now) is None
         ]
+        spared_zones = self.restrictions.spared_zones(self.random, now)
+        if spared_zones:
+            choice = self._choose_among(
+                [record for record in candidates if record.zone not in spared_zones],
+                now,
+            )
+            # A spared zone is used before a caller is refused.
+            if isinstance(choice, ChosenServer):
+                return choice
+        return self._choose_among(candidates, now)
+
+    def _choose_among(self, candidates: list[ServerRecord], now: float) -> ServerChoice:
+        returning_zones = frozenset(self.restrictions.returning_zones(now))
         return choose_server(
             candidates,
             self.loads,
             lambda record: self._weight(record, now),
-            lambda record: self._request_limit(record, now),
+            lambda record: (
+                self._returning_limit(record, now)
+                if record.zone in returning_zones
+                else self._request_limit(record, now)
+            ),
             self._zone,
             self.random,
             now,
             own_zone_first=not self.peers.announces_to_all(),
         )
 
+    def find_restriction(self, record: ServerRecord, now: float) -> Restriction | None:
+        """Return why no request may be written to a chosen server any more.
+
+        :param record: record by which the server was chosen, which may have changed.
+        """
+        current = self.directory.find(record.name)
+        restriction = self.restrictions.find(record, now)
+        if restriction is None and current is not None:
+            restriction = self.restrictions.find(current, now)
+        return restriction
+
+    def _returning_limit(self, record: ServerRecord, now: float) -> float:
+        """Return the request limit of a server whose zone was evacuated until now."""
+        share = self.restrictions.slot_share(record.zone, now)
+        return min(
+            self._request_limit(record, now),
+            math.floor(record.slots * share + self.random.random()),
+        )
+
     def _groups_of(self, servers: frozenset[str]) -> set[str]:
         """Return the groups of servers that have failed a request.
 
@@ -224,6 +264,7 @@
             for service in (config.service_by_name.values() if config else ())
             if service.engine is not None
             for record in self.directory.accepting_servers(service.name, now)
+            if self.restrictions.find(record, now) is None
         }
         return [
             records[name] for name in self.groups.select_servers_to_poll(records, now)
--- a/lacewingcleat/store_changes.py
+++ b/lacewingcleat/store_changes.py
@@ -11,6 +11,11 @@
 from lacewingcleat.decision_log import DecisionLog
 from lacewingcleat.direct_state import DirectState
 from lacewingcleat.platform.config_item import CONFIG_KEY, decode_config
+from lacewingcleat.platform.evacuation_item import (
+    EVACUATION_PREFIX,
+    decode_evacuated_zone,
+    encode_evacuation_key,
+)
 from lacewingcleat.platform.server_item import SERVER_PREFIX, decode_server
 from lacewingcleat.routing_config import RoutingConfig
 from lacewingcleat.server_record import ServerRecord
@@ -63,6 +68,7 @@
                     error=repr(error)[:MAX_LOGGED_LENGTH],
                 )
                 self._reject_item(key, change, now)
+        self._end_evacuations(now)
 
     def _apply_item(self, key: str, change: ViewChange, now: float) -> None:
         item = self._view.item_by_key.get(key)
@@ -70,6 +76,8 @@
             self._apply_config(item.value, change, now)
         elif key.startswith(SERVER_PREFIX):
             self._apply_server(key, item, change, now)
+        elif key.startswith(EVACUATION_PREFIX) and item is not None:
+            self._apply_evacuation(key, now)
 
     def _reject_item(self, key: str, change: ViewChange, now: float) -> None:
         """Use neither a server nor, for long, a configuration that cannot be read."""
@@ -77,6 +85,8 @@
             if self._unread_since is None:
                 self._unread_since = change.confirmed_at
             return
+        if not key.startswith(SERVER_PREFIX):
+            return
         name = key.removeprefix(SERVER_PREFIX)
         self._state.directory.remove(name, NEVER, now)
 
@@ -99,6 +109,29 @@
         self._on_config(config, now)
         self._log.belief("config", now, version=config.version, age=age)
 
+    def _apply_evacuation(self, key: str, now: float) -> None:
+        zone = decode_evacuated_zone(key)
+        if zone is None:
+            self._log.belief("malformed evacuation", now, key=key[:MAX_LOGGED_LENGTH])
+        elif self._state.restrictions.order_evacuation(zone, now):
+            self._log.belief("zone evacuated", now, zone=zone)
+
+    def _end_evacuations(self, now: float) -> None:
+        """End the evacuations whose orders the store does not hold any more.
+
+        All of them are compared with the view, so that no missed change can make an
+        evacuation last. A store that was restored may lack an order for a moment.
+        """
+        restrictions = self._state.restrictions
+        for zone in restrictions.ordered_zones():
+            if encode_evacuation_key(zone) in self._view.item_by_key:
+                continue
+            ends_at = max(now, self._view.rewrites_until)
+            restrictions.end_evacuation(zone, ends_at)
+            self._log.belief(
+                "evacuation ends", now, zone=zone, seconds=round(ends_at - now, 3)
+            )
+
     def _apply_server(
         self, key: str, item: StoreItem | None, change: ViewChange, now: float
     ) -> None:
--- a/lacewingcleat/store_view.py
+++ b/lacewingcleat/store_view.py
@@ -145,6 +145,11 @@
         item = self.item_by_key.get(key)
         return item is None or self.may_be_copied(item)
 
+    @property
+    def rewrites_until(self) -> float:
+        """Return when all that a restored store has lost is written again."""
+        return self._restored_at + REWRITE_SECONDS
+
     def may_be_copied(self, item: StoreItem) -> bool:
         """Return whether an item may be as old as the copy of a restored store."""
         return item.revision <= self._copied_revision
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -208,19 +208,23 @@
 
 
 def make_store_record(
-    address: str = "127.0.0.1:1", service: str = "s", state: str = "ready"
+    address: str = "127.0.0.1:1",
+    service: str = "s",
+    state: str = "ready",
+    zone: str = "z",
+    born: int = 1,
 ) -> dict[str, object]:
     """Make the record of a server in the store."""
     return {
         "service": service,
         "address": address,
-        "zone": "z",
+        "zone": zone,
         "version": "v1",
         "slots": 4,
         "state": state,
         "cold_remaining_ms": 0,
         "sequence": 0,
-        "born": 1,
+        "born": born,
     }
 
 
@@ -234,6 +238,9 @@
     :param handler: writes another response; returns whether the connection stays open.
     :param delay: seconds before the default response.
     :param served_requests: requests that got the default response.
+    :param zone: zone in its record.
+    :param born: start of its run in its record.
+    :param response_headers: further headers of the default response.
     """
 
     name: str
@@ -241,6 +248,9 @@
     delay: float = 0.0
     service: str = "s"
     served_requests: list[ReceivedRequest] = field(default_factory=list)
+    zone: str = "z"
+    born: int = 1
+    response_headers: tuple[str, ...] = ()
 
     def __post_init__(self) -> None:
         self._listener = Listener(self._serve)
@@ -256,7 +266,7 @@
 
     def store_record(self, service: str, state: str = "ready") -> dict[str, object]:
         """Return the record of the server in the store."""
-        return make_store_record(self.address, service, state)
+        return make_store_record(self.address, service, state, self.zone, self.born)
 
     def _serve(self, stream: socket.socket) -> None:
         while (request := read_request(stream)) is not None:
@@ -278,6 +288,7 @@
                     b"answer of " + self.name.encode(),
                     f"X-Request-Id: {request.headers['x-request-id']}",
                     "X-Response-Signature: sig",
+                    *self.response_headers,
                 )
             )
 
--- /dev/null
+++ b/tests/test_server_restrictions.py
@@ -0,0 +1,174 @@
+"""Reasons against sending requests to servers and zones, without a network."""
+
+from random import Random
+
+from testtools import TestCase
+
+from lacewingcleat.direct_settings import PlatformBounds
+from lacewingcleat.direct_state import DirectState
+from lacewingcleat.group_tracker import RankStatus
+from lacewingcleat.load_gossip import LoadGossip
+from lacewingcleat.server_choice import ChosenServer, NoServer
+from lacewingcleat.server_restrictions import (
+    MIN_RETURN_SHARE,
+    MIN_SLOT_SHARE,
+    ZONE_RETURN_SECONDS,
+    Restriction,
+    RestrictionReason,
+    ServerRestrictions,
+)
+from tests.builders_direct import make_record
+
+BOUNDS = PlatformBounds(5.0, 2.0, 2.0, 8.0, 0.2, 92.0, 10.0)
+
+
+def make_state(seed: int = 1) -> DirectState:
+    """Make the state of an entry in zone `z` without peers."""
+    peers = LoadGossip("me", "10.0.0.1:1", (), Random(seed))
+    return DirectState("z", BOUNDS, peers, Random(seed))
+
+
+def choose_names(state: DirectState, count: int, now: float) -> list[str]:
+    """Return the servers chosen for some requests that end at once."""
+    choices = (state.choose_server("s", frozenset(), now) for _ in range(count))
+    return [c.record.name if isinstance(c, ChosenServer) else "" for c in choices]
+
+
+class EvacuationTest(TestCase):
+    def test_an_order_holds_until_it_is_gone(self) -> None:
+        """Guards against a zone that is used before its order is removed."""
+        restrictions = ServerRestrictions()
+        record = make_record(zone="a")
+        self.assertIs(None, restrictions.find(record, 0.0))
+        self.assertTrue(restrictions.order_evacuation("a", 1.0))
+        self.assertFalse(restrictions.order_evacuation("a", 2.0))
+        expected = Restriction(RestrictionReason.EVACUATED, "a", None)
+        self.assertEqual(expected, restrictions.find(record, 1e9))
+        self.assertIs(None, restrictions.find(make_record(zone="b"), 1e9))
+        self.assertEqual({"a": 1.0}, restrictions.evacuated_since(5.0))
+        self.assertTrue(restrictions.end_evacuation("a", 5.0))
+        self.assertFalse(restrictions.end_evacuation("a", 6.0))
+        self.assertIs(None, restrictions.find(record, 5.0))
+        self.assertEqual({}, restrictions.evacuated_since(5.0))
+
+    def test_an_order_that_a_restored_store_lacks(self) -> None:
+        """Guards against requests until the operator has written the order again."""
+        restrictions = ServerRestrictions()
+        record = make_record(zone="a")
+        restrictions.order_evacuation("a", 1.0)
+        restrictions.end_evacuation("a", 12.0)
+        restriction = restrictions.find(record, 11.9)
+        self.assertEqual(
+            Restriction(RestrictionReason.EVACUATED, "a", 12.0), restriction
+        )
+        self.assertEqual(12.0, restrictions.next_release([record], 11.0))
+        self.assertTrue(restrictions.order_evacuation("a", 11.5))
+        self.assertEqual({"a": 1.0}, restrictions.evacuated_since(13.0))
+        self.assertIs(None, restrictions.next_release([record], 13.0))
+
+    def test_an_order_that_returns_within_a_second(self) -> None:
+        """Guards against requests that go on returning to an evacuated zone."""
+        restrictions = ServerRestrictions()
+        restrictions.order_evacuation("a", 1.0)
+        restrictions.end_evacuation("a", 5.0)
+        self.assertTrue(restrictions.order_evacuation("a", 5.4))
+        self.assertIsNot(None, restrictions.find(make_record(zone="a"), 5.4))
+        self.assertEqual([], restrictions.returning_zones(6.0))
+        self.assertEqual({"a": 5.4}, restrictions.evacuated_since(6.0))
+
+    def test_shares_rise_while_requests_return(self) -> None:
+        """Guards against a zone that gets its whole load in a moment."""
+        restrictions = ServerRestrictions()
+        restrictions.order_evacuation("a", 1.0)
+        restrictions.end_evacuation("a", 5.0)
+        self.assertAlmostEqual(MIN_RETURN_SHARE, restrictions.return_share("a", 5.0))
+        middle = restrictions.return_share("a", 5.0 + ZONE_RETURN_SECONDS / 2.0)
+        self.assertAlmostEqual((1.0 + MIN_RETURN_SHARE) / 2.0, middle)
+        self.assertEqual([], restrictions.expire(6.0))
+        self.assertEqual(["a"], restrictions.expire(5.0 + ZONE_RETURN_SECONDS))
+        self.assertEqual(1.0, restrictions.return_share("a", 99.0))
+
+    def test_requests_return_gradually(self) -> None:
+        """Guards against idle servers of a zone that draw all requests at first."""
+        state = make_state()
+        for number in range(4):
+            state.directory.put(make_record(f"a-{number}", "a"))
+            state.directory.put(make_record(f"b-{number}", "b"))
+            # The servers elsewhere carry what the zone has left to them.
+            for _ in range(4):
+                state.loads.begin_request(f"b-{number}")
+        state.restrictions.order_evacuation("a", 1.0)
+        names = choose_names(state, 200, 2.0)
+        self.assertEqual(0, sum(name.startswith("a") for name in names))
+        state.restrictions.end_evacuation("a", 5.0)
+        counts = [
+            sum(name.startswith("a") for name in choose_names(state, 400, now))
+            for now in (5.0, 5.0 + ZONE_RETURN_SECONDS / 2.0, 5.0 + ZONE_RETURN_SECONDS)
+        ]
+        self.assertLess(counts[0], 400 * MIN_RETURN_SHARE * 1.5)
+        self.assertGreater(counts[0], 0)
+        self.assertLess(counts[0], counts[1])
+        self.assertLess(counts[1], counts[2])
+
+    def test_a_returning_zone_is_used_before_a_caller_is_refused(self) -> None:
+        """Guards against refusals while under half of the slots are taken."""
+        state = make_state()
+        record = make_record("a-1", "a")
+        state.directory.put(record)
+        state.restrictions.order_evacuation("a", 1.0)
+        self.assertEqual(NoServer(), state.choose_server("s", frozenset(), 2.0))
+        state.restrictions.end_evacuation("a", 5.0)
+        sent = 0
+        while choose_names(state, 1, 5.0) == ["a-1"]:
+            state.loads.begin_request("a-1")
+            sent += 1
+        self.assertEqual(round(record.slots * MIN_SLOT_SHARE), sent)
+
+    def test_a_group_is_used_through_its_other_ranks(self) -> None:
+        """Guards against a group that is unused as some of its ranks are evacuated."""
+        state = make_state()
+        for rank, zone in enumerate("ab"):
+            name = f"i-{zone}"
+            state.directory.put(make_record(name, zone))
+            status = RankStatus("g", 1, rank, 2, True, 1.0)
+            state.groups.record_status(name, status, 0.0)
+        state.restrictions.order_evacuation("a", 1.0)
+        self.assertEqual({"i-b"}, set(choose_names(state, 50, 2.0)))
+
+    def test_an_attempt_is_checked_again_before_it_is_written(self) -> None:
+        """Guards against an order that is read while an attempt connects."""
+        state = make_state()
+        record = make_record("i-1", "a")
+        state.directory.put(make_record("i-1", "b"))
+        state.restrictions.order_evacuation("a", 1.0)
+        # The record may have changed since the server was chosen, and after it.
+        self.assertIsNot(None, state.find_restriction(record, 1.0))
+        state.directory.put(record)
+        moved = make_record("i-1", "b")
+        self.assertIsNot(None, state.find_restriction(moved, 1.0))
+        state.restrictions.end_evacuation("a", 2.0)
+        self.assertIs(None, state.find_restriction(record, 2.0))
+
+
+class UnrestrictedTest(TestCase):
+    def test_choices_without_restrictions_are_as_before(self) -> None:
+        """Guards against decisions that change without any order or header.
+
+        The choices were recorded before there were restrictions.
+        """
+        state = make_state(7)
+        for number in range(12):
+            state.directory.put(make_record(f"i-{number}", "zy"[number % 2]))
+        names = []
+        for _ in range(40):
+            names += choose_names(state, 1, 1.0)
+            state.loads.begin_request(names[-1])
+        self.assertEqual(
+            RECORDED_CHOICES, " ".join(n.removeprefix("i-") for n in names)
+        )
+
+
+RECORDED_CHOICES = (
+    "10 0 6 4 8 2 3 5 1 9 11 4 7 10 0 2 8 6 9 1 "
+    "3 11 7 5 10 0 2 7 1 6 3 4 8 11 2 9 10 5 8 0"
+)
