Send nothing more to a server whose response says that it leaves

Cause: direct entries learned that a server leaves from the store only.

Change: `Server-Leaving: 1` in a response is applied as soon as its head has arrived, whatever becomes of the body or the caller, and is final for the run. A response that belongs to another request or server does not count. Where a record has no `born`, name and address stand for the run until it has been gone for 120 s. The exit of such a server is no crash.

Conclusion: no new request reaches such a server from an entry that has its response.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -38,6 +38,7 @@
     TimedOut,
 )
 from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.server_signals import ServerSignals
 
 # Silence before the first event after which a stream that may be resumed is also sent
 # to another server; callers disconnect after 2 s without an event.
@@ -88,6 +89,7 @@
         self._state = state
         self._pool = pool
         self._buffers = ResponseBuffers()
+        self._signals = ServerSignals(state, log)
 
     async def run(
         self,
@@ -142,8 +144,10 @@
         if isinstance(connection, ServerConnection):
             self._pool.add_idle(record, connection, None, now)
         has_exited = connection == CONNECTION_REFUSED
-        has_crashed = has_exited and self._state.directory.accepts_requests(
-            record.name, now
+        has_crashed = (
+            has_exited
+            and self._state.directory.accepts_requests(record.name, now)
+            and not self._state.restrictions.is_leaving(record)
         )
         evidence = self._state.crash_evidence
         if has_crashed:
@@ -289,6 +293,7 @@
         head = await reader.next_event(silent_at)
         if not isinstance(head, ResponseHead):
             return no_response_result(attempt.record, connection, head)
+        self._record_signals(context, attempt, head, connection)
         self._record_load(attempt.record, head)
         return await self._read_body(context, attempt, connection, head, reader)
 
@@ -347,6 +352,16 @@
             group = self._state.groups.find_group_name(record.name)
             self._log.belief("group refuses", now, group=group, server=record.name)
 
+    def _record_signals(
+        self,
+        context: RequestContext,
+        attempt: OpenAttempt,
+        head: ResponseHead,
+        connection: ServerConnection,
+    ) -> None:
+        request_count = connection.request_count
+        self._signals.record(context, attempt, head, request_count, read_now())
+
     def _record_limit(self, attempt: OpenAttempt, head: ResponseHead) -> None:
         limit = names.parse_server_limit(head.header(names.SERVER_LIMIT))
         is_signed = head.header(names.RESPONSE_SIGNATURE) is not None
@@ -394,6 +409,7 @@
         head = await reader.next_event(silent_at)
         if not isinstance(head, ResponseHead):
             return no_response_result(record, connection, head)
+        self._record_signals(context, attempt, head, connection)
         if head.status != 200 or head.header(names.NOT_RUN) is not None:
             reader.silent_at = context.deadline
             return await self._read_body(context, attempt, connection, head, reader)
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -368,7 +368,7 @@
         for name in self._state.directory.expire(now):
             self._log.belief("server gone", now, server=name)
         self._state.crash_evidence.expire(now)
-        for zone in self._state.restrictions.expire(now):
+        for zone in self._state.expire_restrictions(now):
             self._log.belief("zone in full use", now, zone=zone)
         self._peer_configs.retain(self._peers.addresses())
         for event in self._state.update_outliers(now):
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -208,6 +208,10 @@
             own_zone_first=not self.peers.announces_to_all(),
         )
 
+    def expire_restrictions(self, now: float) -> list[str]:
+        """Remove what restricts no server any more; see `ServerRestrictions.expire`."""
+        return self.restrictions.expire(self.directory.find, now)
+
     def find_restriction(self, record: ServerRecord, now: float) -> Restriction | None:
         """Return why no request may be written to a chosen server any more.
 
--- a/lacewingcleat/platform/request_headers.py
+++ b/lacewingcleat/platform/request_headers.py
@@ -1,6 +1,7 @@
 """protocol: HTTP headers between callers, entries and backend servers."""
 
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 AUTHORIZATION = b"authorization"
@@ -27,6 +28,8 @@
 # Name of the faulty server if a server refuses because of another rank of its group.
 FAULTY_SERVER = b"at-server"
 RETRY_AFTER = b"retry-after"
+# Set to 1 in the responses of a server that accepts no new requests in this run.
+SERVER_LEAVING = b"server-leaving"
 STATUS_MISDIRECTED = 421
 # Statuses by which callers learn that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, STATUS_MISDIRECTED, 429, 503})
@@ -84,6 +87,13 @@
     )
 
 
+def says_leaving(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether the headers of a response say that its server leaves."""
+    return any(
+        name == SERVER_LEAVING and value.strip() == b"1" for name, value in headers
+    )
+
+
 def parse_server_limit(value: bytes | None) -> float | None:
     """Return the requests per second that a server takes, none if not limited."""
     if value is None or not _DECIMAL.fullmatch(value.strip()):
--- a/lacewingcleat/server_restrictions.py
+++ b/lacewingcleat/server_restrictions.py
@@ -8,7 +8,7 @@
 restricted servers take memory.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -24,6 +24,12 @@
 # Share of its slots that a server of such a zone takes at first. With less, callers
 # would be refused while under half of the slots are taken.
 MIN_SLOT_SHARE = 0.5
+# Time for which a run that leaves is remembered after its record is gone. A store may
+# be restored from a copy that holds the record again.
+LEAVING_MEMORY_SECONDS = 86_400.0
+# The same for a run without a known start, whose name and address the next run may
+# have as well; copies from which a store is restored are some seconds old.
+UNKNOWN_START_MEMORY_SECONDS = 120.0
 
 
 class RestrictionReason(StrEnum):
@@ -47,6 +53,34 @@
     ends_at: float | None
 
 
+def identify_run(record: ServerRecord) -> str:
+    """Return what identifies the run of a server's process.
+
+    The address stands for the start of the process where that is unknown.
+    """
+    if record.started_ms:
+        return record.incarnation
+    return f"{record.incarnation} {record.address}"
+
+
+@dataclass(slots=True)
+class _LeavingRun:
+    """Represent a run that leaves.
+
+    :param listed_at: last time at which its record was known.
+    """
+
+    record: ServerRecord
+    listed_at: float
+
+    @property
+    def memory_seconds(self) -> float:
+        """Return for how long it is remembered after its record is gone."""
+        if self.record.started_ms:
+            return LEAVING_MEMORY_SECONDS
+        return UNKNOWN_START_MEMORY_SECONDS
+
+
 @dataclass(slots=True)
 class Evacuation:
     """Represent the evacuation of a zone.
@@ -66,15 +100,22 @@
 class ServerRestrictions:
     """Hold the restrictions of servers and zones that this entry knows."""
 
-    __slots__ = ("_evacuation_by_zone",)
+    __slots__ = ("_evacuation_by_zone", "_leaving_by_run")
 
     def __init__(self) -> None:
+        self._leaving_by_run: dict[str, _LeavingRun] = {}
         self._evacuation_by_zone: dict[str, Evacuation] = {}
 
     # Queries
 
     def find(self, record: ServerRecord, now: float) -> Restriction | None:
-        """Return why no request may be sent to a server, none if one may be."""
+        """Return why no request may be sent to a server, none if one may be.
+
+        Of several restrictions, the one that lasts longest is returned: a run that
+        leaves never returns, and the end of an evacuation is unknown.
+        """
+        if self.is_leaving(record):
+            return Restriction(RestrictionReason.LEAVING, identify_run(record), None)
         evacuation = self._evacuation_by_zone.get(record.zone)
         if evacuation is not None and evacuation.is_in_force(now):
             return Restriction(
@@ -97,6 +138,23 @@
             default=None,
         )
 
+    # Servers that leave
+
+    def record_leaving(self, record: ServerRecord, now: float) -> bool:
+        """Record that the run of a server leaves; return whether that is new."""
+        run = identify_run(record)
+        if run in self._leaving_by_run:
+            return False
+        self._leaving_by_run[run] = _LeavingRun(record, now)
+        return True
+
+    def is_leaving(self, record: ServerRecord) -> bool:
+        """Return whether the run of a server has said that it leaves."""
+        # The usual case, in which no run has to be identified.
+        if not self._leaving_by_run:
+            return False
+        return identify_run(record) in self._leaving_by_run
+
     # Evacuated zones
 
     def order_evacuation(self, zone: str, now: float) -> bool:
@@ -178,8 +236,19 @@
 
     # Maintenance
 
-    def expire(self, now: float) -> list[str]:
-        """Remove evacuations that have ended; return zones in full use again."""
+    def expire(
+        self, find_record: Callable[[str], ServerRecord | None], now: float
+    ) -> list[str]:
+        """Remove what no longer applies; return the zones in full use again.
+
+        :param find_record: returns the record of a server, none if it is not listed.
+        """
+        for run, leaving in list(self._leaving_by_run.items()):
+            record = find_record(leaving.record.name)
+            if record is not None and identify_run(record) == run:
+                leaving.listed_at = now
+            elif now - leaving.listed_at > leaving.memory_seconds:
+                del self._leaving_by_run[run]
         returned = [
             zone
             for zone in self._evacuation_by_zone
--- a/tests/test_server_restrictions.py
+++ b/tests/test_server_restrictions.py
@@ -1,5 +1,6 @@
 """Reasons against sending requests to servers and zones, without a network."""
 
+from dataclasses import replace
 from random import Random
 
 from testtools import TestCase
@@ -10,8 +11,10 @@
 from lacewingcleat.load_gossip import LoadGossip
 from lacewingcleat.server_choice import ChosenServer, NoServer
 from lacewingcleat.server_restrictions import (
+    LEAVING_MEMORY_SECONDS,
     MIN_RETURN_SHARE,
     MIN_SLOT_SHARE,
+    UNKNOWN_START_MEMORY_SECONDS,
     ZONE_RETURN_SECONDS,
     Restriction,
     RestrictionReason,
@@ -34,6 +37,10 @@
     return [c.record.name if isinstance(c, ChosenServer) else "" for c in choices]
 
 
+def _find_nothing(_: str) -> None:
+    return None
+
+
 class EvacuationTest(TestCase):
     def test_an_order_holds_until_it_is_gone(self) -> None:
         """Guards against a zone that is used before its order is removed."""
@@ -84,8 +91,9 @@
         self.assertAlmostEqual(MIN_RETURN_SHARE, restrictions.return_share("a", 5.0))
         middle = restrictions.return_share("a", 5.0 + ZONE_RETURN_SECONDS / 2.0)
         self.assertAlmostEqual((1.0 + MIN_RETURN_SHARE) / 2.0, middle)
-        self.assertEqual([], restrictions.expire(6.0))
-        self.assertEqual(["a"], restrictions.expire(5.0 + ZONE_RETURN_SECONDS))
+        self.assertEqual([], restrictions.expire(_find_nothing, 6.0))
+        returned = restrictions.expire(_find_nothing, 5.0 + ZONE_RETURN_SECONDS)
+        self.assertEqual(["a"], returned)
         self.assertEqual(1.0, restrictions.return_share("a", 99.0))
 
     def test_requests_return_gradually(self) -> None:
@@ -150,6 +158,52 @@
         self.assertIs(None, state.find_restriction(record, 2.0))
 
 
+class LeavingTest(TestCase):
+    def test_a_run_that_leaves_never_returns(self) -> None:
+        """Guards against a run that returns, and a next run that does not."""
+        restrictions = ServerRestrictions()
+        record = make_record(started_ms=5)
+        self.assertTrue(restrictions.record_leaving(record, 1.0))
+        self.assertFalse(restrictions.record_leaving(record, 2.0))
+        expected = Restriction(RestrictionReason.LEAVING, "i-1:5", None)
+        self.assertEqual(expected, restrictions.find(record, 3600.0))
+        restrictions.expire(_find_nothing, 3600.0)
+        self.assertEqual(expected, restrictions.find(record, 3600.0))
+        self.assertIs(None, restrictions.find(make_record(started_ms=6), 3600.0))
+        self.assertIs(None, restrictions.next_release([record], 3600.0))
+
+    def test_a_run_is_forgotten_long_after_it_is_gone(self) -> None:
+        """Guards against a memory that grows without end, or while a run is listed."""
+        restrictions = ServerRestrictions()
+        record = make_record(started_ms=5)
+        restrictions.record_leaving(record, 0.0)
+        restrictions.expire(lambda _: record, 2.0 * LEAVING_MEMORY_SECONDS)
+        self.assertTrue(restrictions.is_leaving(record))
+        restrictions.expire(_find_nothing, 3.1 * LEAVING_MEMORY_SECONDS)
+        self.assertFalse(restrictions.is_leaving(record))
+
+    def test_a_run_without_a_start(self) -> None:
+        """Guards against a server without `born` that is never used again."""
+        restrictions = ServerRestrictions()
+        record = make_record(started_ms=0)
+        restrictions.record_leaving(record, 0.0)
+        moved = replace(record, address="127.0.0.1:2")
+        self.assertIs(None, restrictions.find(moved, 1.0))
+        restrictions.expire(_find_nothing, UNKNOWN_START_MEMORY_SECONDS)
+        self.assertIsNot(None, restrictions.find(record, 100.0))
+        restrictions.expire(_find_nothing, UNKNOWN_START_MEMORY_SECONDS + 0.1)
+        self.assertIs(None, restrictions.find(record, 200.0))
+
+    def test_leaving_comes_before_an_evacuation(self) -> None:
+        """Guards against a log that promises a server that does not return."""
+        restrictions = ServerRestrictions()
+        restrictions.order_evacuation("z", 1.0)
+        restrictions.record_leaving(make_record(), 1.0)
+        restriction = restrictions.find(make_record(), 1.0)
+        assert restriction is not None
+        self.assertEqual(RestrictionReason.LEAVING, restriction.reason)
+
+
 class UnrestrictedTest(TestCase):
     def test_choices_without_restrictions_are_as_before(self) -> None:
         """Guards against decisions that change without any order or header.
