Spare servers that ask for a pause by 503 with Retry-After

Cause: direct entries did not read the time that a server names with 503.

Change: the run gets no requests until the end of the time, 60 s at most. Large requests that are still being written are withdrawn; two that cannot be sent again are kept. Values that are no time are ignored, counted and logged once in 10 s. Each entry returns to a service at its own random time within 3 s of the end, and within as long as a shorter pause; callers that are refused while all servers are restricted are told the first release with up to 3 s of jitter, within a third of their time as before.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -2,6 +2,7 @@
 
 import re
 import traceback
+from collections import Counter
 from collections.abc import Callable, Collection
 
 from lacewingcleat.attempt_race import AttemptRace
@@ -38,7 +39,9 @@
     TimedOut,
 )
 from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.server_restrictions import RestrictionReason
 from lacewingcleat.server_signals import ServerSignals
+from lacewingcleat.write_progress import WriteProgress
 
 # Silence before the first event after which a stream that may be resumed is also sent
 # to another server; callers disconnect after 2 s without an event.
@@ -54,6 +57,12 @@
 ANSWER_START_SECONDS = 0.5
 STATUS_UNAVAILABLE = 503
 MAX_ERROR_LENGTH = 200
+# Smaller requests are written at once, see `WriteProgress`.
+MIN_FOLLOWED_BYTES = 1 << 15
+# Requests that may still reach a server that pauses, of those that are being written.
+MAX_WRITES_IN_PAUSE = 2
+# Restrictions that also end requests of which the server has got a part only.
+WITHDRAWING_REASONS = (RestrictionReason.PAUSED, RestrictionReason.EVACUATED)
 # Why an attempt ends when another one answers the caller.
 SUPERSEDED = "superseded"
 _SECONDS = re.compile(rb"[0-9]{1,6}")
@@ -85,6 +94,7 @@
         self._on_limit = on_limit
         self._connection_by_attempt: dict[OpenAttempt, ServerConnection] = {}
         self._context_by_attempt: dict[OpenAttempt, RequestContext] = {}
+        self._write_by_attempt: dict[OpenAttempt, WriteProgress] = {}
         self._log = log
         self._state = state
         self._pool = pool
@@ -131,6 +141,28 @@
             if not attempt.survived_start and evidence.find_refused(context.suspects):
                 self.cancel(attempt, "crash suspect")
 
+    def withdraw_restricted(self, now: float) -> None:
+        """Cancel requests that are being written to servers that get none any more.
+
+        A few that cannot be sent again are written to a server that pauses.
+        """
+        kept_by_run: Counter[str] = Counter()
+        for attempt, write in list(self._write_by_attempt.items()):
+            if not write.is_pending:
+                continue
+            restriction = self._state.find_restriction(attempt.record, now)
+            if restriction is None or restriction.reason not in WITHDRAWING_REASONS:
+                continue
+            run = attempt.record.incarnation
+            route = self._context_by_attempt[attempt].granted.route
+            if not route.retryable and (
+                restriction.reason is RestrictionReason.EVACUATED
+                or kept_by_run[run] < MAX_WRITES_IN_PAUSE
+            ):
+                kept_by_run[run] += 1
+                continue
+            self.cancel(attempt, f"server {restriction.reason}")
+
     async def _examine_loss(
         self, context: RequestContext, record: ServerRecord, result: AttemptResult
     ) -> None:
@@ -213,6 +245,9 @@
         self._connection_by_attempt[attempt] = connection
         self._context_by_attempt[attempt] = context
         try:
+            if len(request.body) >= MIN_FOLLOWED_BYTES:
+                write = WriteProgress(connection.transport)
+                self._write_by_attempt[attempt] = write
             connection.send(request.method, request.target, headers, request.body)
             if context.granted.route.kind is RequestKind.STREAM:
                 return await self._read_stream(
@@ -231,6 +266,7 @@
             connection.abort()
             return internal_error_result(record)
         finally:
+            self._end_write(attempt)
             del self._connection_by_attempt[attempt]
             del self._context_by_attempt[attempt]
 
@@ -359,8 +395,15 @@
         head: ResponseHead,
         connection: ServerConnection,
     ) -> None:
-        request_count = connection.request_count
-        self._signals.record(context, attempt, head, request_count, read_now())
+        self._end_write(attempt)
+        now = read_now()
+        if self._signals.record(context, attempt, head, connection.request_count, now):
+            self.withdraw_restricted(now)
+
+    def _end_write(self, attempt: OpenAttempt) -> None:
+        write = self._write_by_attempt.pop(attempt, None)
+        if write is not None:
+            write.end()
 
     def _record_limit(self, attempt: OpenAttempt, head: ResponseHead) -> None:
         limit = names.parse_server_limit(head.header(names.SERVER_LIMIT))
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -41,6 +41,7 @@
 from lacewingcleat.retry_after import NotRunCause, retry_after_seconds
 from lacewingcleat.server_choice import ChosenServer, NoServer, ServersFull
 from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.server_restrictions import release_wait_seconds
 
 # Maximum number of attempts that end before the request is written, such as failed
 # connection attempts.
@@ -479,7 +480,12 @@
         self, context: RequestContext, cause: NotRunCause, now: float
     ) -> float:
         random = self._state.random
-        return retry_after_seconds(cause, context.caller_deadline, random, now)
+        deadline = context.caller_deadline
+        if cause is NotRunCause.OUTAGE:
+            release_at = self._state.first_release(context.service, now)
+            if release_at is not None:
+                return release_wait_seconds(release_at, deadline, random, now)
+        return retry_after_seconds(cause, deadline, random, now)
 
     def _forward_response(
         self,
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -208,6 +208,16 @@
             own_zone_first=not self.peers.announces_to_all(),
         )
 
+    def first_release(self, service: str, now: float) -> float | None:
+        """Return when the first server of a service may be sent requests again.
+
+        :returns: none if a server is not restricted, or if no end is known.
+        """
+        records = self.directory.accepting_servers(service, now)
+        if any(self.restrictions.find(record, now) is None for record in records):
+            return None
+        return self.restrictions.next_release(records, now)
+
     def expire_restrictions(self, now: float) -> list[str]:
         """Remove what restricts no server any more; see `ServerRestrictions.expire`."""
         return self.restrictions.expire(self.directory.find, now)
--- a/lacewingcleat/platform/request_headers.py
+++ b/lacewingcleat/platform/request_headers.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from result import Err, Ok, Result
+
 AUTHORIZATION = b"authorization"
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-milliseconds"
@@ -43,6 +45,8 @@
     | {REQUEST_PRIORITY},
 )
 _DIGITS = re.compile(rb"[0-9]{1,9}")
+# Longer numbers than any time are no times.
+_RETRY_AFTER = re.compile(rb"[0-9]{1,18}(\.[0-9]{1,18})?")
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 # Three counts of up to 9 digits, which load estimates can hold exactly.
 _LOAD = re.compile(rb"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
@@ -94,6 +98,23 @@
     )
 
 
+def parse_retry_after(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> Result[float | None, str]:
+    """Return the seconds after which a server may be asked again, none if not stated.
+
+    Dates are not accepted, as the clocks of servers are not known to be right.
+    """
+    values = [value.strip() for name, value in headers if name == RETRY_AFTER]
+    if not values:
+        return Ok(None)
+    if len(values) > 1:
+        return Err("repeated")
+    if not _RETRY_AFTER.fullmatch(values[0]):
+        return Err("malformed")
+    return Ok(float(values[0]))
+
+
 def parse_server_limit(value: bytes | None) -> float | None:
     """Return the requests per second that a server takes, none if not limited."""
     if value is None or not _DECIMAL.fullmatch(value.strip()):
--- a/lacewingcleat/server_restrictions.py
+++ b/lacewingcleat/server_restrictions.py
@@ -13,6 +13,7 @@
 from enum import StrEnum
 from random import Random
 
+from lacewingcleat.retry_after import MAX_WAIT_SHARE, NETWORK_MARGIN_SECONDS
 from lacewingcleat.server_record import ServerRecord
 
 NEVER = float("-inf")
@@ -30,6 +31,19 @@
 # The same for a run without a known start, whose name and address the next run may
 # have as well; copies from which a store is restored are some seconds old.
 UNKNOWN_START_MEMORY_SECONDS = 120.0
+# Longest pause that a server is granted at once. One that needs more says so again;
+# one whose value is wrong is back after a minute.
+MAX_PAUSE_SECONDS = 60.0
+# Servers whose pauses end together would get the requests of all entries in the same
+# moment. So each entry returns at a random time within this one, or within a time as
+# long as a shorter pause.
+PAUSE_RETURN_SECONDS = 3.0
+# Callers that are refused during a pause are spread over this time after its end. With
+# 2 s for both, 3.3 times the ordinary requests arrived in half a second; longer times
+# than 3 s lower the peak little (`tests/pause_simulation.py`).
+RELEASE_JITTER_SECONDS = 3.0
+# Interval between log lines about values that are ignored.
+IGNORED_LOG_SECONDS = 10.0
 
 
 class RestrictionReason(StrEnum):
@@ -81,6 +95,30 @@
         return UNKNOWN_START_MEMORY_SECONDS
 
 
+@dataclass(slots=True)
+class _Pause:
+    """Represent the pause that a server has asked for.
+
+    :param ends_at: time at which it ends for the server.
+    :param released_at: time at which this entry sends requests again.
+    """
+
+    ends_at: float
+    released_at: float
+
+
+@dataclass(slots=True)
+class _ReturnTurn:
+    """Represent the turn of this entry when the pauses of a service end.
+
+    :param position: from 0, the first entry, to 1.
+    :param until: end of the pauses for which it holds.
+    """
+
+    position: float
+    until: float
+
+
 @dataclass(slots=True)
 class Evacuation:
     """Represent the evacuation of a zone.
@@ -98,11 +136,27 @@
 
 
 class ServerRestrictions:
-    """Hold the restrictions of servers and zones that this entry knows."""
+    """Hold the restrictions of servers and zones that this entry knows.
 
-    __slots__ = ("_evacuation_by_zone", "_leaving_by_run")
+    :ivar ignored_pauses: number of requests for a pause that could not be read.
+    """
+
+    __slots__ = (
+        "_evacuation_by_zone",
+        "_ignored_logged_at",
+        "_leaving_by_run",
+        "_pause_by_run",
+        "_turn_by_service",
+        "_unlogged_ignored",
+        "ignored_pauses",
+    )
 
     def __init__(self) -> None:
+        self._pause_by_run: dict[str, _Pause] = {}
+        self._turn_by_service: dict[str, _ReturnTurn] = {}
+        self._ignored_logged_at = NEVER
+        self._unlogged_ignored = 0
+        self.ignored_pauses = 0
         self._leaving_by_run: dict[str, _LeavingRun] = {}
         self._evacuation_by_zone: dict[str, Evacuation] = {}
 
@@ -121,7 +175,17 @@
             return Restriction(
                 RestrictionReason.EVACUATED, record.zone, evacuation.ends_at
             )
-        return None
+        return self._find_pause(record, now)
+
+    def _find_pause(self, record: ServerRecord, now: float) -> Restriction | None:
+        # The usual case, in which no run has to be identified.
+        if not self._pause_by_run:
+            return None
+        run = identify_run(record)
+        pause = self._pause_by_run.get(run)
+        if pause is None or now >= pause.released_at:
+            return None
+        return Restriction(RestrictionReason.PAUSED, run, pause.released_at)
 
     def next_release(self, records: Iterable[ServerRecord], now: float) -> float | None:
         """Return when the first of some restricted servers may be sent requests.
@@ -155,6 +219,74 @@
             return False
         return identify_run(record) in self._leaving_by_run
 
+    # Servers that ask for a pause
+
+    def record_pause(
+        self,
+        record: ServerRecord,
+        seconds: float,
+        entry_count: int,
+        random: Random,
+        now: float,
+    ) -> bool:
+        """Record that a server asks for a pause; return whether it had none.
+
+        A pause is never shortened, as an older request may be refused later.
+
+        :param seconds: time from now for which the server is to get no requests.
+        :param entry_count: number of known entries, this one included.
+        """
+        seconds = min(seconds, MAX_PAUSE_SECONDS)
+        if seconds <= 0.0:
+            return False
+        run = identify_run(record)
+        known = self._pause_by_run.get(run)
+        is_new = known is None or now >= known.released_at
+        ends_at = now + seconds
+        if known is not None:
+            ends_at = max(ends_at, known.ends_at)
+        position = self._take_turn(record.service, entry_count, random, now, ends_at)
+        spread = min(PAUSE_RETURN_SECONDS, seconds)
+        released_at = ends_at + spread * position
+        if known is not None:
+            released_at = max(released_at, known.released_at)
+        self._pause_by_run[run] = _Pause(ends_at, released_at)
+        return is_new
+
+    def _take_turn(
+        self,
+        service: str,
+        entry_count: int,
+        random: Random,
+        now: float,
+        ends_at: float,
+    ) -> float:
+        """Return the position of this entry among those that return to a service.
+
+        It is the same for all servers of the service whose pauses overlap. With one
+        draw for each server, some of many would be free at once for each entry.
+        """
+        turn = self._turn_by_service.get(service)
+        if turn is None or now >= turn.until:
+            position = random.random() * (1.0 - 1.0 / max(1, entry_count))
+            turn = self._turn_by_service[service] = _ReturnTurn(position, ends_at)
+        turn.until = max(turn.until, ends_at)
+        return turn.position
+
+    def record_ignored_pause(self, now: float) -> int:
+        """Count a request for a pause that cannot be read.
+
+        :returns: number of these since the last log line if another line is due, else
+            0.
+        """
+        self.ignored_pauses += 1
+        self._unlogged_ignored += 1
+        if now - self._ignored_logged_at < IGNORED_LOG_SECONDS:
+            return 0
+        self._ignored_logged_at = now
+        count, self._unlogged_ignored = self._unlogged_ignored, 0
+        return count
+
     # Evacuated zones
 
     def order_evacuation(self, zone: str, now: float) -> bool:
@@ -249,6 +381,12 @@
                 leaving.listed_at = now
             elif now - leaving.listed_at > leaving.memory_seconds:
                 del self._leaving_by_run[run]
+        for run, pause in list(self._pause_by_run.items()):
+            if now >= pause.released_at:
+                del self._pause_by_run[run]
+        for service, turn in list(self._turn_by_service.items()):
+            if now >= turn.until:
+                del self._turn_by_service[service]
         returned = [
             zone
             for zone in self._evacuation_by_zone
@@ -257,3 +395,15 @@
         for zone in returned:
             del self._evacuation_by_zone[zone]
         return returned
+
+
+def release_wait_seconds(
+    release_at: float, deadline: float, random: Random, now: float
+) -> float:
+    """Return after which time a caller that is refused until a release may retry.
+
+    :param deadline: time until which the caller waits for a response.
+    """
+    jitter = random.uniform(0.0, RELEASE_JITTER_SECONDS)
+    max_wait = (deadline - now) * MAX_WAIT_SHARE - NETWORK_MARGIN_SECONDS
+    return max(0.0, min(release_at - now + jitter, max_wait))
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -51,12 +51,19 @@
 
 
 class Listener:
-    """Accept connections and serve each on a thread of its own."""
+    """Accept connections and serve each on a thread of its own.
 
-    def __init__(self, serve: Callable[[socket.socket], None]) -> None:
+    :param receive_bytes: size of the receive buffers, by default that of the system.
+    """
+
+    def __init__(
+        self, serve: Callable[[socket.socket], None], receive_bytes: int = 0
+    ) -> None:
         self._serve = serve
         self._open_streams: set[socket.socket] = set()
         self._socket = socket.create_server(("127.0.0.1", 0))
+        if receive_bytes:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
         self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
--- a/tests/test_server_restrictions.py
+++ b/tests/test_server_restrictions.py
@@ -3,25 +3,40 @@
 from dataclasses import replace
 from random import Random
 
+from result import Err, Ok
 from testtools import TestCase
 
 from lacewingcleat.direct_settings import PlatformBounds
 from lacewingcleat.direct_state import DirectState
 from lacewingcleat.group_tracker import RankStatus
 from lacewingcleat.load_gossip import LoadGossip
+from lacewingcleat.platform.request_headers import RETRY_AFTER, parse_retry_after
 from lacewingcleat.server_choice import ChosenServer, NoServer
+from lacewingcleat.server_record import ServerRecord
 from lacewingcleat.server_restrictions import (
     LEAVING_MEMORY_SECONDS,
+    MAX_PAUSE_SECONDS,
     MIN_RETURN_SHARE,
     MIN_SLOT_SHARE,
+    PAUSE_RETURN_SECONDS,
+    RELEASE_JITTER_SECONDS,
     UNKNOWN_START_MEMORY_SECONDS,
     ZONE_RETURN_SECONDS,
     Restriction,
     RestrictionReason,
     ServerRestrictions,
+    release_wait_seconds,
 )
 from tests.builders_direct import make_record
+from tests.pause_simulation import play_pause
 
+# Requests at all servers in a window after pauses, as a multiple of the ordinary ones.
+# The requests of the pause come back beside the new ones, so that two is the least; the
+# third is for chance in the turns of a few entries.
+MAX_SURGE = 3.0
+SURGE_WINDOW_SECONDS = 0.5
+# What a server that has asked for a pause may get from an entry.
+MAX_LATE_REQUESTS = 2
 BOUNDS = PlatformBounds(5.0, 2.0, 2.0, 8.0, 0.2, 92.0, 10.0)
 
 
@@ -204,6 +219,149 @@
         self.assertEqual(RestrictionReason.LEAVING, restriction.reason)
 
 
+class PauseTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.restrictions = ServerRestrictions()
+        self.random = Random(1)
+
+    def _pause(
+        self, record: ServerRecord, seconds: float, now: float, entries: int = 1
+    ) -> bool:
+        return self.restrictions.record_pause(
+            record, seconds, entries, self.random, now
+        )
+
+    def _released_at(self, record: ServerRecord, now: float) -> float | None:
+        restriction = self.restrictions.find(record, now)
+        return restriction.ends_at if restriction else None
+
+    def test_a_pause_ends(self) -> None:
+        """Guards against a pause that is too short or never ends."""
+        record = make_record()
+        self.assertTrue(self._pause(record, 3.0, 1.0))
+        expected = Restriction(RestrictionReason.PAUSED, "i-1:1", 4.0)
+        self.assertEqual(expected, self.restrictions.find(record, 3.9))
+        self.assertIs(None, self.restrictions.find(record, 4.0))
+        self.assertTrue(self._pause(record, 1.0, 4.0))
+        self.assertFalse(self._pause(record, 0.0, 9.0))
+        self.assertIs(None, self.restrictions.find(record, 9.0))
+
+    def test_a_later_refusal_never_shortens_a_pause(self) -> None:
+        """Guards against an older request whose refusal names less time."""
+        record = make_record()
+        self._pause(record, 5.0, 0.0)
+        self.assertFalse(self._pause(record, 1.0, 1.0))
+        self.assertEqual(5.0, self._released_at(record, 2.0))
+        self._pause(record, 4.5, 2.0)
+        self.assertEqual(6.5, self._released_at(record, 2.0))
+
+    def test_a_pause_is_capped(self) -> None:
+        """Guards against a server that is lost by one wrong value."""
+        record = make_record()
+        self._pause(record, 1e17, 0.0)
+        self.assertEqual(MAX_PAUSE_SECONDS, self._released_at(record, 1.0))
+
+    def test_a_new_run_ends_a_pause(self) -> None:
+        """Guards against a server that is spared after it has started again."""
+        self._pause(make_record(started_ms=1), 30.0, 0.0)
+        self.assertIs(None, self.restrictions.find(make_record(started_ms=2), 1.0))
+
+    def test_the_first_release(self) -> None:
+        """Guards against callers that are told to come back too early or late."""
+        records = [make_record(f"i-{number}") for number in range(3)]
+        self.assertIs(None, self.restrictions.next_release(records, 0.0))
+        for record, seconds in zip(records, (4.0, 2.0, 3.0), strict=True):
+            self._pause(record, seconds, 0.0)
+        self.assertEqual(2.0, self.restrictions.next_release(records, 1.0))
+        self.assertEqual(3.0, self.restrictions.next_release(records, 2.5))
+
+    def test_entries_return_at_different_times(self) -> None:
+        """Guards against the requests of all entries in the same moment."""
+        times = []
+        for seed in range(50):
+            restrictions = ServerRestrictions()
+            random = Random(seed)
+            records = [make_record(f"i-{number}") for number in range(4)]
+            for record in records:
+                restrictions.record_pause(record, 5.0, 50, random, 0.0)
+            released = {self._found(restrictions, record) for record in records}
+            # One turn for all servers of the service.
+            self.assertEqual(1, len(released))
+            times += released
+        self.assertGreaterEqual(min(times), 5.0)
+        self.assertLess(max(times), 5.0 + PAUSE_RETURN_SECONDS)
+        early = sum(at < 5.0 + PAUSE_RETURN_SECONDS / 2.0 for at in times)
+        self.assertGreater(early, 10)
+        self.assertLess(early, 40)
+
+    def _found(self, restrictions: ServerRestrictions, record: ServerRecord) -> float:
+        restriction = restrictions.find(record, 4.0)
+        assert restriction is not None and restriction.ends_at is not None
+        return restriction.ends_at
+
+    def test_ignored_values_are_counted_and_seldom_logged(self) -> None:
+        """Guards against a log that is filled by one server."""
+        counts = [self.restrictions.record_ignored_pause(t / 10.0) for t in range(201)]
+        self.assertEqual([1, 100, 100], [count for count in counts if count])
+        self.assertEqual(201, self.restrictions.ignored_pauses)
+
+    def test_callers_are_told_a_jittered_release(self) -> None:
+        """Guards against callers that come back together or past their own time."""
+        waits = {release_wait_seconds(5.0, 99.0, self.random, 2.0) for _ in range(50)}
+        self.assertGreaterEqual(min(waits), 3.0)
+        self.assertLess(max(waits), 3.0 + RELEASE_JITTER_SECONDS)
+        self.assertGreater(len(waits), 40)
+        self.assertLess(release_wait_seconds(5.0, 5.0, self.random, 2.0), 1.0)
+        self.assertEqual(0.0, release_wait_seconds(5.0, 2.0, self.random, 2.0))
+
+    def test_values(self) -> None:
+        """Guards against a time that a header does not state."""
+        for value, seconds in (
+            (b"3", 3.0),
+            (b" 0.25 ", 0.25),
+            (b"0", 0.0),
+            (b"99999999999", 99999999999.0),
+        ):
+            parsed = parse_retry_after([(RETRY_AFTER, value)])
+            self.assertEqual(Ok(seconds), parsed)
+        for value in (
+            *(b"", b"-1", b"+1", b"1e400", b"1e3", b"nan", b"inf", b"3,3", b"0x3"),
+            *(b"Fri, 31 Dec 1999 23:59:59 GMT", b"9" * 5_000, b"3s", b"3 3", b"\xb2"),
+        ):
+            parsed = parse_retry_after([(RETRY_AFTER, value)])
+            self.assertEqual(Err("malformed"), parsed, value[:20])
+        twice = [(RETRY_AFTER, b"3"), (RETRY_AFTER, b"3")]
+        self.assertEqual(Err("repeated"), parse_retry_after(twice))
+        self.assertEqual(Ok(None), parse_retry_after([(b"x", b"3")]))
+
+
+class PauseFleetTest(TestCase):
+    def _check(self, entries: int, requests_per_second: float) -> None:
+        for seed, pause_seconds in ((1, 1.0), (2, 3.0), (3, 5.0)):
+            fleet = play_pause(entries, seed, pause_seconds, requests_per_second)
+            most = fleet.busiest_window(
+                fleet.pause_until, fleet.now, SURGE_WINDOW_SECONDS
+            )
+            ordinary = requests_per_second * SURGE_WINDOW_SECONDS
+            self.assertLess(most / ordinary, MAX_SURGE, (entries, seed))
+            late = max(fleet.late_counts.values(), default=0)
+            self.assertLessEqual(late, MAX_LATE_REQUESTS, (entries, seed))
+            self.assertGreater(fleet.refused, 0)
+
+    def test_pauses_that_end_together_at_8_entries(self) -> None:
+        """Guards against a second overload by all that has waited for a pause."""
+        self._check(8, 160.0)
+
+    def test_pauses_that_end_together_at_35_entries(self) -> None:
+        """Guards against the same in a larger fleet."""
+        self._check(35, 280.0)
+
+    def test_pauses_that_end_together_at_98_entries(self) -> None:
+        """Guards against the same in the largest fleet."""
+        self._check(98, 490.0)
+
+
 class UnrestrictedTest(TestCase):
     def test_choices_without_restrictions_are_as_before(self) -> None:
         """Guards against decisions that change without any order or header.
