Say why no server was chosen, in the log and in the metrics

Cause: a refusal for lack of a server did not say what kept the servers of the service from being used.

Change: `DirectState.find_unusable_reason` names one reason for each server, the one that is likely to last longest; each is still decided where it was. The line of a refused request lists the servers by reason, from counts that are kept for 0.1 s. Metrics show servers by reason, and evacuated zones with the time since.

Conclusion: decisions do not change.

--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -280,6 +280,8 @@
                     unsent = "no-server", NotRunCause.OUTAGE
         if race.has_open:
             return None
+        if unsent[0] != CRASHES_SERVER:
+            context.unusable_servers = self._state.explain_refusal(context.service, now)
         return self._respond_unsent(context, request, *unsent, events)
 
     def _start_alternative(
@@ -544,9 +546,16 @@
                 f"sent={item.request_sent} {item.outcome}"
                 for item in context.attempts
             ],
+            **_unusable_fields(context),
         )
 
 
+def _unusable_fields(context: RequestContext) -> dict[str, dict[str, int]]:
+    """Return the log field with the reasons for which no server was chosen."""
+    counts = context.unusable_servers
+    return {"unusable": counts} if counts else {}
+
+
 def _elapsed_ms(moment: float | None, since: float) -> float | None:
     return None if moment is None else round((moment - since) * 1000.0, 1)
 
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -214,6 +214,7 @@
             self._metrics.refused_suspects.set(evidence.refused_count)
             limited_count = self._state.rate_limits.limited_count
             self._metrics.limited_servers.set(limited_count)
+            self._show_restrictions(now)
             self._metrics.reports.set(self._report_poller.poll_count)
             self._metrics.server_connections.set(self._pool.connect_count)
             malformed, unsent = (
@@ -226,6 +227,15 @@
             return
         request.respond(200 if self._is_ready(now) else 503, [], b"")
 
+    def _show_restrictions(self, now: float) -> None:
+        state = self._state
+        since_by_zone = state.restrictions.evacuated_since(now)
+        self._metrics.show_restrictions(
+            state.count_unusable(state.directory.records(), now),
+            {zone: now - since for zone, since in since_by_zone.items()},
+        )
+        self._metrics.ignored_pauses.set(state.restrictions.ignored_pauses)
+
     def _apply_limits(self, config: RoutingConfig, now: float) -> None:
         """Apply what a new configuration changes outside the state."""
         self._caller_factory.limits = config.limits
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -1,5 +1,7 @@
 """transport: metrics of a direct entry."""
 
+from collections.abc import Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from lacewingcleat.latency_buckets import LATENCY_BUCKETS_SECONDS
@@ -11,6 +13,8 @@
     __slots__ = (
         "config_age",
         "crashes",
+        "evacuated_seconds",
+        "ignored_pauses",
         "internal_errors",
         "limited_servers",
         "lost_datagrams",
@@ -29,6 +33,7 @@
         "store_calls",
         "store_era",
         "store_listings",
+        "unusable_servers",
     )
 
     def __init__(self) -> None:
@@ -116,6 +121,23 @@
             "Backend servers that name a limit in their answers.",
             registry=self.registry,
         )
+        self.unusable_servers = Gauge(
+            "lacewing_direct_unusable_servers",
+            "Backend servers that get no requests, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.evacuated_seconds = Gauge(
+            "lacewing_direct_evacuated_seconds",
+            "Time since a zone was evacuated, for zones that are.",
+            ["zone"],
+            registry=self.registry,
+        )
+        self.ignored_pauses = Gauge(
+            "lacewing_direct_ignored_pauses",
+            "Values of Retry-After that could not be read since the start.",
+            registry=self.registry,
+        )
         self.lost_datagrams = Gauge(
             "lacewing_direct_lost_datagrams",
             "Datagrams that could not be read or sent since the start.",
@@ -133,6 +155,19 @@
             registry=self.registry,
         )
 
+    def show_restrictions(
+        self,
+        unusable_by_reason: Mapping[str, int],
+        seconds_by_zone: Mapping[str, float],
+    ) -> None:
+        """Show the present restrictions only."""
+        self.unusable_servers.clear()
+        for reason, count in unusable_by_reason.items():
+            self.unusable_servers.labels(reason).set(count)
+        self.evacuated_seconds.clear()
+        for zone, seconds in seconds_by_zone.items():
+            self.evacuated_seconds.labels(zone).set(seconds)
+
     def count_request(self, status: int, reason: str) -> None:
         """Count a completed request.
 
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -1,6 +1,7 @@
 """coordination: state of a direct entry and the routing decisions based on it."""
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
@@ -25,7 +26,11 @@
 from lacewingcleat.server_directory import ServerDirectory
 from lacewingcleat.server_rate_limits import ServerRateLimits
 from lacewingcleat.server_record import ServerRecord
-from lacewingcleat.server_restrictions import Restriction, ServerRestrictions
+from lacewingcleat.server_restrictions import (
+    Restriction,
+    ServerRestrictions,
+    UnusableReason,
+)
 
 # Minimum number of entries among which the fleet's extra retries are divided, because
 # an entry that has just started or is partitioned off sees few peers.
@@ -37,6 +42,8 @@
 # The limits of single servers do not hold the share where entries know little of each
 # other.
 MAX_OCCUPANCY_RATIO = 1.1
+# Time for which the reasons of a refusal are reused for further refusals.
+EXPLANATION_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +65,7 @@
 
     __slots__ = (
         "_bounds",
+        "_explanation_by_service",
         "_occupancy_by_group",
         "_retry_budget_by_service",
         "_zone",
@@ -87,6 +95,7 @@
         self._bounds = bounds
         self._retry_budget_by_service: dict[str, RetryBudget] = {}
         self._occupancy_by_group: dict[str, float] = {}
+        self._explanation_by_service: dict[str, tuple[float, dict[str, int]]] = {}
         self.config: RoutingConfig | None = None
         self.max_event_interval_seconds = 0.0
         self.directory = ServerDirectory(bounds.heartbeat_seconds)
@@ -208,6 +217,52 @@
             own_zone_first=not self.peers.announces_to_all(),
         )
 
+    def find_unusable_reason(self, record: ServerRecord, now: float) -> str | None:
+        """Return why a server gets no requests, none if it may get some.
+
+        If several reasons hold, the one that is likely to last longest is returned.
+        """
+        if record.leaving:
+            return UnusableReason.LEAVING
+        restriction = self.restrictions.find(record, now)
+        if restriction is not None:
+            return restriction.reason
+        if not self.directory.accepts_requests(record.name, now):
+            return UnusableReason.UNREGISTERED
+        if self._weight(record, now) <= 0.0:
+            return UnusableReason.EJECTED
+        if self.connection_backoff.is_backing_off(record.name, now):
+            return UnusableReason.UNREACHABLE
+        if not self.groups.is_open(record.name):
+            return UnusableReason.GROUP_CLOSED
+        if not self.rate_limits.may_send(record.incarnation, now):
+            return UnusableReason.RATE_LIMITED
+        return None
+
+    def count_unusable(
+        self, records: Iterable[ServerRecord], now: float
+    ) -> dict[str, int]:
+        """Return the number of servers that get no requests, by reason."""
+        reasons = (self.find_unusable_reason(record, now) for record in records)
+        return dict(Counter(str(reason) for reason in reasons if reason is not None))
+
+    def explain_refusal(self, service: str, now: float) -> dict[str, int]:
+        """Return why no server of a service was chosen, as a number by reason.
+
+        Servers without another reason are full. The result is kept for a moment, since
+        an overloaded entry refuses many requests for the same reasons.
+        """
+        known = self._explanation_by_service.get(service)
+        if known is not None and now - known[0] < EXPLANATION_SECONDS:
+            return known[1]
+        records = self.directory.all_servers(service, now)
+        counts = self.count_unusable(records, now)
+        full = len(records) - sum(counts.values())
+        if full:
+            counts[UnusableReason.FULL] = full
+        self._explanation_by_service[service] = (now, counts)
+        return counts
+
     def first_release(self, service: str, now: float) -> float | None:
         """Return when the first server of a service may be sent requests again.
 
--- a/lacewingcleat/request_context.py
+++ b/lacewingcleat/request_context.py
@@ -58,6 +58,8 @@
     :param failed_servers: names of the servers at which an attempt has failed.
     :param may_crash_servers: whether a server has crashed at the start of its answer
         and another one might.
+    :param unusable_servers: number of servers by the reason for which none was chosen,
+        empty if one was.
     :param cancelled: whether the caller has disconnected.
     :param first_event_at: time at which the first event was forwarded.
     :param longest_event_interval: longest time in seconds between two forwarded events.
@@ -79,6 +81,7 @@
     failed_servers: frozenset[str] = frozenset()
     attempts: list[AttemptRecord] = field(default_factory=list)
     may_crash_servers: bool = False
+    unusable_servers: dict[str, int] = field(default_factory=dict)
     cancelled: bool = False
     first_event_at: float | None = None
     longest_event_interval: float = 0.0
--- a/lacewingcleat/server_directory.py
+++ b/lacewingcleat/server_directory.py
@@ -156,6 +156,10 @@
         listed = self._listed_by_name.get(name)
         return listed is not None and listed.accepts_requests(now)
 
+    def records(self) -> Iterable[ServerRecord]:
+        """Return the records of all servers in the directory."""
+        return [listed.record for listed in self._listed_by_name.values()]
+
     def names(self) -> Iterable[str]:
         """Return the names of all servers in the directory."""
         return self._listed_by_name.keys()
--- a/lacewingcleat/server_restrictions.py
+++ b/lacewingcleat/server_restrictions.py
@@ -54,6 +54,24 @@
     PAUSED = "paused"
 
 
+class UnusableReason(StrEnum):
+    """Name why a server is not used for reasons that are decided elsewhere.
+
+    :cvar LEAVING: its record says that it leaves.
+    :cvar UNREGISTERED: its registration has lapsed or may be that of an earlier run.
+    :cvar UNREACHABLE: connecting to it has failed.
+    :cvar FULL: it has as many requests as it may have.
+    """
+
+    LEAVING = "leaving"
+    UNREGISTERED = "unregistered"
+    UNREACHABLE = "unreachable"
+    GROUP_CLOSED = "group closed"
+    RATE_LIMITED = "rate limited"
+    EJECTED = "ejected"
+    FULL = "full"
+
+
 @dataclass(frozen=True, slots=True)
 class Restriction:
     """Describe why no request may be sent to a server.
--- a/tests/test_evacuated_zones.py
+++ b/tests/test_evacuated_zones.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from urllib.request import urlopen
 
 from testtools import TestCase
 
@@ -186,6 +187,31 @@
             self.assertEqual({200}, self._call(entry))
 
 
+class ExplanationTest(TestCase):
+    def test_a_refusal_names_its_reasons(self) -> None:
+        """Guards against callers that are refused without a reason in the log."""
+        inside, outside = _make_servers()
+        outside.response_headers = ("Server-Leaving: 1",)
+        with run_entry(inside, outside) as (entry, store):
+            store.put(ORDER, {})
+            time.sleep(APPLY_SECONDS)
+            self.assertEqual(200, entry.call("/get/x")[0].status)
+            self.assertEqual(503, entry.call("/get/x", request_id="q2")[0].status)
+            served, refused = entry.log_lines("request")
+            self.assertNotIn("unusable", served)
+            self.assertEqual({"evacuated": 1, "leaving": 1}, refused["unusable"])
+            address = f"http://127.0.0.1:{entry.ready_port}/metrics"
+            metrics = urlopen(address).read().decode()
+            for reason in ("evacuated", "leaving"):
+                name = "lacewing_direct_unusable_servers"
+                self.assertIn(f'{name}{{reason="{reason}"}} 1.0', metrics)
+            self.assertIn('lacewing_direct_evacuated_seconds{zone="z"}', metrics)
+            store.remove(ORDER)
+            time.sleep(APPLY_SECONDS)
+            metrics = urlopen(address).read().decode()
+            self.assertNotIn('lacewing_direct_evacuated_seconds{zone="z"}', metrics)
+
+
 class _StreamServers:
     """Servers whose first stream waits after its first event until told to go on.
 
--- a/tests/test_server_restrictions.py
+++ b/tests/test_server_restrictions.py
@@ -336,6 +336,72 @@
         self.assertEqual(Ok(None), parse_retry_after([(b"x", b"3")]))
 
 
+class ReasonTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = make_state()
+        self.now = 1.0
+        for number in range(9):
+            self.state.directory.put(make_record(f"i-{number}", leaving=number == 0))
+        self.state.directory.put(make_record("i-9", "a"))
+
+    def _apply_all_reasons(self) -> None:
+        state = self.state
+        state.restrictions.record_leaving(make_record("i-1"), self.now)
+        state.restrictions.order_evacuation("a", self.now)
+        pausing = make_record("i-2")
+        state.restrictions.record_pause(pausing, 3.0, 1, Random(1), self.now)
+        state.connection_backoff.record_attempt("i-3", False, self.now)
+        status = RankStatus("g", 1, 0, 1, False, 1.0)
+        state.groups.record_status("i-4", status, self.now)
+        state.rate_limits.record_answer("i-5:1", 0.5, self.now, self.now)
+        lost = state.directory.remove("i-6", self.now, self.now)
+        self.assertFalse(lost)
+
+    def test_each_server_has_one_reason(self) -> None:
+        """Guards against a refusal that operators cannot explain."""
+        self._apply_all_reasons()
+        expected = {
+            "leaving": 2,
+            "evacuated": 1,
+            "paused": 1,
+            "unreachable": 1,
+            "group closed": 1,
+            "rate limited": 1,
+        }
+        records = self.state.directory.records()
+        self.assertEqual(expected, self.state.count_unusable(records, self.now))
+        # The three others have no reason but that they take no more requests.
+        explained = self.state.explain_refusal("s", self.now)
+        self.assertEqual({**expected, "full": 3}, explained)
+        # The grace period of the lost registration has ended.
+        later = self.now + 2.5
+        self.assertIn("unregistered", self.state.count_unusable(records, later))
+
+    def test_the_longest_reason_is_named(self) -> None:
+        """Guards against a reason whose end changes nothing for the server."""
+        state, record = self.state, make_record("i-2")
+        state.connection_backoff.record_attempt("i-2", False, self.now)
+        self.assertEqual("unreachable", state.find_unusable_reason(record, self.now))
+        state.restrictions.record_pause(record, 3.0, 1, Random(1), self.now)
+        self.assertEqual("paused", state.find_unusable_reason(record, self.now))
+        state.restrictions.order_evacuation("z", self.now)
+        self.assertEqual("evacuated", state.find_unusable_reason(record, self.now))
+        state.restrictions.record_leaving(record, self.now)
+        self.assertEqual("leaving", state.find_unusable_reason(record, self.now))
+
+    def test_the_first_release_of_a_service(self) -> None:
+        """Guards against a time that is told although a server can be used."""
+        state = make_state()
+        for number in range(2):
+            state.directory.put(make_record(f"i-{number}"))
+        for number, seconds in enumerate((4.0, 3.0)):
+            self.assertIs(None, state.first_release("s", 1.0))
+            record = make_record(f"i-{number}")
+            state.restrictions.record_pause(record, seconds, 1, Random(1), 1.0)
+        self.assertEqual(4.0, state.first_release("s", 1.0))
+
+
 class PauseFleetTest(TestCase):
     def _check(self, entries: int, requests_per_second: float) -> None:
         for seed, pause_seconds in ((1, 1.0), (2, 3.0), (3, 5.0)):
