Let agents that leave say so in their responses

Cause: an entry learned from heartbeats and refusals only that an agent leaves, and went on sending work while these were lost.

Change: each response of an agent that leaves has `Server-Leaving: 1`. An entry that gets it, also with a ticket or a revocation, sends the agent no new work from then on, unless the agent has started again since the request was sent. The header is not passed on, so that neither a backend server nor an agent speaks for another process.

Conclusion: the first response ends new work, before membership does.

--- a/lacewingcleat/agent_answers.py
+++ b/lacewingcleat/agent_answers.py
@@ -49,8 +49,11 @@
     def set_outcome_headers(self, request: BoundedRequest, outcome: Outcome) -> None:
         """Set the outcome header and the agent's sheet revision and digest.
 
-        Every response of an agent carries these headers.
+        Every response of an agent carries these headers, and while it leaves also the
+        one that says so, since its heartbeats may be lost.
         """
+        if self._node.gate.leaving:
+            request.setHeader(names.SERVER_LEAVING.encode(), b"1")
         request.setHeader(names.OUTCOME.encode(), outcome.value.encode())
         revision = str(self._node.revision).encode()
         request.setHeader(names.REVISION.encode(), revision)
--- a/lacewingcleat/entry_attempts.py
+++ b/lacewingcleat/entry_attempts.py
@@ -267,6 +267,7 @@
         def store_pending(pending: Any) -> None:
             call.pending_response = pending
 
+        incarnation = node.membership.last_incarnation(target.server)
         result = await node.http_client.send(
             call.request.method.decode("ascii", "replace"),
             address,
@@ -286,6 +287,7 @@
                 send_progress = SendProgress.NOTHING if not_sent else SendProgress.SOME
                 return Attempt(target.server, send_progress, ResponseKind.NOTHING)
             case Ok(response):
+                node.record_response(target.server, incarnation, response.headers)
                 attempt = await self._handle_response(context, target, response)
                 end_span(
                     span,
--- a/lacewingcleat/entry_node.py
+++ b/lacewingcleat/entry_node.py
@@ -9,10 +9,13 @@
 
 import msgspec
 from result import Err, Ok
+from twisted.web.http_headers import Headers
 
+from lacewingcleat import http_headers as names
 from lacewingcleat.account_limits import AccountLimits
 from lacewingcleat.clock import read_now
 from lacewingcleat.group_routing import GroupRouter
+from lacewingcleat.http_client import first_header
 from lacewingcleat.identity import Peer, Role
 from lacewingcleat.load_view import Target
 from lacewingcleat.messages import (
@@ -202,6 +205,23 @@
             case Err(no_route):
                 return no_route
 
+    def record_response(self, server: str, incarnation: str, headers: Headers) -> None:
+        """Send no new work to an agent whose response says that it leaves.
+
+        :param incarnation: incarnation of the agent that was known when the request was
+            sent. A later one does not leave for what the earlier one has said.
+        """
+        if first_header(headers, names.SERVER_LEAVING) != "1":
+            return
+        if self.membership.last_incarnation(server) != incarnation:
+            return
+        now = read_now()
+        was_available = self.membership.may_receive_work(server, now)
+        self.membership.record_leaving(server, now)
+        if was_available:
+            self.log.info(f"{server} says in a response that it leaves.")
+            self._refresh_servers(now)
+
     def can_route(self, request: RouteRequest) -> bool:
         """Return whether any target is eligible for a request."""
         verdicts = self.router.explain(request, read_now())
--- a/lacewingcleat/entry_tickets.py
+++ b/lacewingcleat/entry_tickets.py
@@ -101,6 +101,7 @@
             "account": call.account.name,
             "key": idempotency_key,
         }
+        incarnation = self._node.membership.last_incarnation(server)
         result = await self._node.http_client.fetch(
             "POST",
             sheet.server_by_name[server].address,
@@ -110,6 +111,9 @@
             min(TICKET_TIMEOUT_SECONDS, call.deadline - read_now()),
             MAX_TICKET_RESPONSE_BYTES,
         )
+        if isinstance(result, Ok):
+            response, _ = result.ok_value
+            self._node.record_response(server, incarnation, response.headers)
         match result:
             case Err(failure):
                 self._node.membership.record_unreachable(server, read_now())
@@ -138,6 +142,7 @@
         if server_record is None:
             return None
         document = {"ticket": context.ticket, "account": context.call.account.name}
+        incarnation = self._node.membership.last_incarnation(server)
         result = await self._node.http_client.send(
             "POST",
             server_record.address,
@@ -146,4 +151,8 @@
             msgspec.json.encode(document),
             max(MIN_REVOKE_TIMEOUT_SECONDS, context.call.deadline - read_now()),
         )
-        return None if isinstance(result, Err) else result.ok_value
+        if isinstance(result, Err):
+            return None
+        response = result.ok_value
+        self._node.record_response(server, incarnation, response.headers)
+        return response
--- a/lacewingcleat/http_client.py
+++ b/lacewingcleat/http_client.py
@@ -28,6 +28,8 @@
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IResponse
 
+from lacewingcleat.http_headers import SERVER_LEAVING
+
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_CONNECTION_TIMEOUT_SECONDS = 30
 MAX_IDLE_CONNECTIONS_PER_HOST = 256
@@ -37,9 +39,11 @@
 VALID_STATUS_CODES = range(200, 600)
 
 # Headers that are not forwarded because they apply to one connection. The HTTP library
-# sets those that the next connection needs.
+# sets those that the next connection needs. Each process says of itself whether it
+# leaves.
 NON_FORWARDED_HEADERS = frozenset(
     {
+        SERVER_LEAVING.lower().encode(),
         b"connection",
         b"content-length",
         b"host",
--- a/lacewingcleat/http_headers.py
+++ b/lacewingcleat/http_headers.py
@@ -35,6 +35,8 @@
 COST_SECONDS = "Lacewing-Cost-Seconds"
 # Requests per second that a backend server takes, in its answers while it is in need.
 RATE_LIMIT = "Lacewing-Rate-Limit"
+# Set to 1 in the responses of an agent that accepts no new work in this run.
+SERVER_LEAVING = "Server-Leaving"
 OUTCOME = "Lacewing-Outcome"
 OUTCOME_CODE = "Lacewing-Outcome-Code"
 
