Let a rank that leaves or pauses speak for itself only

Cause: the refusal of one rank closed its whole group for a second and kept the request from all its other ranks, also where the rank had said that it leaves or asks for a pause.

Change: such a refusal closes and excludes its group only if `at-server` names another rank. Reads of expert counts go to ranks that are not restricted.

Conclusion: one rank costs its own slots, not those of its group.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -375,8 +375,15 @@
         return result
 
     def _record_refusal(self, record: ServerRecord, head: ResponseHead) -> None:
-        """Record a group as closed if a rank with free slots refuses a request."""
+        """Record a group as closed if a rank with free slots refuses a request.
+
+        A rank that leaves or asks for a pause does not speak for its group.
+        """
         now = read_now()
+        faulty = head.header(names.FAULTY_SERVER)
+        names_other = faulty is not None and faulty != record.name.encode()
+        if not names_other and self._state.restrictions.is_restricted_run(record, now):
+            return
         load = names.parse_server_load(head.header(names.SERVER_LOAD))
         if load is not None:
             is_full = load.running + load.waiting >= load.slots
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -179,7 +179,7 @@
         :param excluded: servers at which an attempt has failed.
         """
         servers = self.directory.accepting_servers(service, now)
-        failed_groups = self._groups_of(excluded)
+        failed_groups = self._failed_groups(excluded, now)
         candidates = [
             record
             for record in servers
@@ -296,14 +296,22 @@
             math.floor(record.slots * share + self.random.random()),
         )
 
-    def _groups_of(self, servers: frozenset[str]) -> set[str]:
+    def _failed_groups(self, servers: frozenset[str], now: float) -> set[str]:
         """Return the groups of servers that have failed a request.
 
         All ranks of a group run each pass together, so the request would fail at
-        another rank of the group as well.
+        another rank of the group as well, unless the server has said that it leaves or
+        pauses itself.
         """
-        names = (self.groups.find_group_name(name) for name in servers)
-        return {name for name in names if name}
+        groups = set()
+        for server in servers:
+            group = self.groups.find_group_name(server)
+            record = self.directory.find(server)
+            if group and not (
+                record is not None and self.restrictions.is_restricted_run(record, now)
+            ):
+                groups.add(group)
+        return groups
 
     def model_groups(
         self,
--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -92,6 +92,10 @@
         self.read_count = 0
         self.order_count = 0
 
+    def record(self, rank: int) -> ServerRecord:
+        """Return the record of a rank's server."""
+        return self._server_by_rank[rank]
+
     def now(self) -> float:
         """Return the current time."""
         return read_now()
@@ -354,7 +358,17 @@
     async def _read_demand(
         self, group: _GroupState, client: HttpRankClient, size: int
     ) -> bool:
-        for rank in range(min(_sampled_ranks(group.shape), size)):
+        count = min(_sampled_ranks(group.shape), size)
+        # Unlike the orders of a switch, these reads can go to any ranks.
+        restrictions = self._state.restrictions
+        ranks = [
+            rank
+            for rank in range(size)
+            if restrictions.find(client.record(rank), read_now()) is None
+        ]
+        if len(ranks) < count:
+            return False
+        for rank in ranks[:count]:
             response = await client.fetch(rank, COUNTS_TARGET, None)
             if not isinstance(response, FetchedResponse) or response.status != 200:
                 return False
--- a/lacewingcleat/server_restrictions.py
+++ b/lacewingcleat/server_restrictions.py
@@ -195,6 +195,10 @@
             )
         return self._find_pause(record, now)
 
+    def is_restricted_run(self, record: ServerRecord, now: float) -> bool:
+        """Return whether a server itself has said that it leaves or pauses."""
+        return self.is_leaving(record) or self._find_pause(record, now) is not None
+
     def _find_pause(self, record: ServerRecord, now: float) -> Restriction | None:
         # The usual case, in which no run has to be identified.
         if not self._pause_by_run:
--- a/tests/test_server_restrictions.py
+++ b/tests/test_server_restrictions.py
@@ -158,6 +158,20 @@
         state.restrictions.order_evacuation("a", 1.0)
         self.assertEqual({"i-b"}, set(choose_names(state, 50, 2.0)))
 
+    def test_another_rank_is_tried_after_a_pause(self) -> None:
+        """Guards against a group that is unused while one of its ranks pauses."""
+        state = make_state()
+        records = [make_record(f"i-{number}") for number in range(2)]
+        for rank, record in enumerate(records):
+            state.directory.put(record)
+            status = RankStatus("g", 1, rank, 2, True, 1.0)
+            state.groups.record_status(record.name, status, 0.0)
+        failed = frozenset(["i-0"])
+        self.assertEqual(NoServer(), state.choose_server("s", failed, 1.0))
+        state.restrictions.record_pause(records[0], 3.0, 1, Random(1), 1.0)
+        choice = state.choose_server("s", failed, 1.0)
+        self.assertIsInstance(choice, ChosenServer)
+
     def test_an_attempt_is_checked_again_before_it_is_written(self) -> None:
         """Guards against an order that is read while an attempt connects."""
         state = make_state()
