--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -2,6 +2,7 @@
 
 import re
 import traceback
+from collections import Counter
 from collections.abc import Callable, Collection
 
 from lacewingcleat.attempt_race import AttemptRace
@@ -38,6 +39,9 @@
     TimedOut,
 )
 from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.server_restrictions import RestrictionReason
+from lacewingcleat.server_signals import ServerSignals
+from lacewingcleat.write_progress import WriteProgress
 
 # Silence before the first event after which a stream that may be resumed is also sent
 # to another server; callers disconnect after 2 s without an event.
@@ -53,6 +57,12 @@
 ANSWER_START_SECONDS = 0.5
 STATUS_UNAVAILABLE = 503
 MAX_ERROR_LENGTH = 200
+# Smaller requests are written at once, see `WriteProgress`.
+MIN_FOLLOWED_BYTES = 1 << 15
+# Requests that may still reach a server that pauses, of those that are being written.
+MAX_WRITES_IN_PAUSE = 2
+# Restrictions that also end requests of which the server has got a part only.
+WITHDRAWING_REASONS = (RestrictionReason.PAUSED, RestrictionReason.EVACUATED)
 # Why an attempt ends when another one answers the caller.
 SUPERSEDED = "superseded"
 _SECONDS = re.compile(rb"[0-9]{1,6}")
@@ -84,10 +94,12 @@
         self._on_limit = on_limit
         self._connection_by_attempt: dict[OpenAttempt, ServerConnection] = {}
         self._context_by_attempt: dict[OpenAttempt, RequestContext] = {}
+        self._write_by_attempt: dict[OpenAttempt, WriteProgress] = {}
         self._log = log
         self._state = state
         self._pool = pool
         self._buffers = ResponseBuffers()
+        self._signals = ServerSignals(state, log)
 
     async def run(
         self,
@@ -129,6 +141,28 @@
             if not attempt.survived_start and evidence.find_refused(context.suspects):
                 self.cancel(attempt, "crash suspect")
 
+    def withdraw_restricted(self, now: float) -> None:
+        """Cancel requests that are being written to servers that get none any more.
+
+        A few that cannot be sent again are written to a server that pauses.
+        """
+        kept_by_run: Counter[str] = Counter()
+        for attempt, write in list(self._write_by_attempt.items()):
+            if not write.is_pending:
+                continue
+            restriction = self._state.find_restriction(attempt.record, now)
+            if restriction is None or restriction.reason not in WITHDRAWING_REASONS:
+                continue
+            run = attempt.record.incarnation
+            route = self._context_by_attempt[attempt].granted.route
+            if not route.retryable and (
+                restriction.reason is RestrictionReason.EVACUATED
+                or kept_by_run[run] < MAX_WRITES_IN_PAUSE
+            ):
+                kept_by_run[run] += 1
+                continue
+            self.cancel(attempt, f"server {restriction.reason}")
+
     async def _examine_loss(
         self, context: RequestContext, record: ServerRecord, result: AttemptResult
     ) -> None:
@@ -142,8 +176,10 @@
         if isinstance(connection, ServerConnection):
             self._pool.add_idle(record, connection, None, now)
         has_exited = connection == CONNECTION_REFUSED
-        has_crashed = has_exited and self._state.directory.accepts_requests(
-            record.name, now
+        has_crashed = (
+            has_exited
+            and self._state.directory.accepts_requests(record.name, now)
+            and not self._state.restrictions.is_leaving(record)
         )
         evidence = self._state.crash_evidence
         if has_crashed:
@@ -209,6 +245,9 @@
         self._connection_by_attempt[attempt] = connection
         self._context_by_attempt[attempt] = context
         try:
+            if len(request.body) >= MIN_FOLLOWED_BYTES:
+                write = WriteProgress(connection.transport)
+                self._write_by_attempt[attempt] = write
             connection.send(request.method, request.target, headers, request.body)
             if context.granted.route.kind is RequestKind.STREAM:
                 return await self._read_stream(
@@ -227,6 +266,7 @@
             connection.abort()
             return internal_error_result(record)
         finally:
+            self._end_write(attempt)
             del self._connection_by_attempt[attempt]
             del self._context_by_attempt[attempt]
 
@@ -264,6 +304,9 @@
             return SUPERSEDED
         if not self._state.directory.accepts_requests(attempt.record.name, now):
             return "server leaving"
+        restriction = self._state.find_restriction(attempt.record, now)
+        if restriction is not None:
+            return f"server {restriction.reason}"
         if now >= context.deadline:
             return "deadline passed"
         if self._state.crash_evidence.find_refused(context.suspects):
@@ -286,6 +329,7 @@
         head = await reader.next_event(silent_at)
         if not isinstance(head, ResponseHead):
             return no_response_result(attempt.record, connection, head)
+        self._record_signals(context, attempt, head, connection)
         self._record_load(attempt.record, head)
         return await self._read_body(context, attempt, connection, head, reader)
 
@@ -331,8 +375,15 @@
         return result
 
     def _record_refusal(self, record: ServerRecord, head: ResponseHead) -> None:
-        """Record a group as closed if a rank with free slots refuses a request."""
+        """Record a group as closed if a rank with free slots refuses a request.
+
+        A rank that leaves or asks for a pause does not speak for its group.
+        """
         now = read_now()
+        faulty = head.header(names.FAULTY_SERVER)
+        names_other = faulty is not None and faulty != record.name.encode()
+        if not names_other and self._state.restrictions.is_restricted_run(record, now):
+            return
         load = names.parse_server_load(head.header(names.SERVER_LOAD))
         if load is not None:
             is_full = load.running + load.waiting >= load.slots
@@ -344,6 +395,23 @@
             group = self._state.groups.find_group_name(record.name)
             self._log.belief("group refuses", now, group=group, server=record.name)
 
+    def _record_signals(
+        self,
+        context: RequestContext,
+        attempt: OpenAttempt,
+        head: ResponseHead,
+        connection: ServerConnection,
+    ) -> None:
+        self._end_write(attempt)
+        now = read_now()
+        if self._signals.record(context, attempt, head, connection.request_count, now):
+            self.withdraw_restricted(now)
+
+    def _end_write(self, attempt: OpenAttempt) -> None:
+        write = self._write_by_attempt.pop(attempt, None)
+        if write is not None:
+            write.end()
+
     def _record_limit(self, attempt: OpenAttempt, head: ResponseHead) -> None:
         limit = names.parse_server_limit(head.header(names.SERVER_LIMIT))
         is_signed = head.header(names.RESPONSE_SIGNATURE) is not None
@@ -391,6 +459,7 @@
         head = await reader.next_event(silent_at)
         if not isinstance(head, ResponseHead):
             return no_response_result(record, connection, head)
+        self._record_signals(context, attempt, head, connection)
         if head.status != 200 or head.header(names.NOT_RUN) is not None:
             reader.silent_at = context.deadline
             return await self._read_body(context, attempt, connection, head, reader)
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -41,6 +41,7 @@
 from lacewingcleat.retry_after import NotRunCause, retry_after_seconds
 from lacewingcleat.server_choice import ChosenServer, NoServer, ServersFull
 from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.server_restrictions import release_wait_seconds
 
 # Maximum number of attempts that end before the request is written, such as failed
 # connection attempts.
@@ -279,6 +280,8 @@
                     unsent = "no-server", NotRunCause.OUTAGE
         if race.has_open:
             return None
+        if unsent[0] != CRASHES_SERVER:
+            context.unusable_servers = self._state.explain_refusal(context.service, now)
         return self._respond_unsent(context, request, *unsent, events)
 
     def _start_alternative(
@@ -479,7 +482,12 @@
         self, context: RequestContext, cause: NotRunCause, now: float
     ) -> float:
         random = self._state.random
-        return retry_after_seconds(cause, context.caller_deadline, random, now)
+        deadline = context.caller_deadline
+        if cause is NotRunCause.OUTAGE:
+            release_at = self._state.first_release(context.service, now)
+            if release_at is not None:
+                return release_wait_seconds(release_at, deadline, random, now)
+        return retry_after_seconds(cause, deadline, random, now)
 
     def _forward_response(
         self,
@@ -538,9 +546,16 @@
                 f"sent={item.request_sent} {item.outcome}"
                 for item in context.attempts
             ],
+            **_unusable_fields(context),
         )
 
 
+def _unusable_fields(context: RequestContext) -> dict[str, dict[str, int]]:
+    """Return the log field with the reasons for which no server was chosen."""
+    counts = context.unusable_servers
+    return {"unusable": counts} if counts else {}
+
+
 def _elapsed_ms(moment: float | None, since: float) -> float | None:
     return None if moment is None else round((moment - since) * 1000.0, 1)
 
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -1,6 +1,7 @@
 """coordination: state of a direct entry and the routing decisions based on it."""
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
@@ -25,6 +26,11 @@
 from lacewingcleat.server_directory import ServerDirectory
 from lacewingcleat.server_rate_limits import ServerRateLimits
 from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.server_restrictions import (
+    Restriction,
+    ServerRestrictions,
+    UnusableReason,
+)
 
 # Minimum number of entries among which the fleet's extra retries are divided, because
 # an entry that has just started or is partitioned off sees few peers.
@@ -36,6 +42,8 @@
 # The limits of single servers do not hold the share where entries know little of each
 # other.
 MAX_OCCUPANCY_RATIO = 1.1
+# Time for which the reasons of a refusal are reused for further refusals.
+EXPLANATION_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +65,7 @@
 
     __slots__ = (
         "_bounds",
+        "_explanation_by_service",
         "_occupancy_by_group",
         "_retry_budget_by_service",
         "_zone",
@@ -72,6 +81,7 @@
         "peers",
         "random",
         "rate_limits",
+        "restrictions",
     )
 
     def __init__(
@@ -85,6 +95,7 @@
         self._bounds = bounds
         self._retry_budget_by_service: dict[str, RetryBudget] = {}
         self._occupancy_by_group: dict[str, float] = {}
+        self._explanation_by_service: dict[str, tuple[float, dict[str, int]]] = {}
         self.config: RoutingConfig | None = None
         self.max_event_interval_seconds = 0.0
         self.directory = ServerDirectory(bounds.heartbeat_seconds)
@@ -97,6 +108,7 @@
         self.peers = peers
         self.random = random
         self.rate_limits = ServerRateLimits(peers.own_address)
+        self.restrictions = ServerRestrictions()
 
     def has_ready_peer(self, now: float) -> bool:
         """Return whether a peer has reported that it is ready for requests."""
@@ -167,7 +179,7 @@
         :param excluded: servers at which an attempt has failed.
         """
         servers = self.directory.accepting_servers(service, now)
-        failed_groups = self._groups_of(excluded)
+        failed_groups = self._failed_groups(excluded, now)
         candidates = [
             record
             for record in servers
@@ -175,26 +187,131 @@
             and not self.connection_backoff.is_backing_off(record.name, now)
             and self.groups.is_open(record.name)
             and self.groups.find_group_name(record.name) not in failed_groups
+            and self.restrictions.find(record, now) is None
         ]
+        spared_zones = self.restrictions.spared_zones(self.random, now)
+        if spared_zones:
+            choice = self._choose_among(
+                [record for record in candidates if record.zone not in spared_zones],
+                now,
+            )
+            # A spared zone is used before a caller is refused.
+            if isinstance(choice, ChosenServer):
+                return choice
+        return self._choose_among(candidates, now)
+
+    def _choose_among(self, candidates: list[ServerRecord], now: float) -> ServerChoice:
+        returning_zones = frozenset(self.restrictions.returning_zones(now))
         return choose_server(
             candidates,
             self.loads,
             lambda record: self._weight(record, now),
-            lambda record: self._request_limit(record, now),
+            lambda record: (
+                self._returning_limit(record, now)
+                if record.zone in returning_zones
+                else self._request_limit(record, now)
+            ),
             self._zone,
             self.random,
             now,
             own_zone_first=not self.peers.announces_to_all(),
         )
 
-    def _groups_of(self, servers: frozenset[str]) -> set[str]:
+    def find_unusable_reason(self, record: ServerRecord, now: float) -> str | None:
+        """Return why a server gets no requests, none if it may get some.
+
+        If several reasons hold, the one that is likely to last longest is returned.
+        """
+        if record.leaving:
+            return UnusableReason.LEAVING
+        restriction = self.restrictions.find(record, now)
+        if restriction is not None:
+            return restriction.reason
+        if not self.directory.accepts_requests(record.name, now):
+            return UnusableReason.UNREGISTERED
+        if self._weight(record, now) <= 0.0:
+            return UnusableReason.EJECTED
+        if self.connection_backoff.is_backing_off(record.name, now):
+            return UnusableReason.UNREACHABLE
+        if not self.groups.is_open(record.name):
+            return UnusableReason.GROUP_CLOSED
+        if not self.rate_limits.may_send(record.incarnation, now):
+            return UnusableReason.RATE_LIMITED
+        return None
+
+    def count_unusable(
+        self, records: Iterable[ServerRecord], now: float
+    ) -> dict[str, int]:
+        """Return the number of servers that get no requests, by reason."""
+        reasons = (self.find_unusable_reason(record, now) for record in records)
+        return dict(Counter(str(reason) for reason in reasons if reason is not None))
+
+    def explain_refusal(self, service: str, now: float) -> dict[str, int]:
+        """Return why no server of a service was chosen, as a number by reason.
+
+        Servers without another reason are full. The result is kept for a moment, since
+        an overloaded entry refuses many requests for the same reasons.
+        """
+        known = self._explanation_by_service.get(service)
+        if known is not None and now - known[0] < EXPLANATION_SECONDS:
+            return known[1]
+        records = self.directory.all_servers(service, now)
+        counts = self.count_unusable(records, now)
+        full = len(records) - sum(counts.values())
+        if full:
+            counts[UnusableReason.FULL] = full
+        self._explanation_by_service[service] = (now, counts)
+        return counts
+
+    def first_release(self, service: str, now: float) -> float | None:
+        """Return when the first server of a service may be sent requests again.
+
+        :returns: none if a server is not restricted, or if no end is known.
+        """
+        records = self.directory.accepting_servers(service, now)
+        if any(self.restrictions.find(record, now) is None for record in records):
+            return None
+        return self.restrictions.next_release(records, now)
+
+    def expire_restrictions(self, now: float) -> list[str]:
+        """Remove what restricts no server any more; see `ServerRestrictions.expire`."""
+        return self.restrictions.expire(self.directory.find, now)
+
+    def find_restriction(self, record: ServerRecord, now: float) -> Restriction | None:
+        """Return why no request may be written to a chosen server any more.
+
+        :param record: record by which the server was chosen, which may have changed.
+        """
+        current = self.directory.find(record.name)
+        restriction = self.restrictions.find(record, now)
+        if restriction is None and current is not None:
+            restriction = self.restrictions.find(current, now)
+        return restriction
+
+    def _returning_limit(self, record: ServerRecord, now: float) -> float:
+        """Return the request limit of a server whose zone was evacuated until now."""
+        share = self.restrictions.slot_share(record.zone, now)
+        return min(
+            self._request_limit(record, now),
+            math.floor(record.slots * share + self.random.random()),
+        )
+
+    def _failed_groups(self, servers: frozenset[str], now: float) -> set[str]:
         """Return the groups of servers that have failed a request.
 
         All ranks of a group run each pass together, so the request would fail at
-        another rank of the group as well.
+        another rank of the group as well, unless the server has said that it leaves or
+        pauses itself.
         """
-        names = (self.groups.find_group_name(name) for name in servers)
-        return {name for name in names if name}
+        groups = set()
+        for server in servers:
+            group = self.groups.find_group_name(server)
+            record = self.directory.find(server)
+            if group and not (
+                record is not None and self.restrictions.is_restricted_run(record, now)
+            ):
+                groups.add(group)
+        return groups
 
     def model_groups(
         self,
@@ -224,6 +341,7 @@
             for service in (config.service_by_name.values() if config else ())
             if service.engine is not None
             for record in self.directory.accepting_servers(service.name, now)
+            if self.restrictions.find(record, now) is None
         }
         return [
             records[name] for name in self.groups.select_servers_to_poll(records, now)
--- a/lacewingcleat/platform/request_headers.py
+++ b/lacewingcleat/platform/request_headers.py
@@ -1,8 +1,11 @@
 """protocol: HTTP headers between callers, entries and backend servers."""
 
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from result import Err, Ok, Result
+
 AUTHORIZATION = b"authorization"
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-milliseconds"
@@ -27,6 +30,8 @@
 # Name of the faulty server if a server refuses because of another rank of its group.
 FAULTY_SERVER = b"at-server"
 RETRY_AFTER = b"retry-after"
+# Set to 1 in the responses of a server that accepts no new requests in this run.
+SERVER_LEAVING = b"server-leaving"
 STATUS_MISDIRECTED = 421
 # Statuses by which callers learn that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, STATUS_MISDIRECTED, 429, 503})
@@ -40,6 +45,8 @@
     | {REQUEST_PRIORITY},
 )
 _DIGITS = re.compile(rb"[0-9]{1,9}")
+# Longer numbers than any time are no times.
+_RETRY_AFTER = re.compile(rb"[0-9]{1,18}(\.[0-9]{1,18})?")
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 # Three counts of up to 9 digits, which load estimates can hold exactly.
 _LOAD = re.compile(rb"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
@@ -84,6 +91,30 @@
     )
 
 
+def says_leaving(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether the headers of a response say that its server leaves."""
+    return any(
+        name == SERVER_LEAVING and value.strip() == b"1" for name, value in headers
+    )
+
+
+def parse_retry_after(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> Result[float | None, str]:
+    """Return the seconds after which a server may be asked again, none if not stated.
+
+    Dates are not accepted, as the clocks of servers are not known to be right.
+    """
+    values = [value.strip() for name, value in headers if name == RETRY_AFTER]
+    if not values:
+        return Ok(None)
+    if len(values) > 1:
+        return Err("repeated")
+    if not _RETRY_AFTER.fullmatch(values[0]):
+        return Err("malformed")
+    return Ok(float(values[0]))
+
+
 def parse_server_limit(value: bytes | None) -> float | None:
     """Return the requests per second that a server takes, none if not limited."""
     if value is None or not _DECIMAL.fullmatch(value.strip()):
