Test clients outside our control before a direct entry of limited memory

Cause: nothing bounds what an entry holds for all its clients together. Change: tests that start the program with limits.memory_mb 100 and limits.file_descriptors 400 and play 60 clients with bodies of 2 MiB, 40 clients with chunks of one byte, and 450 connections.

--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -87,11 +87,13 @@
         folder: Path,
         name: str = "front-1",
         seeds: tuple[str, ...] = (),
+        more_settings: dict[str, object] | None = None,
     ) -> None:
         self._store = store
         self._folder = folder
         self._name = name
         self._seeds = seeds
+        self._more_settings = more_settings or {}
         self.output = folder / f"output-{name}"
         self._start()
 
@@ -110,6 +112,7 @@
             "seeds": list(self._seeds),
             "bounds": BOUNDS,
             "platform": {"address": self._store.address},
+            **self._more_settings,
         }
         path = self._folder / f"settings-{self._name}.json"
         path.write_text(json.dumps(settings))
--- /dev/null
+++ b/tests/test_client_limits.py
@@ -0,0 +1,234 @@
+"""Clients outside our control before a direct entry of limited memory.
+
+Each test runs the program with lowered limits in its settings, starts a crowd of
+clients and checks that the process lives, that its memory and descriptors stay within
+the settings, and that an ordinary request is answered meanwhile.
+"""
+
+import socket
+import tempfile
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from testtools import TestCase
+
+from tests.client_crowd import (
+    Act,
+    ClientCrowd,
+    count_descriptors,
+    make_head,
+    read_peak_memory,
+)
+from tests.entry_process import EntryProcess, make_config_item
+from tests.platform_fakes import (
+    FakeServer,
+    FakeStore,
+    ReceivedRequest,
+    encode_signed_response,
+)
+
+MEMORY_MB = 100
+FILE_DESCRIPTORS = 400
+# Descriptors that the platform sets aside for files.
+FILE_RESERVE = 200
+MAX_BODY_BYTES = 2 << 20
+CROWD = 60
+CHUNK_CROWD = 40
+CONNECTIONS = 450
+PART = b"x" * 16_384
+# A server of the crowd takes longer than the crowd needs to send everything.
+SLOW_SECONDS = 8.0
+
+
+def _respond_late(request: ReceivedRequest, stream: socket.socket) -> bool:
+    time.sleep(SLOW_SECONDS)
+    stream.sendall(encode_signed_response(request, 200, b"late"))
+    return True
+
+
+@contextmanager
+def run_limited_entry(*servers: FakeServer) -> Iterator[EntryProcess]:
+    """Run an entry with lowered limits before some servers."""
+    store = FakeStore()
+    config = make_config_item()
+    config["limits"] = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": MAX_BODY_BYTES,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15_000,
+    }
+    store.put("op/config", config)
+    for server in servers:
+        store.put(f"servers/{server.name}", server.store_record(server.service))
+    limits = {"memory_mb": MEMORY_MB, "file_descriptors": FILE_DESCRIPTORS}
+    with tempfile.TemporaryDirectory() as folder:
+        entry = EntryProcess(store, Path(folder), more_settings={"limits": limits})
+        try:
+            entry.wait_until_ready(len(servers))
+            yield entry
+        finally:
+            entry.process.kill()
+            entry.process.wait()
+            for closable in (store, *servers):
+                closable.close()
+
+
+class ClientLimitsTest(TestCase):
+    def _check_crowd(self, act: Act, count: int = CROWD, seconds: float = 6.0) -> None:
+        slow = FakeServer("i-1", _respond_late)
+        fast = FakeServer("i-2", service="t")
+        with run_limited_entry(slow, fast) as entry:
+            with ClientCrowd(entry.port, count, act) as crowd:
+                crowd.wait(seconds)
+                self._check_process(entry)
+                response, body = entry.call("/other/x")
+                self.assertEqual((200, b"answer of i-2"), (response.status, body))
+                self.assertEqual(200, entry.readiness_status())
+                self._check_process(entry)
+            response, _ = entry.call("/other/x", request_id="q2")
+            self.assertEqual(200, response.status)
+            self._check_process(entry)
+
+    def _check_process(self, entry: EntryProcess) -> None:
+        pid = entry.process.pid
+        self.assertIsNone(entry.process.poll())
+        self.assertLessEqual(read_peak_memory(pid) >> 20, MEMORY_MB)
+        descriptors = count_descriptors(pid)
+        self.assertLessEqual(descriptors, FILE_DESCRIPTORS - FILE_RESERVE)
+
+    def test_bodies_that_stop_one_byte_short(self) -> None:
+        """Guards against incomplete bodies that are kept without a common bound."""
+        head = make_head("POST", "/order/x", f"Content-Length: {MAX_BODY_BYTES}")
+
+        def act(stream: socket.socket, stopped: threading.Event) -> None:
+            stream.sendall(head)
+            stream.sendall(b"x" * (MAX_BODY_BYTES - 1))
+            stopped.wait()
+
+        self._check_crowd(act)
+
+    def test_endless_chunked_bodies(self) -> None:
+        """Guards against bodies of unknown length that fill the memory."""
+        head = make_head("POST", "/order/x", "Transfer-Encoding: chunked")
+        chunk = b"%x\r\n%s\r\n" % (len(PART), PART)
+
+        def act(stream: socket.socket, stopped: threading.Event) -> None:
+            stream.sendall(head)
+            while not stopped.is_set():
+                stream.sendall(chunk)
+
+        self._check_crowd(act)
+
+    def test_chunked_bodies_that_never_end(self) -> None:
+        """Guards against bodies of unknown length that stop below the limit."""
+        head = make_head("POST", "/order/x", "Transfer-Encoding: chunked")
+        chunk = b"%x\r\n%s\r\n" % (len(PART), PART)
+
+        def act(stream: socket.socket, stopped: threading.Event) -> None:
+            stream.sendall(head)
+            for _ in range(MAX_BODY_BYTES // len(PART)):
+                stream.sendall(chunk)
+            stopped.wait()
+
+        self._check_crowd(act)
+
+    def test_complete_bodies_before_a_slow_server(self) -> None:
+        """Guards against bodies that are kept for servers without a common bound."""
+        head = make_head("POST", "/order/x", f"Content-Length: {MAX_BODY_BYTES}")
+
+        def act(stream: socket.socket, stopped: threading.Event) -> None:
+            stream.sendall(head)
+            stream.sendall(b"x" * MAX_BODY_BYTES)
+            stopped.wait()
+
+        self._check_crowd(act)
+
+    def test_bodies_far_over_the_limit(self) -> None:
+        """Guards against bodies over the limit that are kept, announced or sent."""
+        announced = make_head(
+            "POST", "/order/x", f"Content-Length: {64 * MAX_BODY_BYTES}"
+        )
+        sent = make_head("POST", "/order/x", "Transfer-Encoding: chunked")
+        sent += b"%x\r\n" % (64 * MAX_BODY_BYTES)
+        numbers = iter(range(CROWD))
+
+        def act(stream: socket.socket, stopped: threading.Event) -> None:
+            stream.sendall(announced if next(numbers) % 2 else sent)
+            for _ in range(4 * MAX_BODY_BYTES // len(PART)):
+                stream.sendall(PART)
+            stopped.wait()
+
+        self._check_crowd(act)
+
+    def test_requests_pipelined_behind_an_open_one(self) -> None:
+        """Guards against requests that are kept behind the current one."""
+        body = b"x" * MAX_BODY_BYTES
+        head = make_head("POST", "/order/x", f"Content-Length: {len(body)}")
+
+        def act(stream: socket.socket, stopped: threading.Event) -> None:
+            for _ in range(3):
+                stream.sendall(head)
+                stream.sendall(body)
+            stopped.wait()
+
+        self._check_crowd(act)
+
+    def test_chunks_of_one_byte(self) -> None:
+        """Guards against chunks whose parsing leaves no time for other requests."""
+        head = make_head("POST", "/order/x", "Transfer-Encoding: chunked")
+        chunks = b"1\r\nx\r\n" * 10_000
+
+        def act(stream: socket.socket, stopped: threading.Event) -> None:
+            stream.sendall(head)
+            while not stopped.is_set():
+                stream.sendall(chunks)
+
+        self._check_crowd(act, CHUNK_CROWD)
+
+    def test_connections_that_send_nothing_or_slow_headers(self) -> None:
+        """Guards against connections that use up the descriptors."""
+        numbers = iter(range(CONNECTIONS))
+
+        def act(stream: socket.socket, stopped: threading.Event) -> None:
+            if next(numbers) % 2:
+                stopped.wait()
+            stream.sendall(b"GET /other/x HTTP/1.1\r\nX: ")
+            while not stopped.wait(0.5):
+                stream.sendall(b"y")
+
+        self._check_crowd(act, CONNECTIONS, 4.0)
+
+    def test_a_single_body_of_the_largest_size_is_served(self) -> None:
+        """Guards against a memory limit that refuses what the configuration allows."""
+        server = FakeServer("i-1")
+        with run_limited_entry(server) as entry:
+            for number in range(2):
+                response, _ = entry.call(
+                    "/order/x",
+                    "POST",
+                    b"x" * MAX_BODY_BYTES,
+                    request_id=f"q{number}",
+                )
+                self.assertEqual(200, response.status)
+            self.assertEqual(
+                [MAX_BODY_BYTES] * 2,
+                [len(request.body) for request in server.served_requests],
+            )
+            self._check_process(entry)
+
+    def test_a_client_that_is_still_sending_reads_the_refusal(self) -> None:
+        """Guards against a refusal that is lost in a reset of the connection."""
+        length = 8 * MAX_BODY_BYTES
+        head = make_head("POST", "/order/x", f"Content-Length: {length}")
+        with run_limited_entry() as entry:
+            address = ("127.0.0.1", entry.port)
+            with socket.create_connection(address, timeout=10) as stream:
+                stream.sendall(head)
+                stream.sendall(b"x" * length)
+                answer = stream.recv(65_536).lower()
+            self.assertTrue(answer.startswith(b"http/1.1 413 "), answer)
+            self.assertIn(b"connection: close", answer)
+            self._check_process(entry)
