Bound what clients make a direct entry hold, by the memory of its instance

Cause: an entry bounded single requests only. 60 clients with bodies of 2 MiB took it to 126 to 165 MB, chunks of one byte kept all others from a response, a byte of a head now and then kept a connection for ever, and each attempt copied the body once more into the transport. Change: memory_budget decides which connection is admitted, waits without being read or is cut off, from limits.memory_mb and limits.file_descriptors. A request reserves its size before its body is read; small requests have a part of their own. Parsing takes turns, pipelined data is not read, announced lengths over the limit and heads with very many headers are refused at once, the time of a head covers the whole head, and large bodies are written to servers in slices. Without these settings there is no bound on the process, as before.

--- a/lacewingcleat/caller_connection.py
+++ b/lacewingcleat/caller_connection.py
@@ -4,6 +4,7 @@
 request that this process has framed. This prevents request smuggling.
 """
 
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +13,13 @@
 from twisted.python.failure import Failure
 
 from lacewingcleat.clock import read_now
+from lacewingcleat.memory_budget import (
+    SMALL_REQUEST_BYTES,
+    Client,
+    CutReason,
+    MemoryBudget,
+    ProcessLimits,
+)
 from lacewingcleat.routing_config import ListenerLimits
 
 # Used until the first configuration has been read.
@@ -28,6 +36,23 @@
 # read and discarded, because closing the connection with unread data would reset it
 # before the caller has read the response.
 LINGERING_CLOSE_SECONDS = 1.0
+# Longest lingering close of a caller that goes on sending: 8 MB at 14 Mbit/s.
+MAX_LINGERING_SECONDS = 5.0
+# Parts of a request that are parsed before other connections get their turn. Reading
+# pauses meanwhile, so that tiny chunks cannot keep the process busy.
+MAX_PARTS_PER_TURN = 16
+# Parts of all connections that are parsed in a turn of the reactor. A part takes about
+# 20 us, so that other connections wait for some milliseconds.
+MAX_PARTS_OF_ALL_PER_TURN = 128
+# Bytes read at once where the memory is bounded; the transport's default is 64 KB.
+LIMITED_READ_BYTES = 16_384
+# A parsed header takes about 200 bytes more than its text.
+HEADER_COST_BYTES = 200
+# Shortest mean size of headers. A head of 16 KB may have 512 headers; with headers of
+# five bytes it would take 0.7 MB.
+MIN_MEAN_HEADER_BYTES = 32
+# Time after which a client that is refused for want of memory may try again.
+RETRY_AFTER_SECONDS = b"1"
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -128,6 +153,14 @@
         self._timer: Any = None
         self._unread_timer: Any = None
         self._written_bytes = 0
+        self._client = Client(read_now(), self._resume, self._cut)
+        self._head_cost = 0
+        self._awaits_memory = False
+        self._awaits_turn = False
+        self._in_head = False
+        self._is_reading = True
+        self._pipelined_bytes = 0
+        self._linger_until = 0.0
         self.open = False
 
     def connectionMade(self) -> None:
@@ -137,6 +170,12 @@
         self._factory.connections.add(self)
         # The transport reports when its buffer is full and when it is empty again.
         self.transport.registerProducer(self, True)
+        if self._factory.budget.limits.bytes_held is not None:
+            self.transport.bufferSize = LIMITED_READ_BYTES
+        if not self._factory.budget.open(self._client):
+            self._factory.on_cut(CutReason.TOO_MANY_CONNECTIONS)
+            self._reject(503)
+            return
         self._set_timer(
             self._limits.idle_timeout_seconds + IDLE_TIMEOUT_MARGIN_SECONDS,
             self._close_idle,
@@ -145,46 +184,102 @@
     def dataReceived(self, data: bytes) -> None:
         """Parse received data, or buffer it while a request is being handled."""
         if self._lingering:
+            self._linger()
             return
+        self._client.moved_bytes += len(data)
         self._http.receive_data(data)
         if self._request_active:
-            buffered_bytes = len(self._http.trailing_data[0])
-            if (
-                buffered_bytes
-                > self._limits.max_header_bytes + self._limits.max_body_bytes
-            ):
-                self.abort()
+            self._pipelined_bytes += len(data)
+            self._update_reading()
             return
-        if self._request is None:
-            self._set_timer(self._limits.header_timeout_seconds, self._time_out)
-        else:
+        if self._request is not None:
             self._set_timer(self._limits.idle_timeout_seconds, self._time_out)
-        self._parse()
+        elif not self._in_head:
+            # The time covers the whole head: a caller that sends a byte now and then
+            # would keep its connection for ever.
+            self._in_head = True
+            self._set_timer(self._limits.header_timeout_seconds, self._time_out)
+        if not self._awaits_turn and not self._awaits_memory:
+            self.parse()
 
-    def _parse(self) -> None:
+    def parse(self) -> None:
+        """Parse some parts of what has been received, and the rest in later turns."""
+        self._awaits_turn = False
         try:
-            while not self._request_active and not self._lingering and self.open:
+            for _ in range(MAX_PARTS_PER_TURN):
+                if not self._may_parse():
+                    break
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     if self._http.they_are_waiting_for_100_continue:
                         self._write_event(
                             h11.InformationalResponse(status_code=100, headers=[])
                         )
-                    return
+                    break
                 if event is h11.PAUSED:
-                    return
+                    break
                 self._handle_event(event)
+            else:
+                self._awaits_turn = self._may_parse()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
+        if self._awaits_turn:
+            self._factory.parse_later(self)
+        self._update_reading()
+
+    def _may_parse(self) -> bool:
+        is_closing = self._lingering or not self.open
+        return not (self._request_active or is_closing or self._awaits_memory)
+
+    def _update_reading(self) -> None:
+        """Stop reading while received data cannot be parsed."""
+        is_full = (
+            self._request_active
+            and self._pipelined_bytes > self._limits.max_header_bytes
+        )
+        is_held_back = self._awaits_memory or self._awaits_turn or is_full
+        reads = self._lingering or not is_held_back
+        if reads == self._is_reading or not self.open:
+            return
+        self._is_reading = reads
+        if reads:
+            self.transport.resumeProducing()
+        else:
+            self.transport.pauseProducing()
+
+    def _resume(self) -> None:
+        """Read on, since the memory for the request is reserved."""
+        self._awaits_memory = False
+        self._set_timer(self._limits.idle_timeout_seconds, self._time_out)
+        self._factory.reactor.callLater(0, self._continue)
+
+    def _continue(self) -> None:
+        if self.open and not self._awaits_turn:
+            self.parse()
+
+    def _reserve(self, size: int) -> None:
+        """Reserve memory for the whole request, or wait for it without reading."""
+        if not self._factory.budget.reserve(self._client, size, read_now()):
+            self._awaits_memory = True
+            self._cancel_timer()
+
+    def _cut(self, reason: CutReason) -> None:
+        """End the connection, with a response if a request is being read."""
+        self._factory.on_cut(reason)
+        match reason:
+            case CutReason.SLOW_REQUEST:
+                self._reject(408)
+            case CutReason.NO_MEMORY:
+                self._reject(503)
+            case _:
+                self.abort()
 
     def _handle_event(self, event: object) -> None:
         match event:
             case h11.Request():
                 self._start_request(event)
             case h11.Data():
-                self._body += event.data
-                if len(self._body) > self._limits.max_body_bytes:
-                    self._reject(413)
+                self._add_body(event.data)
             case h11.EndOfMessage():
                 self._dispatch_request()
             case h11.ConnectionClosed():
@@ -194,16 +289,41 @@
 
     def _start_request(self, event: h11.Request) -> None:
         headers = [(bytes(key), bytes(value)) for key, value in event.headers]
+        self._in_head = False
         names = [key for key, _ in headers]
+        if len(headers) > self._limits.max_header_bytes // MIN_MEAN_HEADER_BYTES:
+            self._reject(431)
+            return
         # Programs differ in which of two framings they use (request smuggling).
         if b"transfer-encoding" in names and b"content-length" in names:
             self._reject(400)
             return
+        length = _announced_length(headers)
+        if length is not None and length > self._limits.max_body_bytes:
+            self._reject(413)
+            return
         self._body = bytearray()
         self._request = CallerRequest(
             self, bytes(event.method), bytes(event.target), headers, read_now()
         )
         self._set_timer(self._limits.idle_timeout_seconds, self._time_out)
+        self._head_cost = len(event.target) + sum(
+            len(key) + len(value) + HEADER_COST_BYTES for key, value in headers
+        )
+        body_bytes = length or 0
+        if b"transfer-encoding" in names:
+            body_bytes = min(SMALL_REQUEST_BYTES // 2, self._limits.max_body_bytes)
+        self._reserve(self._head_cost + body_bytes)
+
+    def _add_body(self, data: bytes) -> None:
+        """Add a part of the body, and reserve the rest of one of unknown length."""
+        size = len(self._body) + len(data)
+        if size > self._limits.max_body_bytes:
+            self._reject(413)
+            return
+        self._body += data
+        if self._head_cost + size > self._client.reserved_bytes:
+            self._reserve(self._head_cost + self._limits.max_body_bytes)
 
     def _dispatch_request(self) -> None:
         request = self._request
@@ -214,18 +334,22 @@
         request.arrived_at = read_now()
         self._body = bytearray()
         self._request_active = True
+        self._pipelined_bytes = 0
+        size = self._head_cost + len(request.body)
+        self._factory.budget.complete_request(self._client, size)
         self._factory.open_requests += 1
         self._factory.handler(request)
 
     def write_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response and read the next request."""
         head = h11.Response(status_code=status, headers=self._add_close_header(headers))
+        # The parts are not joined, since a copy of a large response takes its size.
         parts = [self._http.send(head) or b""]
         method = self._request.method if self._request else b""
         if body and method != b"HEAD":
-            parts.append(self._http.send(h11.Data(data=body)) or b"")
+            parts += self._http.send_with_data_passthrough(h11.Data(data=body)) or []
         parts.append(self._http.send(h11.EndOfMessage()) or b"")
-        self._write(b"".join(parts))
+        self._write(*parts)
         self._end_request()
 
     def start_stream(self, status: int, headers: Headers, data: bytes) -> None:
@@ -248,9 +372,18 @@
         self._write(self._http.send(h11.EndOfMessage()) or b"")
         self._end_request()
 
-    def _write(self, data: bytes) -> None:
-        self._written_bytes = len(data)
-        self.transport.write(data)
+    def _write(self, *parts: bytes) -> None:
+        self._written_bytes = sum(map(len, parts))
+        self.transport.writeSequence(parts)
+        if self._unread_timer is not None:
+            self.count_unread()
+
+    def count_unread(self) -> None:
+        """Count the bytes that the caller has not read yet."""
+        size = 0
+        if self._unread_timer is not None:
+            size = _unsent_bytes(self.transport)
+        self._factory.budget.set_unread(self._client, size)
 
     def pauseProducing(self) -> None:
         """Limit the time in which the caller reads what is buffered for it."""
@@ -262,6 +395,7 @@
     def resumeProducing(self) -> None:
         """Lift the time limit, since the caller has read everything."""
         self._cancel_unread_timer()
+        self.count_unread()
 
     def stopProducing(self) -> None:
         """Lift the time limit, since the connection is closed."""
@@ -289,6 +423,7 @@
         self._request_active = False
         self._request = None
         self._factory.open_requests -= 1
+        self._factory.budget.end_request(self._client, read_now())
         if self._http.our_state is not h11.DONE or (
             self._http.their_state is not h11.DONE
         ):
@@ -307,28 +442,41 @@
             self._limits.idle_timeout_seconds + IDLE_TIMEOUT_MARGIN_SECONDS,
             self._close_idle,
         )
+        self._update_reading()
         if self._http.trailing_data[0]:
-            self._factory.reactor.callLater(0, self._parse)
+            self._factory.reactor.callLater(0, self._continue)
 
     def _reject(self, status: int) -> None:
         """Reject a request that cannot be read, then close the connection."""
         if not self.open:
             return
         self._cancel_timer()
+        self._body = bytearray()
+        self._request = None
+        self._awaits_memory = False
+        self._factory.budget.end_request(self._client, read_now())
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            head = h11.Response(
-                status_code=status,
-                headers=[(b"content-length", b"0"), (b"connection", b"close")],
-            )
-            self._write_event(head)
+            headers = [(b"content-length", b"0"), (b"connection", b"close")]
+            if status == 503:
+                headers.append((b"retry-after", RETRY_AFTER_SECONDS))
+            self._write_event(h11.Response(status_code=status, headers=headers))
             self._write_event(h11.EndOfMessage())
             self._factory.on_rejected(status)
         self._start_lingering_close()
 
     def _start_lingering_close(self) -> None:
         self._lingering = True
+        self._client.is_refused = True
+        self._linger_until = self._factory.reactor.seconds() + MAX_LINGERING_SECONDS
         self.transport.loseWriteConnection()
-        self._set_timer(LINGERING_CLOSE_SECONDS, self.transport.loseConnection)
+        self._update_reading()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close the connection once the caller has stopped sending."""
+        remaining = self._linger_until - self._factory.reactor.seconds()
+        seconds = max(0.0, min(LINGERING_CLOSE_SECONDS, remaining))
+        self._set_timer(seconds, self.transport.loseConnection)
 
     def _time_out(self) -> None:
         self._reject(408)
@@ -352,6 +500,7 @@
         self._cancel_timer()
         self._cancel_unread_timer()
         self._factory.connections.discard(self)
+        self._factory.budget.close(self._client)
         if not self._request_active or self._request is None:
             return
         self._request_active = False
@@ -379,6 +528,8 @@
     :param on_rejected: called with the status of the response to an unreadable request.
     :param on_unread: called when a caller is cut off since it does not read.
     :param is_stopping: returns whether connections end with their next response.
+    :param budget: bounds what the callers make the process hold; none by default.
+    :param on_cut: called with the reason for which a caller is refused or cut off.
     """
 
     def __init__(
@@ -389,6 +540,8 @@
         on_rejected: Callable[[int], None] = lambda status: None,
         on_unread: Callable[[], None] = lambda: None,
         is_stopping: Callable[[], bool] = lambda: False,
+        budget: MemoryBudget | None = None,
+        on_cut: Callable[[CutReason], None] = lambda reason: None,
     ) -> None:
         self.reactor = reactor
         self.handler = handler
@@ -399,6 +552,9 @@
         self.limits = DEFAULT_LIMITS
         self.connections: set[CallerConnection] = set()
         self.open_requests = 0
+        self.budget = budget or MemoryBudget(ProcessLimits())
+        self.on_cut = on_cut
+        self._unparsed: deque[CallerConnection] = deque()
 
     def buildProtocol(self, _address: object) -> CallerConnection:
         """Return the protocol of a new connection."""
@@ -408,3 +564,41 @@
         """Close all connections without an open request."""
         for connection in list(self.connections):
             connection.close_if_idle()
+
+    def check_budget(self, now: float) -> None:
+        """Cut off callers that hold memory which others wait for."""
+        for connection in list(self.connections):
+            connection.count_unread()
+        self.budget.check(now)
+
+    def parse_later(self, connection: CallerConnection) -> None:
+        """Parse what a connection has received once it is its turn."""
+        if not self._unparsed:
+            self.reactor.callLater(0, self._parse_some)
+        self._unparsed.append(connection)
+
+    def _parse_some(self) -> None:
+        waiting, self._unparsed = self._unparsed, deque()
+        for _ in range(MAX_PARTS_OF_ALL_PER_TURN // MAX_PARTS_PER_TURN):
+            if not waiting:
+                break
+            waiting.popleft().parse()
+        if not waiting:
+            return
+        if not self._unparsed:
+            self.reactor.callLater(0, self._parse_some)
+        # Those that had no turn come before those that had one.
+        self._unparsed.extendleft(reversed(waiting))
+
+
+def _announced_length(headers: Headers) -> int | None:
+    """Return the length of the body that a request announces, if any."""
+    values = [value for key, value in headers if key == b"content-length"]
+    return int(values[0]) if values else None
+
+
+def _unsent_bytes(transport: Any) -> int:
+    """Return the bytes in the write buffer of a transport of Twisted."""
+    buffered = len(transport.dataBuffer) - transport.offset
+    # What the last writes added is in no public attribute.
+    return int(buffered + transport._tempDataBufferLen)  # noqa: SLF001
--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -78,6 +78,7 @@
         on_begin: Callable[[], None],
         on_evidence: Callable[[Collection[str]], None],
         on_limit: Callable[[str], None],
+        buffers: ResponseBuffers | None = None,
     ) -> None:
         self._on_begin = on_begin
         self._on_evidence = on_evidence
@@ -87,7 +88,7 @@
         self._log = log
         self._state = state
         self._pool = pool
-        self._buffers = ResponseBuffers()
+        self._buffers = buffers or ResponseBuffers()
 
     async def run(
         self,
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -40,11 +40,13 @@
 )
 from lacewingcleat.load_socket import LoadSocket
 from lacewingcleat.map_driver import MapDriver
+from lacewingcleat.memory_budget import CutReason, MemoryBudget, derive_limits
 from lacewingcleat.peer_configs import PeerConfigs
 from lacewingcleat.platform.config_item import CONFIG_KEY
 from lacewingcleat.platform.settings_file import SETTINGS_VARIABLE, decode_settings
 from lacewingcleat.report_poller import ReportPoller
 from lacewingcleat.request_access import max_key_admission_age
+from lacewingcleat.response_buffers import MAX_BUFFERED_BYTES, ResponseBuffers
 from lacewingcleat.routing_config import RoutingConfig
 from lacewingcleat.server_connection import ServerConnectionPool
 from lacewingcleat.server_rate_limits import NamedLimit
@@ -93,7 +95,10 @@
         self._evidence_exchange = EvidenceExchange(
             self._state.crash_evidence, self._peers
         )
-        self._pool = ServerConnectionPool(reactor)
+        limits = derive_limits(settings.memory_mb, settings.file_descriptors)
+        self._budget = MemoryBudget(limits)
+        self._buffers = ResponseBuffers(limits.response_bytes or MAX_BUFFERED_BYTES)
+        self._pool = ServerConnectionPool(reactor, limits.idle_connections)
         self._store_reader = StoreReader(
             reactor,
             settings.store_address,
@@ -121,6 +126,7 @@
             self._announce_request,
             self._announce_crashes,
             self._announce_limit,
+            self._buffers,
         )
         self._dispatcher = DirectDispatcher(
             settings,
@@ -140,6 +146,8 @@
             self._record_rejected,
             self._record_unread,
             lambda: self._stop.is_stopping,
+            self._budget,
+            self._record_cut,
         )
         self._probe_factory = CallerFactory(reactor, self._respond_to_probe)
         self._was_ready = False
@@ -197,10 +205,20 @@
     def _record_unread(self) -> None:
         self._log.request("caller does not read", read_now())
 
+    def _record_cut(self, reason: CutReason) -> None:
+        self._log.request(
+            "client cut off",
+            read_now(),
+            reason=reason.value,
+            held_bytes=self._budget.held_bytes,
+            connections=self._budget.connection_count,
+        )
+
     def _respond_to_probe(self, request: CallerRequest) -> None:
         now = read_now()
         if request.target.startswith(b"/metrics"):
             self._metrics.config_age.set(min(1e6, self._config_age(now)))
+            self._metrics.set_clients(self._budget, self._buffers.buffered_bytes)
             self._metrics.open_requests.set(self._caller_factory.open_requests)
             self._metrics.store_calls.set(self._store_reader.call_count)
             self._metrics.store_listings.set(self._store_reader.listing_count)
@@ -365,6 +383,7 @@
     def _tick(self) -> None:
         self._reactor.callLater(TICK_INTERVAL_SECONDS, self._tick)
         now = read_now()
+        self._caller_factory.check_budget(now)
         for name in self._state.directory.expire(now):
             self._log.belief("server gone", now, server=name)
         self._state.crash_evidence.expire(now)
--- a/lacewingcleat/direct_settings.py
+++ b/lacewingcleat/direct_settings.py
@@ -40,6 +40,8 @@
     :param control_address: IP address and port for peers, empty if there is none.
     :param seed_addresses: control addresses of some entries; may be out of date.
     :param store_address: IP address and port of the platform's store.
+    :param memory_mb: memory of the instance in MB, none if unknown.
+    :param file_descriptors: descriptors of the instance, none if unknown.
     """
 
     instance: str
@@ -50,3 +52,7 @@
     seed_addresses: tuple[str, ...]
     store_address: str
     bounds: PlatformBounds
+
+    # Memory and descriptors of the instance
+    memory_mb: float | None = None
+    file_descriptors: int | None = None
--- a/lacewingcleat/platform/settings_file.py
+++ b/lacewingcleat/platform/settings_file.py
@@ -1,5 +1,7 @@
 """protocol: the settings file that the platform writes for each process."""
 
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -34,6 +36,11 @@
     control: str = ""
 
 
+class _Limits(msgspec.Struct):
+    memory_mb: Annotated[float, msgspec.Meta(gt=0, le=1e9)] | None = None
+    file_descriptors: Annotated[int, msgspec.Meta(gt=0, le=1 << 31)] | None = None
+
+
 class _File(msgspec.Struct):
     node_name: str
     zone: str
@@ -42,6 +49,7 @@
     platform: _Store
     seeds: list[str] = []
     heartbeat_interval_ms: float = DEFAULT_HEARTBEAT_SECONDS * MS_PER_SECOND
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def decode_settings(data: bytes) -> Result[DirectSettings, str]:
@@ -70,5 +78,7 @@
                 retry_window_seconds=bounds.budget_window_s,
                 heartbeat_seconds=settings.heartbeat_interval_ms / MS_PER_SECOND,
             ),
+            memory_mb=settings.limits.memory_mb,
+            file_descriptors=settings.limits.file_descriptors,
         ),
     )
--- a/lacewingcleat/response_buffers.py
+++ b/lacewingcleat/response_buffers.py
@@ -11,15 +11,24 @@
 MAX_BUFFERED_BYTES = 64 << 20
 
 
+# Responses up to this size have a part of the limit that larger ones cannot use.
+SMALL_RESPONSE_BYTES = 65_536
+LARGE_RESPONSE_SHARE = 0.75
+
+
 class ResponseBuffers:
     """Count the bytes of responses that are being read.
 
+    :param limit_bytes: limit of all responses. A single large response is read even if
+        it exceeds the limit, since it could never be delivered otherwise.
     :ivar buffered_bytes: bytes of all of them.
     """
 
-    __slots__ = ("buffered_bytes",)
+    __slots__ = ("_large_bytes", "_limit_bytes", "buffered_bytes")
 
-    def __init__(self) -> None:
+    def __init__(self, limit_bytes: int = MAX_BUFFERED_BYTES) -> None:
+        self._limit_bytes = limit_bytes
+        self._large_bytes = 0
         self.buffered_bytes = 0
 
     def reserve(self, size: int, added: int) -> bool:
@@ -28,13 +37,27 @@
         :param size: bytes of this response so far.
         :param added: bytes to add to it.
         """
-        if size + added > MAX_RESPONSE_BYTES:
-            return False
-        if self.buffered_bytes + added > MAX_BUFFERED_BYTES:
+        total = size + added
+        if total > MAX_RESPONSE_BYTES or not self._fits(size, added):
             return False
         self.buffered_bytes += added
+        self._large_bytes += _large(total) - _large(size)
         return True
 
+    def _fits(self, size: int, added: int) -> bool:
+        if self.buffered_bytes + added <= self._limit_bytes:
+            return True
+        if size + added > SMALL_RESPONSE_BYTES:
+            return self._large_bytes == _large(size)
+        small_bytes = self.buffered_bytes - self._large_bytes
+        reserve = self._limit_bytes * (1.0 - LARGE_RESPONSE_SHARE)
+        return small_bytes + added <= reserve
+
     def release(self, size: int) -> None:
         """Stop counting the bytes of a response that is no longer buffered."""
         self.buffered_bytes -= size
+        self._large_bytes -= _large(size)
+
+
+def _large(size: int) -> int:
+    return size if size > SMALL_RESPONSE_BYTES else 0
--- a/lacewingcleat/server_connection.py
+++ b/lacewingcleat/server_connection.py
@@ -36,6 +36,9 @@
 MAX_UNREAD_EVENTS = 8
 # Interim responses accepted before a response; servers send one or two, if any.
 MAX_INTERIM_RESPONSES = 8
+# A larger body is written in slices of this size as the server reads it. The transport
+# copies what it buffers, so each attempt would take the size of the body again.
+BODY_SLICE_BYTES = 65_536
 
 # Why connecting to a port fails on which no process listens.
 CONNECTION_REFUSED = ConnectionRefusedError.__name__
@@ -107,6 +110,34 @@
 )
 
 
+class _BodyWriter:
+    """Write a body in slices, each once the transport has written the one before."""
+
+    def __init__(self, http: h11.Connection, transport: Any, body: bytes) -> None:
+        self._http = http
+        self._transport = transport
+        self._body = body
+        self._written_bytes = 0
+
+    def start(self) -> None:
+        """Write the first slice and those that follow."""
+        self._transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """Write the next slice."""
+        start = self._written_bytes
+        data = self._body[start : start + BODY_SLICE_BYTES]
+        self._written_bytes += len(data)
+        self._transport.write(self._http.send(h11.Data(data=data)) or b"")
+        if self._written_bytes == len(self._body):
+            self._transport.write(self._http.send(h11.EndOfMessage()) or b"")
+            self._transport.unregisterProducer()
+
+    def stopProducing(self) -> None:
+        """Release the body, since the connection is closed."""
+        self._body = b""
+
+
 class ServerConnection(Protocol):
     """Send requests to one backend server and parse the responses."""
 
@@ -141,6 +172,10 @@
         self._events.clear()
         head = h11.Request(method=method, target=target, headers=headers)
         parts = [self._http.send(head) or b""]
+        if len(body) > BODY_SLICE_BYTES:
+            self.transport.write(parts[0])
+            _BodyWriter(self._http, self.transport, body).start()
+            return
         if body:
             parts.append(self._http.send(h11.Data(data=body)) or b"")
         parts.append(self._http.send(h11.EndOfMessage()) or b"")
@@ -297,10 +332,14 @@
 
 
 class ServerConnectionPool:
-    """Pool idle connections by server and start time of the server."""
+    """Pool idle connections by server and start time of the server.
 
-    def __init__(self, reactor: Any) -> None:
+    :param max_idle: bound of all idle connections, none for a bound by server only.
+    """
+
+    def __init__(self, reactor: Any, max_idle: int | None = None) -> None:
         self._reactor = reactor
+        self._max_idle = max_idle
         self._idle_by_server: dict[tuple[str, int], list[ServerConnection]] = {}
         self.connect_count = 0
 
@@ -361,7 +400,10 @@
     ) -> None:
         """Add an idle connection, or abort it if the server has the maximum number."""
         idle = self._idle_by_server.setdefault((record.name, record.started_ms), [])
-        if len(idle) >= MAX_IDLE_PER_SERVER or not connection.open:
+        is_full = len(idle) >= MAX_IDLE_PER_SERVER or (
+            self._max_idle is not None and self._count_idle() >= self._max_idle
+        )
+        if is_full or not connection.open:
             connection.abort()
             return
         if keep_alive_seconds is not None:
@@ -370,6 +412,9 @@
         connection.on_closed = lambda lost: _remove_idle(idle, lost)
         idle.append(connection)
 
+    def _count_idle(self) -> int:
+        return sum(map(len, self._idle_by_server.values()))
+
     def close_expired(self, names: set[str], now: float) -> None:
         """Close connections that exceed their idle timeout or whose server is removed.
 
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -5,6 +5,10 @@
 from twisted.internet.testing import StringTransport
 
 from lacewingcleat.caller_connection import (
+    DEFAULT_LIMITS,
+    LINGERING_CLOSE_SECONDS,
+    MAX_LINGERING_SECONDS,
+    MAX_PARTS_OF_ALL_PER_TURN,
     MAX_UNREAD_SECONDS,
     MIN_READ_BYTES_PER_SECOND,
     CallerConnection,
@@ -13,6 +17,7 @@
 )
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+CHUNKED = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 class CallerConnectionTest(TestCase):
@@ -75,3 +80,94 @@
             self.connection.pauseProducing()
             self.clock.advance(1.0)
         self.assertTrue(self.aborted)
+
+
+class WorkTest(TestCase):
+    """Bounds on the work and the time that a caller takes, without any settings."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = Clock()
+        self.requests: list[CallerRequest] = []
+        self.factory = CallerFactory(self.clock, self.requests.append)
+
+    def _connect(self) -> tuple[CallerConnection, StringTransport]:
+        connection: CallerConnection = self.factory.buildProtocol(None)
+        transport = StringTransport()
+        transport.setTcpNoDelay = lambda enabled: None
+        transport.loseWriteConnection = lambda: None
+        connection.makeConnection(transport)
+        return connection, transport
+
+    def test_an_announced_length_over_the_limit_is_refused_at_once(self) -> None:
+        """Guards against reading a body that will be refused."""
+        connection, transport = self._connect()
+        length = DEFAULT_LIMITS.max_body_bytes + 1
+        head = f"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n"
+        connection.dataReceived(head.encode())
+        self.assertTrue(transport.value().startswith(b"HTTP/1.1 413 "))
+        self.assertIn(b"connection: close", transport.value().lower())
+
+    def test_a_head_of_very_many_headers_is_refused(self) -> None:
+        """Guards against headers that take many times their text as objects."""
+        connection, transport = self._connect()
+        connection.dataReceived(b"GET / HTTP/1.1\r\nHost: h\r\n")
+        connection.dataReceived(b"a:b\r\n" * 2000 + b"\r\n")
+        self.assertTrue(transport.value().startswith(b"HTTP/1.1 431 "))
+        self.assertEqual([], self.requests)
+
+    def test_a_head_of_many_headers_is_served(self) -> None:
+        """Guards against refusing heads that ordinary programs send."""
+        connection, _ = self._connect()
+        lines = b"".join(b"X-Header-%d: %d\r\n" % (n, n) for n in range(200))
+        connection.dataReceived(b"GET / HTTP/1.1\r\nHost: h\r\n" + lines + b"\r\n")
+        self.assertEqual(1, len(self.requests))
+
+    def test_slow_headers_do_not_extend_the_time(self) -> None:
+        """Guards against a head of which a byte arrives now and then for ever."""
+        connection, transport = self._connect()
+        connection.dataReceived(b"GET / HTTP/1.1\r\nX: ")
+        for _ in range(int(DEFAULT_LIMITS.header_timeout_seconds * 2)):
+            self.clock.advance(0.5)
+            connection.dataReceived(b"y")
+        self.assertTrue(transport.value().startswith(b"HTTP/1.1 408 "))
+
+    def test_tiny_chunks_are_parsed_in_turns(self) -> None:
+        """Guards against chunks of one byte that block all other callers."""
+        connections = [self._connect() for _ in range(40)]
+        chunks = 1000
+        for connection, transport in connections:
+            connection.dataReceived(CHUNKED + b"1\r\nx\r\n" * chunks)
+            self.assertEqual("paused", transport.producerState)
+        other, _ = self._connect()
+        other.dataReceived(REQUEST)
+        self.assertEqual(1, len(self.requests))
+        for _ in range(2 * 40 * chunks // MAX_PARTS_OF_ALL_PER_TURN):
+            self.clock.advance(0)
+        for connection, transport in connections:
+            self.assertEqual("producing", transport.producerState)
+            connection.dataReceived(b"0\r\n\r\n")
+        bodies = [request.body for request in self.requests[1:]]
+        self.assertEqual([b"x" * chunks] * 40, bodies)
+
+    def test_requests_behind_the_current_one_are_not_read(self) -> None:
+        """Guards against pipelined requests that are kept in memory."""
+        connection, transport = self._connect()
+        connection.dataReceived(REQUEST)
+        connection.dataReceived(REQUEST * 2000)
+        self.assertEqual("paused", transport.producerState)
+        self.requests[0].respond(200, [], b"")
+        self.clock.advance(0)
+        self.assertEqual(2, len(self.requests))
+
+    def test_a_refusal_waits_for_a_caller_that_sends(self) -> None:
+        """Guards against a reset before a caller that still sends has read it."""
+        connection, transport = self._connect()
+        connection.dataReceived(b"\x00\r\n\r\n")
+        steps = int(MAX_LINGERING_SECONDS / LINGERING_CLOSE_SECONDS * 2)
+        for _ in range(steps - 1):
+            self.assertFalse(transport.disconnecting)
+            self.clock.advance(LINGERING_CLOSE_SECONDS / 2)
+            connection.dataReceived(b"x")
+        self.clock.advance(LINGERING_CLOSE_SECONDS / 2)
+        self.assertTrue(transport.disconnecting)
