Accept the memory and descriptors of the instance in the settings

Cause: entries and agents cannot know the memory of their instance. Change: memory_mb and file_descriptors, without a default and not used yet. No measurement; no decision changes.

--- a/lacewingcleat/settings.py
+++ b/lacewingcleat/settings.py
@@ -43,6 +43,8 @@
     :param queue_limit: maximum number of queued requests in the process.
     :param trace_export_address: IP and port of the OTLP/HTTP receiver, empty for none.
     :param trace_sampling_ratio: share of new traces that are recorded, 0 to 1.
+    :param memory_mb: memory of the instance in MB, none for no bound of the process.
+    :param file_descriptors: descriptors of the instance, none for no bound.
     """
 
     instance: str
@@ -58,6 +60,8 @@
     log_level: str = "info"
     trace_export_address: str = ""
     trace_sampling_ratio: float = DEFAULT_TRACE_SAMPLING_RATIO
+    memory_mb: int | None = None
+    file_descriptors: int | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -149,6 +153,8 @@
         "log_level": reader.choice("log_level", LOG_LEVELS, "info"),
         "trace_export_address": reader.address("trace_export_address", ""),
         "trace_sampling_ratio": _read_sampling_ratio(reader),
+        "memory_mb": _read_optional(reader, "memory_mb", 1_000_000),
+        "file_descriptors": _read_optional(reader, "file_descriptors", 10_000_000),
     }
 
 
@@ -188,3 +194,8 @@
 
 def _read_sampling_ratio(reader: RecordReader) -> float:
     return reader.number("trace_sampling_ratio", 0, 1, DEFAULT_TRACE_SAMPLING_RATIO)
+
+
+def _read_optional(reader: RecordReader, name: str, maximum: int) -> int | None:
+    """Read a positive integer; zero and no value mean that there is no bound."""
+    return reader.integer(name, 0, maximum, 0) or None
