Test clients outside our control before an own entry and an agent

Cause: http_server bounds the bodies of a listener at 32 times the body limit, whatever the memory of the instance. Measured on the unchanged product, one test at a time: entry 141 to 156 MB, agent 164 to 190 MB, 472 and 485 descriptors, no response beside chunks of one byte, and refusals lost in resets. The single body is served.

--- a/bench/process_fleet.py
+++ b/bench/process_fleet.py
@@ -29,6 +29,7 @@
     :param token_seconds: time of a step of the engines.
     :param delay_seconds: time that a call of a service takes.
     :param trace_ratio: share of traces that are recorded.
+    :param more_settings: further settings of all entries and agents.
     """
 
     def __init__(
@@ -36,7 +37,9 @@
         token_seconds: float = 0.02,
         delay_seconds: float = 0.0,
         trace_ratio: float = 0.01,
+        more_settings: dict[str, object] | None = None,
     ) -> None:
+        self.more_settings = more_settings or {}
         self.trace_ratio = trace_ratio
         self.ports = PortPool()
         self.directory = tempfile.TemporaryDirectory()
@@ -182,6 +185,7 @@
             "backend_address": self.backend_by_server[name],
             "peers": list(self.control_by_entry.values()),
             "trace_sampling_ratio": self.trace_ratio,
+            **self.more_settings,
         }
         self._spawn(name, "agent_main", self._write(f"agent-{name}", settings))
 
@@ -196,6 +200,7 @@
             "config_address": self.config_address,
             "peers": list(self.control_by_entry.values()),
             "trace_sampling_ratio": self.trace_ratio,
+            **self.more_settings,
         }
         self._spawn(name, "entry_main", self._write(name, settings))
 
