Bound what clients make an own entry or agent hold, by memory_mb

Cause: http_server allowed 32 bodies of the limit for each listener, parsed chunks of one byte without a pause, read bodies over the limit up to four times the limit before it refused them, and did not bound connections. Change: the channels use memory_budget as caller connections do: a request reserves its size before its body is read, received data is parsed in slices and turns, refusals are written while the request arrives and its rest is discarded, connections are bounded. Also fixes the count of unread bytes of a direct entry, which failed for a caller that does not read, and tests it.

--- a/lacewingcleat/admin_server.py
+++ b/lacewingcleat/admin_server.py
@@ -43,9 +43,6 @@
     def handle(self, request: BoundedRequest) -> None:
         """Respond to one request."""
         path = request.path_text()
-        if request.too_large:
-            request.respond(413, "text/plain", b"the body is too large\n")
-            return
         if request.method == b"POST" and path == "/explain" and self._explain_route:
             document = self._explain_route(request.body.getvalue())
             request.respond(200, JSON_CONTENT_TYPE, msgspec.json.encode(document))
--- a/lacewingcleat/agent_server.py
+++ b/lacewingcleat/agent_server.py
@@ -29,7 +29,8 @@
     set_nonempty_headers,
 )
 from lacewingcleat.http_headers import Outcome
-from lacewingcleat.http_server import BoundedFactory, BoundedRequest
+from lacewingcleat.http_server import BoundedFactory, BoundedRequest, ClientCutLog
+from lacewingcleat.memory_budget import MemoryBudget, derive_limits
 from lacewingcleat.problems import Problem, not_run_problem, unknown_problem
 from lacewingcleat.sheet import DEFAULT_PRIORITY
 from lacewingcleat.tickets import (
@@ -88,7 +89,14 @@
         self._responder = AgentResponder(node)
         self._tickets = AgentTickets(node, self._responder)
         self._settings = node.settings
-        self.factory = BoundedFactory(self.handle, node.settings.body_limit_bytes)
+        self.factory = BoundedFactory(
+            self.handle,
+            node.settings.body_limit_bytes,
+            MemoryBudget(
+                derive_limits(self._settings.memory_mb, self._settings.file_descriptors)
+            ),
+            ClientCutLog(node.log.warning).record,
+        )
         node.on_gate_events = self.apply_gate_events
 
     @property
@@ -100,12 +108,6 @@
         """Dispatch a request by its method and path."""
         self._node.check_for_pause()
         path = request.path_text()
-        if request.too_large:
-            detail = f"the body exceeds {self._settings.body_limit_bytes} bytes"
-            self._responder.respond_problem(
-                request, not_run_problem(413, "body-too-large", detail)
-            )
-            return
         match (request.method, path):
             case (b"POST", "/lacewing/tickets"):
                 self._tickets.mint(request)
--- a/lacewingcleat/caller_connection.py
+++ b/lacewingcleat/caller_connection.py
@@ -382,7 +382,7 @@
         """Count the bytes that the caller has not read yet."""
         size = 0
         if self._unread_timer is not None:
-            size = _unsent_bytes(self.transport)
+            size = unsent_bytes(self.transport)
         self._factory.budget.set_unread(self._client, size)
 
     def pauseProducing(self) -> None:
@@ -597,8 +597,8 @@
     return int(values[0]) if values else None
 
 
-def _unsent_bytes(transport: Any) -> int:
+def unsent_bytes(transport: Any) -> int:
     """Return the bytes in the write buffer of a transport of Twisted."""
     buffered = len(transport.dataBuffer) - transport.offset
     # What the last writes added is in no public attribute.
-    return int(buffered + transport._tempDataBufferLen)  # noqa: SLF001
+    return int(buffered + transport._tempDataLen)  # noqa: SLF001
--- a/lacewingcleat/entry_server.py
+++ b/lacewingcleat/entry_server.py
@@ -28,7 +28,8 @@
 from lacewingcleat.entry_dispatch import Dispatcher
 from lacewingcleat.entry_node import EntryNode
 from lacewingcleat.http_headers import Outcome
-from lacewingcleat.http_server import BoundedFactory, BoundedRequest
+from lacewingcleat.http_server import BoundedFactory, BoundedRequest, ClientCutLog
+from lacewingcleat.memory_budget import MemoryBudget, derive_limits
 from lacewingcleat.problems import Problem, not_run_problem
 from lacewingcleat.request_fingerprint import fingerprint_request
 from lacewingcleat.sheet import DEFAULT_PRIORITY, ClientAccount, Service
@@ -57,7 +58,17 @@
         self._node = node
         self._dispatcher = Dispatcher(node)
         self._open_count = 0
-        self.factory = BoundedFactory(self.handle, node.settings.body_limit_bytes)
+        settings = node.settings
+        self.factory = BoundedFactory(
+            self.handle,
+            settings.body_limit_bytes,
+            MemoryBudget(derive_limits(settings.memory_mb, settings.file_descriptors)),
+            ClientCutLog(node.log.warning).record,
+            self._count_refused,
+        )
+
+    def _count_refused(self, problem: Problem) -> None:
+        self._node.metrics.requests.labels(problem.outcome.value, problem.code).inc()
 
     @property
     def open_calls(self) -> int:
@@ -79,7 +90,7 @@
             request.respond_problem(problem, "")
 
     async def _handle(self, request: BoundedRequest) -> None:
-        problem = self._check_readiness(request)
+        problem = self._check_readiness()
         if problem is not None:
             self._refuse_request(request, problem)
             return
@@ -96,11 +107,8 @@
             self._open_count -= 1
             self._record_completion(call)
 
-    def _check_readiness(self, request: BoundedRequest) -> Problem | None:
+    def _check_readiness(self) -> Problem | None:
         node = self._node
-        if request.too_large:
-            detail = f"the body exceeds {node.settings.body_limit_bytes} bytes"
-            return not_run_problem(413, "body-too-large", detail)
         if self._open_count >= node.settings.open_request_limit:
             detail = "the entry has too many open requests"
             return not_run_problem(503, "overload", detail, 1.0)
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -1,8 +1,9 @@
 """Connections of callers that do not read what is sent to them."""
 
 from testtools import TestCase
+from twisted.internet.abstract import FileDescriptor
 from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from lacewingcleat.caller_connection import (
     DEFAULT_LIMITS,
@@ -14,6 +15,7 @@
     CallerConnection,
     CallerFactory,
     CallerRequest,
+    unsent_bytes,
 )
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -82,6 +84,19 @@
         self.assertTrue(self.aborted)
 
 
+class UnsentBytesTest(TestCase):
+    def test_bytes_in_both_buffers_of_a_transport_are_counted(self) -> None:
+        """Guards against a release of Twisted that names its buffers otherwise."""
+        transport = FileDescriptor(MemoryReactorClock())
+        transport.connected = 1
+        transport.writeSomeData = lambda data: 10
+        transport.write(b"x" * 100)
+        self.assertEqual(100, unsent_bytes(transport))
+        transport.doWrite()
+        transport.write(b"x" * 5)
+        self.assertEqual(95, unsent_bytes(transport))
+
+
 class WorkTest(TestCase):
     """Bounds on the work and the time that a caller takes, without any settings."""
 
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -9,7 +9,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -77,10 +77,16 @@
 
 
 class ClientLimitsTest(TestCase):
-    def _check_crowd(self, act: Act, count: int = CROWD, seconds: float = 6.0) -> None:
+    def _check_crowd(
+        self,
+        act: Act,
+        count: int = CROWD,
+        seconds: float = 6.0,
+        more_servers: Sequence[FakeServer] = (),
+    ) -> None:
         slow = FakeServer("i-1", _respond_late)
         fast = FakeServer("i-2", service="t")
-        with run_limited_entry(slow, fast) as entry:
+        with run_limited_entry(slow, fast, *more_servers) as entry:
             with ClientCrowd(entry.port, count, act) as crowd:
                 crowd.wait(seconds)
                 self._check_process(entry)
@@ -176,6 +182,26 @@
 
         self._check_crowd(act)
 
+    def test_responses_that_are_not_read(self) -> None:
+        """Guards against responses that are kept for callers that never read them."""
+        body = b"r" * MAX_BODY_BYTES
+
+        def respond(request: ReceivedRequest, stream: socket.socket) -> bool:
+            stream.sendall(encode_signed_response(request, 200, body))
+            return True
+
+        def act(stream: socket.socket, stopped: threading.Event) -> None:
+            # A small window leaves the response in the entry.
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            for number in range(5):
+                name = f"X-Request-Id: u{id(stream)}-{number}"
+                stream.sendall(make_head("GET", "/get/x", name))
+                stopped.wait(0.5)
+            stopped.wait()
+
+        servers = [FakeServer(f"i-{number}", respond) for number in range(3, 15)]
+        self._check_crowd(act, more_servers=servers)
+
     def test_chunks_of_one_byte(self) -> None:
         """Guards against chunks whose parsing leaves no time for other requests."""
         head = make_head("POST", "/order/x", "Transfer-Encoding: chunked")
