--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -1,5 +1,7 @@
 """Decisions about the memory and connections of clients."""
 
+import json
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -21,8 +23,12 @@
     ProcessLimits,
     derive_limits,
 )
+from lacewingcleat.platform.settings_file import decode_settings
+from lacewingcleat.settings import load_entry_settings
+from tests.entry_process import BOUNDS
 
 MEGABYTE = 1 << 20
+LIMITS = {"memory_mb": 152.5, "file_descriptors": 1535}
 LIMIT = 8 * MEGABYTE
 
 
@@ -256,3 +262,51 @@
     def test_nothing_is_bounded_without_settings(self) -> None:
         """Guards against other bounds in deployments without these settings."""
         self.assertEqual(ProcessLimits(), derive_limits(None, None))
+
+
+class SettingsTest(TestCase):
+    def test_a_direct_entry_reads_the_limits_of_its_instance(self) -> None:
+        """Guards against limits of the platform that have no effect."""
+        decoded = decode_settings(self._direct_file(limits=LIMITS)).unwrap()
+        self.assertEqual((152.5, 1535), (decoded.memory_mb, decoded.file_descriptors))
+
+    def test_missing_limits_bound_nothing(self) -> None:
+        """Guards against a start that fails without limits or bounds without them."""
+        for more in ({}, {"limits": {}}, {"limits": {"cpu_cores": 2}}):
+            decoded = decode_settings(self._direct_file(**more)).unwrap()
+            limits = derive_limits(decoded.memory_mb, decoded.file_descriptors)
+            self.assertEqual(ProcessLimits(), limits)
+
+    def test_senseless_limits_end_the_start(self) -> None:
+        """Guards against a budget that is computed from nonsense."""
+        for value in (0, -1, "152", True, 1e300):
+            data = self._direct_file(limits={"memory_mb": value})
+            self.assertTrue(decode_settings(data).is_err(), value)
+
+    def _direct_file(self, **more: object) -> bytes:
+        settings = {
+            "node_name": "front-1",
+            "zone": "z",
+            "listen_addresses": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+            "bounds": BOUNDS,
+            "platform": {"address": "127.0.0.1:3"},
+            **more,
+        }
+        return json.dumps(settings).encode()
+
+    def test_own_processes_read_the_limits_of_their_instance(self) -> None:
+        """Guards against settings of entries and agents that have no effect."""
+        settings = {
+            "instance": "entry-1",
+            "zone": "z",
+            "request_address": "127.0.0.1:1",
+            "control_address": "127.0.0.1:2",
+            "admin_address": "127.0.0.1:3",
+            "config_address": "127.0.0.1:4",
+        }
+        for more, expected in ((LIMITS, (152, 1535)), ({}, (None, None))):
+            whole = {**settings, **more}
+            if more:
+                whole["memory_mb"] = 152
+            read = load_entry_settings(json.dumps(whole), "x").unwrap()
+            self.assertEqual(expected, (read.memory_mb, read.file_descriptors))
