--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -41,7 +41,6 @@
 from lacewingcleat.server_record import ServerRecord
 from lacewingcleat.server_restrictions import RestrictionReason
 from lacewingcleat.server_signals import ServerSignals
-from lacewingcleat.write_progress import WriteProgress
 
 # Silence before the first event after which a stream that may be resumed is also sent
 # to another server; callers disconnect after 2 s without an event.
@@ -57,8 +56,6 @@
 ANSWER_START_SECONDS = 0.5
 STATUS_UNAVAILABLE = 503
 MAX_ERROR_LENGTH = 200
-# Smaller requests are written at once, see `WriteProgress`.
-MIN_FOLLOWED_BYTES = 1 << 15
 # Requests that may still reach a server that pauses, of those that are being written.
 MAX_WRITES_IN_PAUSE = 2
 # Restrictions that also end requests of which the server has got a part only.
@@ -88,17 +85,17 @@
         on_begin: Callable[[], None],
         on_evidence: Callable[[Collection[str]], None],
         on_limit: Callable[[str], None],
+        buffers: ResponseBuffers | None = None,
     ) -> None:
         self._on_begin = on_begin
         self._on_evidence = on_evidence
         self._on_limit = on_limit
         self._connection_by_attempt: dict[OpenAttempt, ServerConnection] = {}
         self._context_by_attempt: dict[OpenAttempt, RequestContext] = {}
-        self._write_by_attempt: dict[OpenAttempt, WriteProgress] = {}
         self._log = log
         self._state = state
         self._pool = pool
-        self._buffers = ResponseBuffers()
+        self._buffers = buffers or ResponseBuffers()
         self._signals = ServerSignals(state, log)
 
     async def run(
@@ -147,8 +144,8 @@
         A few that cannot be sent again are written to a server that pauses.
         """
         kept_by_run: Counter[str] = Counter()
-        for attempt, write in list(self._write_by_attempt.items()):
-            if not write.is_pending:
+        for attempt, connection in list(self._connection_by_attempt.items()):
+            if not connection.is_writing:
                 continue
             restriction = self._state.find_restriction(attempt.record, now)
             if restriction is None or restriction.reason not in WITHDRAWING_REASONS:
@@ -245,9 +242,6 @@
         self._connection_by_attempt[attempt] = connection
         self._context_by_attempt[attempt] = context
         try:
-            if len(request.body) >= MIN_FOLLOWED_BYTES:
-                write = WriteProgress(connection.transport)
-                self._write_by_attempt[attempt] = write
             connection.send(request.method, request.target, headers, request.body)
             if context.granted.route.kind is RequestKind.STREAM:
                 return await self._read_stream(
@@ -266,7 +260,6 @@
             connection.abort()
             return internal_error_result(record)
         finally:
-            self._end_write(attempt)
             del self._connection_by_attempt[attempt]
             del self._context_by_attempt[attempt]
 
@@ -402,16 +395,10 @@
         head: ResponseHead,
         connection: ServerConnection,
     ) -> None:
-        self._end_write(attempt)
         now = read_now()
         if self._signals.record(context, attempt, head, connection.request_count, now):
             self.withdraw_restricted(now)
 
-    def _end_write(self, attempt: OpenAttempt) -> None:
-        write = self._write_by_attempt.pop(attempt, None)
-        if write is not None:
-            write.end()
-
     def _record_limit(self, attempt: OpenAttempt, head: ResponseHead) -> None:
         limit = names.parse_server_limit(head.header(names.SERVER_LIMIT))
         is_signed = head.header(names.RESPONSE_SIGNATURE) is not None
--- a/lacewingcleat/server_connection.py
+++ b/lacewingcleat/server_connection.py
@@ -36,6 +36,9 @@
 MAX_UNREAD_EVENTS = 8
 # Interim responses accepted before a response; servers send one or two, if any.
 MAX_INTERIM_RESPONSES = 8
+# A larger body is written in slices of this size as the server reads it. The transport
+# copies what it buffers, so each attempt would take the size of the body again.
+BODY_SLICE_BYTES = 65_536
 
 # Why connecting to a port fails on which no process listens.
 CONNECTION_REFUSED = ConnectionRefusedError.__name__
@@ -107,6 +110,42 @@
 )
 
 
+class _BodyWriter:
+    """Write a body in slices, each once the transport has written the one before.
+
+    :ivar is_pending: whether a part of the body is not handed to the system yet.
+    """
+
+    def __init__(self, http: h11.Connection, transport: Any, body: bytes) -> None:
+        self._http = http
+        self._transport = transport
+        self._body = body
+        self._written_bytes = 0
+        self.is_pending = True
+
+    def start(self) -> None:
+        """Write the first slice and those that follow."""
+        self._transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """Write the next slice; the transport has written all slices before."""
+        start = self._written_bytes
+        if start == len(self._body):
+            self.is_pending = False
+            self._transport.unregisterProducer()
+            return
+        data = self._body[start : start + BODY_SLICE_BYTES]
+        self._written_bytes += len(data)
+        self._transport.write(self._http.send(h11.Data(data=data)) or b"")
+        if self._written_bytes == len(self._body):
+            self._transport.write(self._http.send(h11.EndOfMessage()) or b"")
+
+    def stopProducing(self) -> None:
+        """Release the body, since the connection is closed."""
+        self._body = b""
+        self.is_pending = False
+
+
 class ServerConnection(Protocol):
     """Send requests to one backend server and parse the responses."""
 
@@ -121,6 +160,7 @@
         self._response_ended = False
         self._interim_count = 0
         self._awaits_reader = False
+        self._body_writer: _BodyWriter | None = None
         self.open = False
         self.request_count = 0
         self.idle_since = 0.0
@@ -141,11 +181,22 @@
         self._events.clear()
         head = h11.Request(method=method, target=target, headers=headers)
         parts = [self._http.send(head) or b""]
+        if len(body) > BODY_SLICE_BYTES:
+            self.transport.write(parts[0])
+            self._body_writer = _BodyWriter(self._http, self.transport, body)
+            self._body_writer.start()
+            return
+        self._body_writer = None
         if body:
             parts.append(self._http.send(h11.Data(data=body)) or b"")
         parts.append(self._http.send(h11.EndOfMessage()) or b"")
         self.transport.write(b"".join(parts))
 
+    @property
+    def is_writing(self) -> bool:
+        """Return whether a large request is not handed to the system entirely."""
+        return self._body_writer is not None and self._body_writer.is_pending
+
     def next_event(self, timeout_seconds: float) -> "defer.Deferred[ResponseEvent]":
         """Return the next event of the response.
 
@@ -279,6 +330,8 @@
         """Make the connection idle; return false if its response ended uncleanly."""
         if not self.open or not self._request_active or self._events:
             return False
+        if self.is_writing:
+            return False
         trailing, closed = self._http.trailing_data
         if trailing or closed:
             return False
@@ -297,10 +350,14 @@
 
 
 class ServerConnectionPool:
-    """Pool idle connections by server and start time of the server."""
+    """Pool idle connections by server and start time of the server.
 
-    def __init__(self, reactor: Any) -> None:
+    :param max_idle: bound of all idle connections, none for a bound by server only.
+    """
+
+    def __init__(self, reactor: Any, max_idle: int | None = None) -> None:
         self._reactor = reactor
+        self._max_idle = max_idle
         self._idle_by_server: dict[tuple[str, int], list[ServerConnection]] = {}
         self.connect_count = 0
 
@@ -361,7 +418,10 @@
     ) -> None:
         """Add an idle connection, or abort it if the server has the maximum number."""
         idle = self._idle_by_server.setdefault((record.name, record.started_ms), [])
-        if len(idle) >= MAX_IDLE_PER_SERVER or not connection.open:
+        is_full = len(idle) >= MAX_IDLE_PER_SERVER or (
+            self._max_idle is not None and self._count_idle() >= self._max_idle
+        )
+        if is_full or not connection.open:
             connection.abort()
             return
         if keep_alive_seconds is not None:
@@ -370,6 +430,9 @@
         connection.on_closed = lambda lost: _remove_idle(idle, lost)
         idle.append(connection)
 
+    def _count_idle(self) -> int:
+        return sum(map(len, self._idle_by_server.values()))
+
     def close_expired(self, names: set[str], now: float) -> None:
         """Close connections that exceed their idle timeout or whose server is removed.
 
