Bound unread responses at once, and return the memory of large blocks

Cause: with 152 MB, 4 MiB responses and 80 callers that do not read, a direct entry peaked at 184 MB: unread responses beyond the budget were cut off only at the next checks, and the heap kept the memory of freed bodies. Change: a response beyond the budget cuts off the callers that read slowest and longest ago at once; with a memory limit, blocks from 128 KiB are mapped.

--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -20,6 +20,7 @@
 
 from lacewingcleat import __version__
 from lacewingcleat.addresses import split_address
+from lacewingcleat.allocator import return_large_blocks
 from lacewingcleat.caller_connection import CallerFactory, CallerRequest
 from lacewingcleat.clock import read_now
 from lacewingcleat.crash_evidence import CrashRecord
@@ -516,6 +517,8 @@
 ) -> int:
     """Run an entry until it receives a signal to stop; return the exit code."""
     log = DecisionLog(settings.instance)
+    if settings.memory_mb is not None:
+        return_large_blocks()
     entry = DirectEntry(reactor, settings, path, metrics_port, log)
     exit_code = EXIT_OK
 
--- a/lacewingcleat/memory_budget.py
+++ b/lacewingcleat/memory_budget.py
@@ -158,6 +158,8 @@
         self._large_bytes = 0
         self._clients: dict[Client, None] = {}
         self._waiting: deque[Client] = deque()
+        # In the order in which their responses were written.
+        self._unread: dict[Client, None] = {}
         self._checked_at = 0.0
 
     @property
@@ -290,11 +292,36 @@
         """Set the bytes of responses that a client has not read."""
         if size == client.unread_bytes:
             return
+        if not client.unread_bytes:
+            self._unread[client] = None
         client.moved_bytes += max(0, client.unread_bytes - size)
+        is_more = size > client.unread_bytes
         self.held_bytes += size - client.unread_bytes
         client.unread_bytes = size
+        if not size:
+            del self._unread[client]
+        if is_more:
+            self._cut_unread(client)
         self._resume_waiting()
 
+    def _cut_unread(self, newest: Client) -> None:
+        """Cut off clients that do not read, if the budget is exceeded.
+
+        A response cannot wait as a request can. Those that read slowest at the last
+        check go first, then those whose responses are the oldest.
+
+        :param newest: client whose response has just been written; it is kept.
+        """
+        if not self._is_exceeded():
+            return
+        for client in sorted(self._unread, key=lambda item: -item.slow_checks):
+            if client is newest:
+                continue
+            self._cut(client, CutReason.UNREAD_RESPONSE)
+            self.set_unread(client, 0)
+            if not self._is_exceeded():
+                return
+
     def _resume_waiting(self) -> None:
         """Give memory to those that wait, small requests before large ones."""
         if not self._waiting:
--- a/lacewingcleat/node_process.py
+++ b/lacewingcleat/node_process.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer, reactor
 
 from lacewingcleat.admin_server import AdminServer
+from lacewingcleat.allocator import return_large_blocks
 from lacewingcleat.findings import Finding
 from lacewingcleat.http_server import BoundedFactory
 from lacewingcleat.logs import ComponentLogger, configure_logging
@@ -67,6 +68,8 @@
     def start(self) -> None:
         """Open the listeners and start the control plane."""
         settings = self._base_node.base_settings
+        if settings.memory_mb is not None:
+            return_large_blocks()
         self._listeners = [
             listen(self._reactor, settings.request_address, self._base_server.factory),
             listen(self._reactor, settings.admin_address, self.admin.factory),
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -165,15 +165,33 @@
     def test_unread_responses_beyond_the_budget_are_cut_off(self) -> None:
         """Guards against responses of any size that are kept for callers."""
         reading, stalled = self.clients.make(), self.clients.make()
-        self.budget.set_unread(stalled, LIMIT)
-        unread = 2 * MEGABYTE
+        self.budget.set_unread(stalled, LIMIT - MEGABYTE)
+        unread = MEGABYTE
         self.budget.set_unread(reading, unread)
         for step in range(1, SLOW_CHECKS + 1):
             unread -= MIN_BYTES_PER_SECOND
             self.budget.set_unread(reading, unread)
             self.budget.check(step * CHECK_INTERVAL_SECONDS)
+        self.budget.reserve(self.clients.make(), MEGABYTE, 1.0)
+        for step in range(SLOW_CHECKS + 1, 2 * SLOW_CHECKS + 1):
+            unread -= MIN_BYTES_PER_SECOND
+            self.budget.set_unread(reading, unread)
+            self.budget.check(step * CHECK_INTERVAL_SECONDS)
         self.assertEqual([(stalled, CutReason.UNREAD_RESPONSE)], self.clients.cuts)
-        self.assertEqual(unread, self.budget.held_bytes)
+        self.assertEqual(unread + MEGABYTE, self.budget.held_bytes)
+
+    def test_a_burst_of_responses_stays_within_the_budget(self) -> None:
+        """Guards against responses that arrive faster than the checks."""
+        for _ in range(40):
+            self.budget.set_unread(self.clients.make(), MEGABYTE)
+            self.assertLessEqual(self.budget.held_bytes, LIMIT)
+        self.assertEqual(40 - LIMIT // MEGABYTE, len(self.clients.cuts))
+
+    def test_a_single_response_beyond_the_budget_is_kept(self) -> None:
+        """Guards against a response that could never be delivered."""
+        client = self.clients.make()
+        self.budget.set_unread(client, 2 * LIMIT)
+        self.assertEqual([], self.clients.cuts)
 
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(
