--- a/lacewingcleat/caller_connection.py
+++ b/lacewingcleat/caller_connection.py
@@ -466,7 +466,7 @@
 
     def _start_lingering_close(self) -> None:
         self._lingering = True
-        self._client.is_refused = True
+        self._client.is_closing = True
         self._linger_until = self._factory.reactor.seconds() + MAX_LINGERING_SECONDS
         self.transport.loseWriteConnection()
         self._update_reading()
--- a/lacewingcleat/http_server.py
+++ b/lacewingcleat/http_server.py
@@ -437,7 +437,7 @@
                 problem = replace(problem, outcome=Outcome.UNKNOWN, ticket=ticket)
             request.discard_body()
         self.is_refused = True
-        self.client.is_refused = True
+        self.client.is_closing = True
         self._pending = b""
         self.bounded_factory.budget.end_request(self.client, read_now())
         self._cancel_request_line_timer()
--- a/lacewingcleat/memory_budget.py
+++ b/lacewingcleat/memory_budget.py
@@ -102,7 +102,7 @@
     :ivar unread_bytes: bytes of responses that it has not read.
     :ivar moved_bytes: bytes received from it or read by it since the last check.
     :ivar is_served: whether its request is complete and has been passed on.
-    :ivar is_refused: whether its last request is refused and the connection ends.
+    :ivar is_closing: whether its connection ends once it has read the last response.
     :ivar has_been_served: whether a request of this connection was ever complete.
     :ivar idle_since: when it began to have no complete request.
     """
@@ -111,7 +111,7 @@
         "cut",
         "has_been_served",
         "idle_since",
-        "is_refused",
+        "is_closing",
         "is_served",
         "moved_bytes",
         "reserved_bytes",
@@ -134,7 +134,7 @@
         self.waiting_since = 0.0
         self.moved_bytes = 0
         self.slow_checks = 0
-        self.is_refused = False
+        self.is_closing = False
         self.is_served = False
         self.has_been_served = False
 
@@ -185,7 +185,7 @@
                 self._cut(victim, CutReason.IDLE_CONNECTION)
         self._clients[client] = None
         if bound is not None and len(self._clients) > bound:
-            client.is_refused = True
+            client.is_closing = True
             self._count(CutReason.TOO_MANY_CONNECTIONS)
             return False
         return True
@@ -203,12 +203,12 @@
             for client in self._clients
             if not client.is_served
             and not client.unread_bytes
-            and not (client.is_refused and keeps_refused)
+            and not (client.is_closing and keeps_refused)
         )
         return min(
             idle,
             key=lambda item: (
-                not item.is_refused,
+                not item.is_closing,
                 item.reserved_bytes > 0,
                 item.has_been_served,
                 item.idle_since,
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -251,12 +251,12 @@
             self.assertEqual(expected, self.clients.cuts[-1][0])
         self.assertEqual(3, self.budget.connection_count)
 
-    def test_a_connection_is_refused_while_all_are_served(self) -> None:
+    def test_a_connection_is_closing_while_all_are_served(self) -> None:
         """Guards against cutting off requests in progress for new connections."""
         for _ in range(3):
             self.budget.complete_request(self.clients.make(), 0)
         refused = [self.clients.make() for _ in range(100)]
-        self.assertTrue(all(client.is_refused for client in refused))
+        self.assertTrue(all(client.is_closing for client in refused))
         self.assertLessEqual(
             self.budget.connection_count, 3 + MAX_REFUSED_CONNECTIONS + 1
         )
