Let the test of sliced bodies fail where the body is written at once

Cause: without slices the test had nothing to step through and passed. Change: it asserts that the body is not written with the head. Conclusion: the mechanism is guarded.

--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -58,6 +58,7 @@
         """Guards against a copy of the body in the transport for each attempt."""
         self._send()
         written = len(self.transport.value())
+        self.assertLess(written, BODY_SLICE_BYTES)
         while self.transport.producer is not None:
             self.transport.producer.resumeProducing()
             size = len(self.transport.value())
