--- a/lacewingcleat/memory_budget.py
+++ b/lacewingcleat/memory_budget.py
@@ -102,7 +102,7 @@
     :ivar unread_bytes: bytes of responses that it has not read.
     :ivar moved_bytes: bytes received from it or read by it since the last check.
     :ivar is_served: whether its request is complete and has been passed on.
-    :ivar is_refused: whether its last request is refused and the connection ends.
+    :ivar is_closing: whether its connection ends once it has read the last response.
     :ivar has_been_served: whether a request of this connection was ever complete.
     :ivar idle_since: when it began to have no complete request.
     """
@@ -111,7 +111,7 @@
         "cut",
         "has_been_served",
         "idle_since",
-        "is_refused",
+        "is_closing",
         "is_served",
         "moved_bytes",
         "reserved_bytes",
@@ -134,7 +134,7 @@
         self.waiting_since = 0.0
         self.moved_bytes = 0
         self.slow_checks = 0
-        self.is_refused = False
+        self.is_closing = False
         self.is_served = False
         self.has_been_served = False
 
@@ -158,6 +158,8 @@
         self._large_bytes = 0
         self._clients: dict[Client, None] = {}
         self._waiting: deque[Client] = deque()
+        # In the order in which their responses were written.
+        self._unread: dict[Client, None] = {}
         self._checked_at = 0.0
 
     @property
@@ -183,7 +185,7 @@
                 self._cut(victim, CutReason.IDLE_CONNECTION)
         self._clients[client] = None
         if bound is not None and len(self._clients) > bound:
-            client.is_refused = True
+            client.is_closing = True
             self._count(CutReason.TOO_MANY_CONNECTIONS)
             return False
         return True
@@ -201,12 +203,12 @@
             for client in self._clients
             if not client.is_served
             and not client.unread_bytes
-            and not (client.is_refused and keeps_refused)
+            and not (client.is_closing and keeps_refused)
         )
         return min(
             idle,
             key=lambda item: (
-                not item.is_refused,
+                not item.is_closing,
                 item.reserved_bytes > 0,
                 item.has_been_served,
                 item.idle_since,
@@ -290,11 +292,36 @@
         """Set the bytes of responses that a client has not read."""
         if size == client.unread_bytes:
             return
+        if not client.unread_bytes:
+            self._unread[client] = None
         client.moved_bytes += max(0, client.unread_bytes - size)
+        is_more = size > client.unread_bytes
         self.held_bytes += size - client.unread_bytes
         client.unread_bytes = size
+        if not size:
+            del self._unread[client]
+        if is_more:
+            self._cut_unread(client)
         self._resume_waiting()
 
+    def _cut_unread(self, newest: Client) -> None:
+        """Cut off clients that do not read, if the budget is exceeded.
+
+        A response cannot wait as a request can. Those that read slowest at the last
+        check go first, then those whose responses are the oldest.
+
+        :param newest: client whose response has just been written; it is kept.
+        """
+        if not self._is_exceeded():
+            return
+        for client in sorted(self._unread, key=lambda item: -item.slow_checks):
+            if client is newest:
+                continue
+            self._cut(client, CutReason.UNREAD_RESPONSE)
+            self.set_unread(client, 0)
+            if not self._is_exceeded():
+                return
+
     def _resume_waiting(self) -> None:
         """Give memory to those that wait, small requests before large ones."""
         if not self._waiting:
