Tell servers that were tried from full ones, hold orders over two restores

Cause: a refusal after a failed attempt listed the servers that had been tried as full.

Change: servers that were tried, or whose group was, have a reason of their own. A hold is extended with each restore.

Conclusion: no other decision changes.

--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -281,7 +281,9 @@
         if race.has_open:
             return None
         if unsent[0] != CRASHES_SERVER:
-            context.unusable_servers = self._state.explain_refusal(context.service, now)
+            context.unusable_servers = self._state.explain_refusal(
+                context.service, context.failed_servers, now
+            )
         return self._respond_unsent(context, request, *unsent, events)
 
     def _start_alternative(
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -42,7 +42,8 @@
 # The limits of single servers do not hold the share where entries know little of each
 # other.
 MAX_OCCUPANCY_RATIO = 1.1
-# Time for which the reasons of a refusal are reused for further refusals.
+# Time for which the reasons of a refusal are reused, since an overloaded entry refuses
+# many requests for the same ones.
 EXPLANATION_SECONDS = 0.1
 
 
@@ -60,13 +61,26 @@
     pace: GroupPace | None
 
 
+@dataclass(frozen=True, slots=True)
+class _Refusal:
+    """Represent why a service could not take a request.
+
+    :param at: time at which its servers were examined.
+    :param other_servers: names of the servers without a reason.
+    """
+
+    at: float
+    count_by_reason: dict[str, int]
+    other_servers: frozenset[str]
+
+
 class DirectState:
     """Store the configuration, servers, loads and retry budgets of one entry."""
 
     __slots__ = (
         "_bounds",
-        "_explanation_by_service",
         "_occupancy_by_group",
+        "_refusal_by_service",
         "_retry_budget_by_service",
         "_zone",
         "concurrency_limit",
@@ -95,7 +109,7 @@
         self._bounds = bounds
         self._retry_budget_by_service: dict[str, RetryBudget] = {}
         self._occupancy_by_group: dict[str, float] = {}
-        self._explanation_by_service: dict[str, tuple[float, dict[str, int]]] = {}
+        self._refusal_by_service: dict[str, _Refusal] = {}
         self.config: RoutingConfig | None = None
         self.max_event_interval_seconds = 0.0
         self.directory = ServerDirectory(bounds.heartbeat_seconds)
@@ -246,23 +260,46 @@
         reasons = (self.find_unusable_reason(record, now) for record in records)
         return dict(Counter(str(reason) for reason in reasons if reason is not None))
 
-    def explain_refusal(self, service: str, now: float) -> dict[str, int]:
+    def explain_refusal(
+        self, service: str, excluded: frozenset[str], now: float
+    ) -> dict[str, int]:
         """Return why no server of a service was chosen, as a number by reason.
 
-        Servers without another reason are full. The result is kept for a moment, since
-        an overloaded entry refuses many requests for the same reasons.
+        Servers without another reason are full, unless an attempt at them or their
+        group has failed.
+
+        :param excluded: servers at which an attempt has failed.
         """
-        known = self._explanation_by_service.get(service)
-        if known is not None and now - known[0] < EXPLANATION_SECONDS:
-            return known[1]
-        records = self.directory.all_servers(service, now)
-        counts = self.count_unusable(records, now)
-        full = len(records) - sum(counts.values())
-        if full:
-            counts[UnusableReason.FULL] = full
-        self._explanation_by_service[service] = (now, counts)
+        known = self._refusal_by_service.get(service)
+        if known is None or now - known.at >= EXPLANATION_SECONDS:
+            known = self._examine_refusal(service, now)
+            self._refusal_by_service[service] = known
+        counts = dict(known.count_by_reason)
+        failed_groups = self._failed_groups(excluded, now)
+        tried = len(known.other_servers & excluded)
+        if failed_groups:
+            tried = sum(
+                name in excluded or self.groups.find_group_name(name) in failed_groups
+                for name in known.other_servers
+            )
+        full = len(known.other_servers) - tried
+        for reason, count in (
+            (UnusableReason.TRIED, tried),
+            (UnusableReason.FULL, full),
+        ):
+            if count:
+                counts[reason] = count
         return counts
 
+    def _examine_refusal(self, service: str, now: float) -> _Refusal:
+        records = self.directory.all_servers(service, now)
+        other_servers = frozenset(
+            record.name
+            for record in records
+            if self.find_unusable_reason(record, now) is None
+        )
+        return _Refusal(now, self.count_unusable(records, now), other_servers)
+
     def first_release(self, service: str, now: float) -> float | None:
         """Return when the first server of a service may be sent requests again.
 
--- a/lacewingcleat/server_restrictions.py
+++ b/lacewingcleat/server_restrictions.py
@@ -60,6 +60,7 @@
     :cvar LEAVING: its record says that it leaves.
     :cvar UNREGISTERED: its registration has lapsed or may be that of an earlier run.
     :cvar UNREACHABLE: connecting to it has failed.
+    :cvar TRIED: an attempt at it or at its group has failed the request.
     :cvar FULL: it has as many requests as it may have.
     """
 
@@ -69,6 +70,7 @@
     GROUP_CLOSED = "group closed"
     RATE_LIMITED = "rate limited"
     EJECTED = "ejected"
+    TRIED = "tried"
     FULL = "full"
 
 
@@ -335,6 +337,15 @@
         known.ends_at = ends_at
         return True
 
+    def extend_holds(self, ends_at: float, now: float) -> None:
+        """Extend evacuations that end later than now, as the store was restored again.
+
+        :param ends_at: time until which their orders may be written again.
+        """
+        for evacuation in self._evacuation_by_zone.values():
+            if evacuation.ends_at is not None and now < evacuation.ends_at:
+                evacuation.ends_at = max(evacuation.ends_at, ends_at)
+
     def ordered_zones(self) -> list[str]:
         """Return the zones whose evacuation is ordered."""
         return [
--- a/lacewingcleat/store_changes.py
+++ b/lacewingcleat/store_changes.py
@@ -123,6 +123,7 @@
         evacuation last. A store that was restored may lack an order for a moment.
         """
         restrictions = self._state.restrictions
+        restrictions.extend_holds(self._view.rewrites_until, now)
         for zone in restrictions.ordered_zones():
             if encode_evacuation_key(zone) in self._view.item_by_key:
                 continue
--- a/tests/test_server_restrictions.py
+++ b/tests/test_server_restrictions.py
@@ -88,6 +88,18 @@
         self.assertEqual({"a": 1.0}, restrictions.evacuated_since(13.0))
         self.assertIs(None, restrictions.next_release([record], 13.0))
 
+    def test_a_store_that_is_restored_twice(self) -> None:
+        """Guards against the end of a hold before the order may be written again."""
+        restrictions = ServerRestrictions()
+        record = make_record(zone="a")
+        restrictions.order_evacuation("a", 1.0)
+        restrictions.end_evacuation("a", 12.0)
+        restrictions.extend_holds(13.0, 11.0)
+        self.assertIsNot(None, restrictions.find(record, 12.5))
+        self.assertIs(None, restrictions.find(record, 13.0))
+        restrictions.extend_holds(16.0, 14.0)
+        self.assertIs(None, restrictions.find(record, 15.0))
+
     def test_an_order_that_returns_within_a_second(self) -> None:
         """Guards against requests that go on returning to an evacuated zone."""
         restrictions = ServerRestrictions()
@@ -386,8 +398,11 @@
         records = self.state.directory.records()
         self.assertEqual(expected, self.state.count_unusable(records, self.now))
         # The three others have no reason but that they take no more requests.
-        explained = self.state.explain_refusal("s", self.now)
+        explained = self.state.explain_refusal("s", frozenset(), self.now)
         self.assertEqual({**expected, "full": 3}, explained)
+        tried = frozenset(["i-7", "i-1"])
+        explained = self.state.explain_refusal("s", tried, self.now)
+        self.assertEqual({**expected, "full": 2, "tried": 1}, explained)
         # The grace period of the lost registration has ended.
         later = self.now + 2.5
         self.assertIn("unregistered", self.state.count_unusable(records, later))
