Admit requests of direct entries by priority

Cause: a full service refused whoever came while it was full, so the most urgent route was served least.

Change: entries announce their arrival rates by priority, the rate of ends and their requests in flight by service. From the sums each computes the same share of each priority to admit, urgent first with a minimum for each. The priority is sent to the servers. Services without differing priorities are served as before.

--- a/bench/lock_step.py
+++ b/bench/lock_step.py
@@ -159,11 +159,7 @@
             ServerRecord(f"rank-{rank}", SERVICE, "", "z", model.slots, False, 0)
             for rank in range(model.ranks)
         ]
-        self._entries = [_Entry() for _ in range(model.entries)]
-        for entry in self._entries:
-            for rank, record in enumerate(self._records):
-                status = RankStatus(GROUP, 1, rank, model.ranks, True, 1.0)
-                entry.groups.record_status(record.name, status, 0.0)
+        self._entries = [self._make_entry() for _ in range(model.entries)]
         self._streams: list[Stream] = []
         self._announced_at = 0.0
         self._next_arrival = 0.0
@@ -171,6 +167,13 @@
         self._announces_at_once = announces_at_once
         self.outcome = Outcome()
 
+    def _make_entry(self) -> "_Entry":
+        entry = _Entry()
+        for rank, record in enumerate(self._records):
+            status = RankStatus(GROUP, 1, rank, self._model.ranks, True, 1.0)
+            entry.groups.record_status(record.name, status, 0.0)
+        return entry
+
     def run(self, seconds: float) -> Outcome:
         """Play some seconds; return what callers got after the warm-up."""
         now = 0.0
@@ -213,7 +216,7 @@
             name = self._records[stream.rank].name
             if stream.last_event_at is None:
                 waited = now - stream.arrived_at
-                stream.is_late |= waited > model.first_event_objective
+                stream.is_late |= waited > self._objective(stream)
             else:
                 interval = now - stream.last_event_at
                 stream.is_late |= interval > model.max_event_interval
@@ -223,11 +226,17 @@
             if stream.events_left:
                 continue
             entry.loads.end_request(name)
-            if stream.arrived_at > WARM_UP_SECONDS:
-                self.outcome.late += stream.is_late
-                self.outcome.in_time += not stream.is_late
+            self._finish(stream)
         self._streams = [stream for stream in self._streams if stream.events_left]
 
+    def _objective(self, stream: Stream) -> float:
+        return self._model.first_event_objective
+
+    def _finish(self, stream: Stream) -> None:
+        if stream.arrived_at > WARM_UP_SECONDS:
+            self.outcome.late += stream.is_late
+            self.outcome.in_time += not stream.is_late
+
     def _admit(self, now: float) -> None:
         number = self._arrivals.randrange(self._model.entries)
         events = max(1, round(self._arrivals.expovariate(1.0 / self._model.events)))
--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -102,13 +102,17 @@
         :param events: position in the stream, for the events of this attempt.
         :param race: all attempts of the request.
         """
-        loads = self._state.loads
+        loads, admission = self._state.loads, self._state.admission
         loads.begin_request(attempt.record.name)
+        admission.record_begin(attempt.record.service, read_now())
         self._on_begin()
+        has_run = False
         try:
             result = await self._run_attempt(context, request, attempt, events, race)
+            has_run = result.attempt.response is not ResponseKind.NOT_RUN
         finally:
             loads.end_request(attempt.record.name)
+            admission.record_end(attempt.record.service, has_run, read_now())
         if attempt.sent_at is None or context.cancelled or attempt.superseded:
             return result
         if is_answer_lost(result) and not attempt.survived_start:
@@ -206,6 +210,9 @@
         context.send_count += 1
         attempt.sent_at = now
         headers = make_request_headers(context, request, record, events, now)
+        if self._state.admission.is_active(record.service):
+            priority = context.granted.priority
+            headers.append((names.REQUEST_PRIORITY, b"%d" % priority))
         self._connection_by_attempt[attempt] = connection
         self._context_by_attempt[attempt] = context
         try:
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -49,6 +49,7 @@
 DEFAULT_CALLER_TIMEOUT_SECONDS = 2.0
 CRASHES_SERVER = "crashes-server"
 STOPPING = "stopping"
+REFUSED_PRIORITY = "refused-priority"
 
 
 class DirectDispatcher:
@@ -230,7 +231,9 @@
         race = AttemptRace(lambda attempt: self._runner.cancel(attempt, SUPERSEDED))
         request.on_disconnect = lambda: self._abandon(context, race)
         try:
-            answer = self._start_attempt(context, request, events, race)
+            answer = self._refuse_by_priority(context, request, events)
+            if answer is None:
+                answer = self._start_attempt(context, request, events, race)
             while answer is None:
                 match await race.next_notice():
                     case AttemptSilent(attempt):
@@ -243,6 +246,40 @@
         finally:
             race.end()
 
+    def _refuse_by_priority(
+        self, context: RequestContext, request: CallerRequest, events: ResumableEvents
+    ) -> tuple[int, str] | None:
+        """Answer a request whose priority is to be refused now.
+
+        A stream that is resumed has been admitted before.
+        """
+        admission = self._state.admission
+        if not admission.is_active(context.service) or events.last_event_id is not None:
+            return None
+        now = read_now()
+        priority = context.granted.priority
+        admission.record_arrival(context.service, priority, now)
+        decision = admission.decide(
+            context.service, priority, self._state.random.random()
+        )
+        self._metrics.count_admission(priority, decision.admitted)
+        if decision.admitted:
+            return None
+        self._log.request(
+            "refused by priority",
+            now,
+            request=context.request_id,
+            service=context.service,
+            priority=priority,
+            share=round(decision.share, 3),
+            capacity=round(decision.capacity, 1),
+            demand=round(decision.demand, 1),
+            occupancy=round(decision.occupancy, 3),
+        )
+        return self._respond_unsent(
+            context, request, REFUSED_PRIORITY, NotRunCause.LOADED, events
+        )
+
     def _abandon(self, context: RequestContext, race: AttemptRace) -> None:
         """End all work on a request whose caller has disconnected."""
         context.cancelled = True
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -291,6 +291,7 @@
             crashes,
             limits,
             self._peer_configs.in_force(now),
+            self._state.admission.next_message(now),
         )
         self._peer_socket.send(message, recipients)
 
@@ -325,6 +326,7 @@
             self._state.loads.record_peer_counts(
                 load.instance, load.count_by_server, now
             )
+            self._state.admission.record_peer(load.instance, load.demands, now)
             self._record_peer_config(load, now)
             if is_new_process:
                 # It is not ready before it knows the version in force here.
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -9,6 +9,7 @@
     """Define the metrics of one process in its own registry."""
 
     __slots__ = (
+        "admissions",
         "config_age",
         "crashes",
         "internal_errors",
@@ -39,6 +40,12 @@
             ["status", "reason"],
             registry=self.registry,
         )
+        self.admissions = Counter(
+            "lacewing_direct_admissions_total",
+            "Requests to services with several priorities, by priority and decision.",
+            ["priority", "decision"],
+            registry=self.registry,
+        )
         self.retries = Counter(
             "lacewing_direct_retries_total",
             "Attempts after the first one, by the end of the one before.",
@@ -133,6 +140,11 @@
             registry=self.registry,
         )
 
+    def count_admission(self, priority: int, admitted: bool) -> None:
+        """Count a decision on admission."""
+        decision = "admitted" if admitted else "refused"
+        self.admissions.labels(str(priority), decision).inc()
+
     def count_request(self, status: int, reason: str) -> None:
         """Count a completed request.
 
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -13,6 +13,10 @@
 from lacewingcleat.load_gossip import LoadGossip
 from lacewingcleat.load_view import Target
 from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent
+from lacewingcleat.priority_admission import (
+    PriorityAdmission,
+    find_prioritized_services,
+)
 from lacewingcleat.request_context import RequestContext
 from lacewingcleat.retries import RetryBudget, RetryPolicy
 from lacewingcleat.routing_config import EngineCapacity, RoutingConfig
@@ -60,6 +64,7 @@
         "_occupancy_by_group",
         "_retry_budget_by_service",
         "_zone",
+        "admission",
         "concurrency_limit",
         "config",
         "connection_backoff",
@@ -94,6 +99,7 @@
         self.crash_evidence = CrashEvidence()
         self.outliers = OutlierEjection()
         self.concurrency_limit = AdaptiveConcurrencyLimit()
+        self.admission = PriorityAdmission()
         self.peers = peers
         self.random = random
         self.rate_limits = ServerRateLimits(peers.own_address)
@@ -154,6 +160,7 @@
             return False
         self.config = config
         self.max_event_interval_seconds = config.min_event_interval_seconds()
+        self.admission.set_services(find_prioritized_services(config))
         return True
 
     def choose_server(
@@ -266,8 +273,29 @@
             ):
                 share = self.concurrency_limit.slot_share(name)
                 changes.append(LimitChange(name, share, occupancy, pace))
+        self._update_admission(now)
         return changes
 
+    def _update_admission(self, now: float) -> None:
+        """Update the admission to the services whose requests differ in priority."""
+        self.admission.peer_ttl = self.peers.counts_ttl()
+        for service in self.admission.services:
+            records = [
+                record
+                for record in self.directory.accepting_servers(service, now)
+                if self.groups.is_open(record.name)
+            ]
+            usable_slots = sum(
+                record.slots
+                * self.concurrency_limit.slot_share(
+                    self.groups.find_group_name(record.name)
+                )
+                for record in records
+            )
+            slots = sum(record.slots for record in records)
+            requests = sum(self.loads.estimate(record.name, now) for record in records)
+            self.admission.update(service, slots, usable_slots, requests, now)
+
     def _occupancy(self, records: Iterable[ServerRecord], now: float) -> float:
         """Return the estimated number of requests per slot of some servers."""
         slots, requests = 0, 0.0
--- /dev/null
+++ b/lacewingcleat/priority_admission.py
@@ -0,0 +1,356 @@
+"""coordination: admission by priority of the requests to a service short of capacity.
+
+Answers services whose callers ask for more than the servers can serve in time. Each
+entry announces the arrival rates of its callers by priority and the rate at which its
+requests end. From the sums over all entries, each computes the same shares of requests
+to admit: urgent priorities first, with a minimum for each. Without this, the servers'
+limits refuse whoever arrives while they are full, whatever the priority.
+
+The rate that can be admitted is the rate at which requests end, corrected by the free
+or excess slots over a correction time. An entry that knows too little of its peers
+therefore errs by a bounded number of slots, since the servers' own loads are known.
+"""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+from math import exp
+
+import msgspec
+
+from lacewingcleat.routing_config import RoutingConfig
+
+# Time constant of the arrival and completion rates. Bursts last some seconds, and with
+# a shorter time the rates of an entry with few callers are mostly noise.
+RATE_SECONDS = 1.0
+# Time over which free or excess slots are corrected. It must exceed the age of the
+# counts, half a second to a second in large fleets, or the correction oscillates.
+CORRECTION_SECONDS = 1.0
+# Fraction of the slots in use at which the admitted rate equals the rate of ends. The
+# rest is kept for urgent requests that arrive before the others are refused.
+TARGET_RATIO = 0.94
+# Occupancy, as a fraction of all slots, below which nothing is refused: callers must
+# not be refused while servers are half empty, and counts may be a little late.
+FREE_OCCUPANCY = 0.5
+# Lower bound of the target, as a fraction of all slots, so that the number of requests
+# seldom varies to below half of the slots.
+MIN_TARGET_OCCUPANCY = 0.55
+# Minimum share of a priority, as a fraction of the mean share of all. No route may be
+# served less than a quarter as often as the mean; the rest covers delayed information.
+MIN_SHARE_RATIO = 0.35
+# Largest number of priorities of a service that are accepted from a peer.
+MAX_PRIORITIES = 10
+# Largest number of services that are accepted from a peer.
+MAX_SERVICES = 64
+# Largest rate that is accepted from a peer, far above what one entry can serve.
+MAX_RATE = 1e6
+
+
+class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Announce what the callers of one entry ask of a service.
+
+    :param rate_by_priority: arrivals a second by priority.
+    :param ended_rate: requests that end at the servers, a second.
+    :param in_flight: requests that the entry has at the servers.
+    """
+
+    service: str
+    rate_by_priority: dict[int, float]
+    ended_rate: float = 0.0
+    in_flight: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Represent a decision with its inputs.
+
+    :param share: share of the requests of this priority that is admitted.
+    :param capacity: requests a second that can be admitted, all priorities.
+    :param demand: arrivals a second of all entries, all priorities.
+    :param occupancy: requests in flight per slot that may be used.
+    """
+
+    admitted: bool
+    priority: int
+    share: float = 1.0
+    capacity: float = 0.0
+    demand: float = 0.0
+    occupancy: float = 0.0
+
+
+class RateMeter:
+    """Measure a rate of events by an exponential moving average."""
+
+    __slots__ = ("_rate", "_started_at", "_updated_at")
+
+    def __init__(self, now: float) -> None:
+        self._rate = 0.0
+        self._started_at = now
+        self._updated_at = now
+
+    def count(self, now: float) -> None:
+        """Count one event."""
+        self._decay(now)
+        self._rate += 1.0 / RATE_SECONDS
+
+    def rate(self, now: float) -> float:
+        """Return events a second; corrected for the time since the start."""
+        self._decay(now)
+        known = 1.0 - exp(-(now - self._started_at) / RATE_SECONDS)
+        return self._rate / max(0.2, known)
+
+    def _decay(self, now: float) -> None:
+        if now > self._updated_at:
+            self._rate *= exp((self._updated_at - now) / RATE_SECONDS)
+            self._updated_at = now
+
+
+@dataclass(slots=True)
+class _Service:
+    """Hold what is known of one service.
+
+    :ivar slots: all slots of its servers.
+    :ivar usable_slots: slots that may be used under the concurrency limits.
+    :ivar in_flight: requests that this entry has at its servers.
+    :ivar peer_in_flight: the same of the other entries, as they announced them.
+    :ivar unannounced: further requests that the servers have reported.
+    :ivar rate_by_priority: arrivals a second of all entries.
+    :ivar ended_rate: requests that end, a second, of all entries.
+    """
+
+    ended: RateMeter
+    arrivals_by_priority: dict[int, RateMeter]
+    slots: float = 0.0
+    usable_slots: float = 0.0
+    in_flight: int = 0
+    peer_in_flight: int = 0
+    unannounced: float = 0.0
+    rate_by_priority: dict[int, float] = field(default_factory=dict)
+    ended_rate: float = 0.0
+
+    @property
+    def requests(self) -> float:
+        """Return the estimated requests at its servers."""
+        return self.in_flight + self.peer_in_flight + self.unannounced
+
+
+def find_prioritized_services(config: RoutingConfig) -> frozenset[str]:
+    """Return the services whose requests differ in priority."""
+    account_priorities = {
+        account.priority for account in config.account_by_key.values()
+    }
+    priorities_by_service: dict[str, set[int]] = {}
+    for routes in config.routes_by_host.values():
+        for route in routes:
+            priorities = {route.priority}
+            if config.requires_keys and not route.public:
+                priorities = {
+                    route.priority if priority is None else priority
+                    for priority in account_priorities
+                }
+            for item in route.weighted_services:
+                if item.weight > 0.0:
+                    priorities_by_service.setdefault(item.service, set()).update(
+                        priorities
+                    )
+    return frozenset(
+        name for name, found in priorities_by_service.items() if len(found) > 1
+    )
+
+
+def compute_shares(
+    rate_by_priority: Mapping[int, float], capacity: float
+) -> dict[int, float]:
+    """Return the share of the requests of each priority to admit.
+
+    More urgent priorities are served first, except for a minimum of each.
+
+    :param capacity: requests a second that can be admitted.
+    """
+    demand = sum(rate_by_priority.values())
+    if capacity >= demand:
+        return dict.fromkeys(rate_by_priority, 1.0)
+    minimum = MIN_SHARE_RATIO * max(0.0, capacity) / demand
+    remaining = max(0.0, capacity) * (1.0 - MIN_SHARE_RATIO)
+    shares = {}
+    for priority in sorted(rate_by_priority):
+        wanted = (1.0 - minimum) * rate_by_priority[priority]
+        if wanted < remaining:
+            remaining -= wanted
+            shares[priority] = 1.0
+        else:
+            extra = (1.0 - minimum) * remaining / wanted if wanted else 0.0
+            shares[priority] = minimum + extra
+            remaining = 0.0
+    return shares
+
+
+def _is_valid(demand: ServiceDemand) -> bool:
+    """Return whether an announcement can be used.
+
+    One negative or infinite figure would change the shares at all entries.
+    """
+    rates = [demand.ended_rate, *demand.rate_by_priority.values()]
+    return (
+        len(demand.rate_by_priority) <= MAX_PRIORITIES
+        and demand.in_flight >= 0
+        and all(0.0 <= rate <= MAX_RATE for rate in rates)
+    )
+
+
+class PriorityAdmission:
+    """Admit or refuse requests by priority where a service lacks capacity."""
+
+    __slots__ = ("_active", "_demands_by_peer", "_service_by_name", "peer_ttl")
+
+    def __init__(self) -> None:
+        self.peer_ttl = 1.5
+        self._active: frozenset[str] = frozenset()
+        self._service_by_name: dict[str, _Service] = {}
+        self._demands_by_peer: dict[str, tuple[float, dict[str, ServiceDemand]]] = {}
+
+    def set_services(self, services: Collection[str]) -> None:
+        """Set the services whose routes or accounts differ in priority."""
+        if self._active == frozenset(services):
+            return
+        self._active = frozenset(services)
+        # Peers repeat their announcements within some tenths of a second.
+        for peer in list(self._demands_by_peer):
+            self._remove_peer(peer)
+        for name in [name for name in self._service_by_name if name not in services]:
+            del self._service_by_name[name]
+
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services whose requests are admitted by priority."""
+        return self._active
+
+    def is_active(self, service: str) -> bool:
+        """Return whether requests of a service are admitted by priority."""
+        return service in self._active
+
+    def record_arrival(self, service: str, priority: int, now: float) -> None:
+        """Count the arrival of a request."""
+        if service not in self._active:
+            return
+        meters = self._get(service, now).arrivals_by_priority
+        meters.setdefault(priority, RateMeter(now)).count(now)
+
+    def record_begin(self, service: str, now: float) -> None:
+        """Count a request that is sent to a server."""
+        if service in self._active:
+            self._get(service, now).in_flight += 1
+
+    def record_end(self, service: str, has_run: bool, now: float) -> None:
+        """Count the end of a request at a server.
+
+        :param has_run: whether the request took a slot of the server.
+        """
+        if service in self._active:
+            state = self._get(service, now)
+            if has_run:
+                state.ended.count(now)
+            state.in_flight = max(0, state.in_flight - 1)
+
+    def record_peer(
+        self, peer: str, demands: Collection[ServiceDemand], now: float
+    ) -> None:
+        """Record the announcement of another entry."""
+        known = {
+            demand.service: demand
+            for demand in list(demands)[:MAX_SERVICES]
+            if demand.service in self._active and _is_valid(demand)
+        }
+        self._remove_peer(peer)
+        if known:
+            self._demands_by_peer[peer] = (now, known)
+            for name, demand in known.items():
+                self._get(name, now).peer_in_flight += demand.in_flight
+
+    def _remove_peer(self, peer: str) -> None:
+        _, known = self._demands_by_peer.pop(peer, (0.0, {}))
+        for name, demand in known.items():
+            service = self._service_by_name.get(name)
+            if service is not None:
+                service.peer_in_flight -= demand.in_flight
+
+    def next_message(self, now: float) -> list[ServiceDemand]:
+        """Return the announcement of this entry."""
+        return [
+            ServiceDemand(
+                name,
+                {
+                    priority: round(meter.rate(now), 2)
+                    for priority, meter in service.arrivals_by_priority.items()
+                },
+                round(service.ended.rate(now), 2),
+                service.in_flight,
+            )
+            for name, service in self._service_by_name.items()
+        ]
+
+    def update(
+        self,
+        service: str,
+        slots: float,
+        usable_slots: float,
+        requests: float,
+        now: float,
+    ) -> None:
+        """Sum up what the entries have announced.
+
+        :param slots: all slots of the servers of the service.
+        :param usable_slots: slots that may be used under the concurrency limits.
+        :param requests: requests at the servers, estimated from their own reports too.
+        """
+        if service not in self._active:
+            return
+        state = self._get(service, now)
+        state.slots, state.usable_slots = slots, usable_slots
+        rates = {
+            priority: meter.rate(now)
+            for priority, meter in state.arrivals_by_priority.items()
+        }
+        state.ended_rate = state.ended.rate(now)
+        for peer, (received_at, demands) in list(self._demands_by_peer.items()):
+            if now - received_at > self.peer_ttl:
+                self._remove_peer(peer)
+                continue
+            demand = demands.get(service)
+            if demand is None:
+                continue
+            state.ended_rate += demand.ended_rate
+            for priority, rate in demand.rate_by_priority.items():
+                rates[priority] = rates.get(priority, 0.0) + rate
+        state.rate_by_priority = rates
+        announced = state.in_flight + state.peer_in_flight
+        state.unannounced = max(0.0, requests - announced)
+
+    def decide(self, service: str, priority: int, random_fraction: float) -> Decision:
+        """Return whether a request is admitted.
+
+        :param random_fraction: random number, uniformly distributed from 0 to 1.
+        """
+        state = self._service_by_name.get(service)
+        if state is None or state.requests < FREE_OCCUPANCY * state.slots:
+            return Decision(True, priority)
+        target = max(
+            TARGET_RATIO * state.usable_slots, MIN_TARGET_OCCUPANCY * state.slots
+        )
+        free = target - state.requests
+        capacity = max(0.0, state.ended_rate + free / CORRECTION_SECONDS)
+        rates = {priority: 0.0} | state.rate_by_priority
+        share = compute_shares(rates, capacity)[priority]
+        return Decision(
+            random_fraction < share,
+            priority,
+            share,
+            capacity,
+            sum(state.rate_by_priority.values()),
+            state.requests / max(1.0, state.usable_slots),
+        )
+
+    def _get(self, name: str, now: float) -> _Service:
+        service = self._service_by_name.get(name)
+        if service is None:
+            service = self._service_by_name[name] = _Service(RateMeter(now), {})
+        return service
--- /dev/null
+++ b/tests/test_priority_admission.py
@@ -0,0 +1,178 @@
+"""Admit requests by priority where a service lacks capacity."""
+
+from itertools import pairwise
+from random import Random
+
+from testtools import TestCase
+
+from bench.priority_load import Outcomes, PrioritySimulation
+from lacewingcleat.priority_admission import (
+    MIN_SHARE_RATIO,
+    PriorityAdmission,
+    ServiceDemand,
+    compute_shares,
+    find_prioritized_services,
+)
+from lacewingcleat.routing_config import ConfigAccount
+from tests.builders_direct import make_config, make_route
+
+SERVICE = "s"
+SIMULATED_SECONDS = 25.0
+# A less urgent route may be served more often than a more urgent one by this at most.
+MAX_INVERSION = 0.05
+# Least share of a route, as a fraction of the mean share.
+MIN_SERVED_RATIO = 0.25
+
+
+def _play(entries: int, load: float, seed: int, by_priority: bool) -> Outcomes:
+    simulation = PrioritySimulation(entries, load, seed, by_priority)
+    return simulation.play(SIMULATED_SECONDS)
+
+
+class LoadTest(TestCase):
+    """Play more load than a group can serve and check what callers get."""
+
+    def _check(self, entries: int, load: float, seed: int) -> None:
+        outcomes = _play(entries, load, seed, by_priority=True)
+        before = _play(entries, load, seed, by_priority=False)
+        served = [got.served_share for got in outcomes.by_priority]
+        for urgent, other in pairwise(served):
+            self.assertLessEqual(other, urgent + MAX_INVERSION, served)
+        callers = sum(got.callers for got in outcomes.by_priority)
+        mean = sum(got.in_time + got.late for got in outcomes.by_priority) / callers
+        self.assertGreaterEqual(min(served), MIN_SERVED_RATIO * mean, served)
+        urgent_before = before.by_priority[0]
+        self.assertGreater(served[0], urgent_before.served_share + 0.1)
+        self.assertGreater(outcomes.value_share, before.value_share)
+
+    def test_few_entries(self) -> None:
+        """Guards against serving the most urgent route least."""
+        self._check(8, 1.2, 3)
+
+    def test_entries_of_a_large_deployment(self) -> None:
+        """Guards against entries that disagree, as they learn counts late."""
+        self._check(29, 1.2, 3)
+
+    def test_many_entries_with_few_callers_each(self) -> None:
+        """Guards against rates too noisy to decide by, and against old counts."""
+        self._check(67, 1.4, 3)
+
+
+class ComputeSharesTest(TestCase):
+    def test_enough_capacity_admits_all(self) -> None:
+        """Guards against refusals while there is capacity."""
+        self.assertEqual({0: 1.0, 2: 1.0}, compute_shares({0: 5.0, 2: 5.0}, 10.0))
+
+    def test_urgent_requests_come_first_but_for_a_minimum(self) -> None:
+        """Guards against starving a route, and against serving all alike."""
+        shares = compute_shares({0: 10.0, 1: 10.0, 2: 10.0}, 15.0)
+        self.assertGreater(shares[0], 0.99)
+        self.assertAlmostEqual(MIN_SHARE_RATIO * 0.5, shares[2])
+        self.assertAlmostEqual(15.0, 10.0 * sum(shares.values()))
+
+    def test_shares_never_rise_with_less_urgency(self) -> None:
+        """Guards against a less urgent route that is served more often."""
+        random = Random(1)
+        for _ in range(500):
+            rates = {p: random.uniform(0.0, 50.0) for p in range(4)}
+            capacity = random.uniform(0.0, 150.0)
+            shares = list(compute_shares(rates, capacity).values())
+            self.assertEqual(shares, sorted(shares, reverse=True))
+            self.assertTrue(all(-1e-9 <= share <= 1.0 + 1e-9 for share in shares))
+
+    def test_no_demand_and_no_capacity(self) -> None:
+        """Guards against a division by zero after a start."""
+        self.assertEqual({}, compute_shares({}, 0.0))
+        self.assertEqual({1: 0.0}, compute_shares({1: 3.0}, 0.0))
+
+
+class PriorityAdmissionTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.admission = PriorityAdmission()
+        self.admission.set_services([SERVICE])
+
+    def _fill(self, in_flight: int, rates: dict[int, float]) -> None:
+        demand = ServiceDemand(SERVICE, rates, 20.0, in_flight)
+        self.admission.record_peer("p", [demand], 0.0)
+        self.admission.update(SERVICE, 100.0, 80.0, in_flight, 0.0)
+
+    def test_an_entry_yields_to_urgent_callers_of_others(self) -> None:
+        """Guards against entries that fill the servers with their own batch work."""
+        self.admission.record_arrival(SERVICE, 2, 0.0)
+        self._fill(80, {0: 20.0})
+        self.assertTrue(self.admission.decide(SERVICE, 0, 0.5).admitted)
+        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5).admitted)
+
+    def test_nothing_is_refused_while_servers_are_half_empty(self) -> None:
+        """Guards against refusals beside free slots."""
+        self._fill(49, {0: 500.0, 2: 500.0})
+        self.assertTrue(self.admission.decide(SERVICE, 2, 0.999).admitted)
+
+    def test_peers_that_are_silent_are_forgotten(self) -> None:
+        """Guards against yielding to the callers of entries that are gone."""
+        self._fill(80, {0: 500.0})
+        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5).admitted)
+        later = self.admission.peer_ttl + 0.1
+        self.admission.record_arrival(SERVICE, 2, later)
+        self.admission.update(SERVICE, 100.0, 80.0, 0.0, later)
+        self.assertTrue(self.admission.decide(SERVICE, 2, 0.5).admitted)
+
+    def test_servers_loads_count_without_peers(self) -> None:
+        """Guards against a half of a partition that fills what the other half uses."""
+        self.admission.record_arrival(SERVICE, 2, 0.0)
+        self.admission.update(SERVICE, 100.0, 80.0, 90.0, 0.0)
+        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5).admitted)
+
+    def test_impossible_figures_of_peers_are_ignored(self) -> None:
+        """Guards against one datagram that stops all admission."""
+        for rate, in_flight in (
+            (float("nan"), 1),
+            (float("inf"), 1),
+            (-1.0, 1),
+            (1.0, -5),
+        ):
+            self._fill(0, {0: 1.0})
+            bad = ServiceDemand(SERVICE, {0: rate}, 1.0, in_flight)
+            self.admission.record_peer("q", [bad], 0.0)
+            self.admission.update(SERVICE, 100.0, 80.0, 0.0, 0.0)
+            self.assertTrue(self.admission.decide(SERVICE, 2, 0.9).admitted)
+            (message,) = self.admission.next_message(0.0)
+            self.assertEqual(0, message.in_flight)
+
+    def test_counts_survive_a_change_of_the_services(self) -> None:
+        """Guards against negative counts after a configuration change."""
+        self._fill(80, {0: 500.0})
+        self.admission.set_services([])
+        self.admission.set_services([SERVICE])
+        self._fill(80, {0: 500.0})
+        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5).admitted)
+
+
+class FindPrioritizedServicesTest(TestCase):
+    def test_equal_priorities_leave_the_decision_as_it_was(self) -> None:
+        """Guards against another decision where no priority differs."""
+        config = make_config(make_route("a", "/a/"), make_route("b", "/b/"))
+        services = find_prioritized_services(config)
+        self.assertEqual(frozenset(), services)
+        admission = PriorityAdmission()
+        admission.set_services(services)
+        for _ in range(1_000):
+            admission.record_arrival("s", 1, 0.0)
+        admission.update("s", 6.0, 6.0, 100.0, 0.0)
+        self.assertTrue(admission.decide("s", 1, 0.999).admitted)
+        self.assertEqual([], admission.next_message(0.0))
+
+    def test_routes_or_accounts_may_differ(self) -> None:
+        """Guards against ignoring the priority of an account."""
+        routes = make_route("a", "/a/"), make_route("b", "/b/", priority=2)
+        self.assertEqual({"s"}, find_prioritized_services(make_config(*routes)))
+        keys = {"k": ConfigAccount("acme", None), "l": ConfigAccount("batch", 4)}
+        config = make_config(make_route(), keys=keys)
+        self.assertEqual({"s"}, find_prioritized_services(config))
+
+    def test_priority_of_all_accounts_takes_precedence(self) -> None:
+        """Guards against differing routes whose callers all have the same priority."""
+        routes = make_route("a", "/a/"), make_route("b", "/b/", priority=2)
+        config = make_config(*routes, keys={"k": ConfigAccount("acme", 3)})
+        self.assertEqual(frozenset(), find_prioritized_services(config))
