Prefer callers that return when they were told to

Cause: each repetition of a refused request was decided anew, so repeating at once gained chances, and a caller that waited had no better chance than a new one.

Change: an entry remembers the fingerprints of refused requests. A repetition before the announced time is refused with the remaining time while its priority is short of capacity; one after it is twice as likely to be admitted and counts as two in the demand. Retry-After grows with the excess and stays spread when the caller has little time. The least share of a priority is 0.3 of the mean, 0.35 before.

A caller that returns to another entry is not recognised there.

--- a/bench/priority_load.py
+++ b/bench/priority_load.py
@@ -31,7 +31,12 @@
     SEND_INTERVAL_SECONDS,
 )
 from lacewingcleat.priority_admission import PriorityAdmission
-from lacewingcleat.retry_after import NotRunCause, retry_after_seconds
+from lacewingcleat.retry_after import (
+    NotRunCause,
+    RefusedRequests,
+    priority_retry_after_seconds,
+    retry_after_seconds,
+)
 from lacewingcleat.server_choice import ChosenServer, choose_server
 
 DEFAULT_SECONDS = 30.0
@@ -157,6 +162,8 @@
             rounds = max(1.0, (entries - 1) / FANOUT)
             ttl = COUNTS_TTL_INTERVALS * SEND_INTERVAL_SECONDS * rounds
             entry.loads.peer_count_ttl = admission.peer_ttl = ttl
+        self._by_priority = by_priority
+        self._refused = [RefusedRequests() for _ in range(entries)]
         self._occupancies = [0.0] * entries
         self._turns = [0] * entries
         self._send_at = [self._random.random() * 0.2 for _ in range(entries)]
@@ -211,19 +218,30 @@
         if isinstance(choice, ChosenServer):
             self._begin(caller, choice, now)
         else:
-            self._refuse(caller, now)
+            self._refuse(caller, choice, now)
 
-    def _choose(self, caller: Caller, now: float) -> object:
+    def _choose(self, caller: Caller, now: float) -> ChosenServer | float:
+        """Return the server, or the Retry-After of a refusal."""
         entry = self._entries[caller.entry]
         admission = self._admissions[caller.entry]
-        admission.record_arrival(SERVICE, caller.priority, now)
-        decision = admission.decide(SERVICE, caller.priority, self._random.random())
-        if not decision.admitted:
-            return None
+        share, refused = 1.0, self._refused[caller.entry]
+        if self._by_priority:
+            fingerprint, priority = str(id(caller)), caller.priority
+            early = refused.seconds_early(fingerprint, now)
+            if early and admission.decide(SERVICE, priority, 1.0, now).share < 1.0:
+                return early
+            returned = refused.take_return(fingerprint, now)
+            admission.record_arrival(SERVICE, priority, now, returned)
+            decision = admission.decide(
+                SERVICE, priority, self._random.random(), now, returned
+            )
+            share = decision.share
+            if not decision.admitted:
+                return self._wait(caller, share, now)
         share = entry.limit.slot_share(GROUP)
         is_full = self._occupancies[caller.entry] >= MAX_OCCUPANCY_RATIO * share
         limit = self._model.slots * share
-        return choose_server(
+        choice = choose_server(
             self._records,
             entry.loads,
             lambda record: 1.0,
@@ -232,6 +250,21 @@
             self._random,
             now,
         )
+        return (
+            choice
+            if isinstance(choice, ChosenServer)
+            else self._wait(caller, share, now)
+        )
+
+    def _wait(self, caller: Caller, share: float, now: float) -> float:
+        """Return the Retry-After of a refused caller."""
+        deadline = caller.arrived_at + DEADLINE_SECONDS
+        if not self._by_priority:
+            cause = NotRunCause.LOADED
+            return retry_after_seconds(cause, deadline, self._random, now)
+        wait = priority_retry_after_seconds(share, deadline, self._random, now)
+        self._refused[caller.entry].record(str(id(caller)), now + wait)
+        return wait
 
     def _begin(self, caller: Caller, choice: ChosenServer, now: float) -> None:
         events = max(1, round(self._random.expovariate(1.0 / self._model.events)))
@@ -250,12 +283,9 @@
         own_zone = [n for n in range(len(self._entries)) if n % 3 == zone]
         self._tell(caller.entry, own_zone, now)
 
-    def _refuse(self, caller: Caller, now: float) -> None:
+    def _refuse(self, caller: Caller, wait: float, now: float) -> None:
         got = self.outcomes.by_priority[caller.priority]
         is_counted = caller.arrived_at > WARM_UP_SECONDS
-        wait = retry_after_seconds(
-            NotRunCause.LOADED, caller.arrived_at + DEADLINE_SECONDS, self._random, now
-        )
         if caller.impatient and caller.attempts < IMPATIENT_REPEATS:
             self._push(now + IMPATIENT_SECONDS, caller)
         elif not caller.impatient and caller.attempts == 1:
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -1,6 +1,7 @@
 """transport: dispatch caller requests to backend servers over HTTP."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 from twisted.internet import defer
@@ -17,6 +18,7 @@
 from lacewingcleat.load_view import Target
 from lacewingcleat.local_reply import LocalReply, make_local_reply
 from lacewingcleat.platform import request_headers as names
+from lacewingcleat.priority_admission import EARLY, Decision
 from lacewingcleat.request_access import (
     DenialReason,
     Denied,
@@ -38,7 +40,11 @@
     decide_retry,
     report_unsent,
 )
-from lacewingcleat.retry_after import NotRunCause, retry_after_seconds
+from lacewingcleat.retry_after import (
+    NotRunCause,
+    priority_retry_after_seconds,
+    retry_after_seconds,
+)
 from lacewingcleat.server_choice import ChosenServer, NoServer, ServersFull
 from lacewingcleat.server_record import ServerRecord
 
@@ -49,7 +55,6 @@
 DEFAULT_CALLER_TIMEOUT_SECONDS = 2.0
 CRASHES_SERVER = "crashes-server"
 STOPPING = "stopping"
-REFUSED_PRIORITY = "refused-priority"
 
 
 class DirectDispatcher:
@@ -257,12 +262,8 @@
         if not admission.is_active(context.service) or events.last_event_id is not None:
             return None
         now = read_now()
-        priority = context.granted.priority
-        admission.record_arrival(context.service, priority, now)
-        decision = admission.decide(
-            context.service, priority, self._state.random.random()
-        )
-        self._metrics.count_admission(priority, decision.admitted)
+        context.admission = decision = self._decide_admission(context, now)
+        self._metrics.count_admission(decision.priority, decision.outcome)
         if decision.admitted:
             return None
         self._log.request(
@@ -270,16 +271,31 @@
             now,
             request=context.request_id,
             service=context.service,
-            priority=priority,
+            priority=decision.priority,
+            decision=decision.outcome,
             share=round(decision.share, 3),
             capacity=round(decision.capacity, 1),
             demand=round(decision.demand, 1),
             occupancy=round(decision.occupancy, 3),
+            age=round(decision.age, 3),
         )
+        reason = f"{decision.outcome}-priority"
         return self._respond_unsent(
-            context, request, REFUSED_PRIORITY, NotRunCause.LOADED, events
+            context, request, reason, NotRunCause.LOADED, events
         )
 
+    def _decide_admission(self, context: RequestContext, now: float) -> Decision:
+        admission, refused = self._state.admission, self._state.refused_requests
+        service, priority = context.service, context.granted.priority
+        if refused.seconds_early(context.fingerprint, now):
+            decision = admission.decide(service, priority, 1.0, now)
+            if decision.share < 1.0:
+                return replace(decision, outcome=EARLY)
+        is_return = refused.take_return(context.fingerprint, now)
+        admission.record_arrival(service, priority, now, is_return)
+        fraction = self._state.random.random()
+        return admission.decide(service, priority, fraction, now, is_return)
+
     def _abandon(self, context: RequestContext, race: AttemptRace) -> None:
         """End all work on a request whose caller has disconnected."""
         context.cancelled = True
@@ -515,8 +531,17 @@
     def _retry_after(
         self, context: RequestContext, cause: NotRunCause, now: float
     ) -> float:
-        random = self._state.random
-        return retry_after_seconds(cause, context.caller_deadline, random, now)
+        random, deadline = self._state.random, context.caller_deadline
+        decision = context.admission
+        if decision is None or cause is not NotRunCause.LOADED:
+            return retry_after_seconds(cause, deadline, random, now)
+        refused = self._state.refused_requests
+        early = refused.seconds_early(context.fingerprint, now)
+        if early and decision.outcome == EARLY:
+            return early
+        wait = priority_retry_after_seconds(decision.share, deadline, random, now)
+        refused.record(context.fingerprint, now + wait)
+        return wait
 
     def _forward_response(
         self,
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -140,9 +140,8 @@
             registry=self.registry,
         )
 
-    def count_admission(self, priority: int, admitted: bool) -> None:
+    def count_admission(self, priority: int, decision: str) -> None:
         """Count a decision on admission."""
-        decision = "admitted" if admitted else "refused"
         self.admissions.labels(str(priority), decision).inc()
 
     def count_request(self, status: int, reason: str) -> None:
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -19,6 +19,7 @@
 )
 from lacewingcleat.request_context import RequestContext
 from lacewingcleat.retries import RetryBudget, RetryPolicy
+from lacewingcleat.retry_after import RefusedRequests
 from lacewingcleat.routing_config import EngineCapacity, RoutingConfig
 from lacewingcleat.server_choice import (
     ChosenServer,
@@ -77,6 +78,7 @@
         "peers",
         "random",
         "rate_limits",
+        "refused_requests",
     )
 
     def __init__(
@@ -100,6 +102,7 @@
         self.outliers = OutlierEjection()
         self.concurrency_limit = AdaptiveConcurrencyLimit()
         self.admission = PriorityAdmission()
+        self.refused_requests = RefusedRequests()
         self.peers = peers
         self.random = random
         self.rate_limits = ServerRateLimits(peers.own_address)
--- a/lacewingcleat/priority_admission.py
+++ b/lacewingcleat/priority_admission.py
@@ -36,7 +36,10 @@
 MIN_TARGET_OCCUPANCY = 0.55
 # Minimum share of a priority, as a fraction of the mean share of all. No route may be
 # served less than a quarter as often as the mean; the rest covers delayed information.
-MIN_SHARE_RATIO = 0.35
+MIN_SHARE_RATIO = 0.3
+# How much more likely a caller that returns when it was told is to be admitted than a
+# new one of its priority.
+RETURN_WEIGHT = 2.0
 # Largest number of priorities of a service that are accepted from a peer.
 MAX_PRIORITIES = 10
 # Largest number of services that are accepted from a peer.
@@ -45,6 +48,12 @@
 MAX_RATE = 1e6
 
 
+# Outcomes of decisions, as logs and metrics show them.
+ADMITTED = "admitted"
+REFUSED = "refused"
+EARLY = "early"
+
+
 class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
     """Announce what the callers of one entry ask of a service.
 
@@ -63,18 +72,26 @@
 class Decision:
     """Represent a decision with its inputs.
 
+    :param outcome: admitted, refused, or refused because it was repeated too early.
     :param share: share of the requests of this priority that is admitted.
     :param capacity: requests a second that can be admitted, all priorities.
     :param demand: arrivals a second of all entries, all priorities.
     :param occupancy: requests in flight per slot that may be used.
+    :param age: seconds since the oldest of the peers' announcements that were used.
     """
 
-    admitted: bool
+    outcome: str
     priority: int
     share: float = 1.0
     capacity: float = 0.0
     demand: float = 0.0
     occupancy: float = 0.0
+    age: float = 0.0
+
+    @property
+    def admitted(self) -> bool:
+        """Return whether the request is admitted."""
+        return self.outcome == ADMITTED
 
 
 class RateMeter:
@@ -87,10 +104,10 @@
         self._started_at = now
         self._updated_at = now
 
-    def count(self, now: float) -> None:
+    def count(self, now: float, weight: float = 1.0) -> None:
         """Count one event."""
         self._decay(now)
-        self._rate += 1.0 / RATE_SECONDS
+        self._rate += weight / RATE_SECONDS
 
     def rate(self, now: float) -> float:
         """Return events a second; corrected for the time since the start."""
@@ -115,6 +132,7 @@
     :ivar unannounced: further requests that the servers have reported.
     :ivar rate_by_priority: arrivals a second of all entries.
     :ivar ended_rate: requests that end, a second, of all entries.
+    :ivar oldest_at: time of the oldest announcement in these sums.
     """
 
     ended: RateMeter
@@ -126,6 +144,7 @@
     unannounced: float = 0.0
     rate_by_priority: dict[int, float] = field(default_factory=dict)
     ended_rate: float = 0.0
+    oldest_at: float = 0.0
 
     @property
     def requests(self) -> float:
@@ -228,12 +247,19 @@
         """Return whether requests of a service are admitted by priority."""
         return service in self._active
 
-    def record_arrival(self, service: str, priority: int, now: float) -> None:
-        """Count the arrival of a request."""
+    def record_arrival(
+        self, service: str, priority: int, now: float, is_return: bool = False
+    ) -> None:
+        """Count the arrival of a request.
+
+        :param is_return: whether its caller was refused and returns when it was told.
+            It counts as several requests, as it is as likely to be admitted.
+        """
         if service not in self._active:
             return
         meters = self._get(service, now).arrivals_by_priority
-        meters.setdefault(priority, RateMeter(now)).count(now)
+        weight = RETURN_WEIGHT if is_return else 1.0
+        meters.setdefault(priority, RateMeter(now)).count(now, weight)
 
     def record_begin(self, service: str, now: float) -> None:
         """Count a request that is sent to a server."""
@@ -311,6 +337,7 @@
             for priority, meter in state.arrivals_by_priority.items()
         }
         state.ended_rate = state.ended.rate(now)
+        state.oldest_at = now
         for peer, (received_at, demands) in list(self._demands_by_peer.items()):
             if now - received_at > self.peer_ttl:
                 self._remove_peer(peer)
@@ -318,6 +345,7 @@
             demand = demands.get(service)
             if demand is None:
                 continue
+            state.oldest_at = min(state.oldest_at, received_at)
             state.ended_rate += demand.ended_rate
             for priority, rate in demand.rate_by_priority.items():
                 rates[priority] = rates.get(priority, 0.0) + rate
@@ -325,14 +353,22 @@
         announced = state.in_flight + state.peer_in_flight
         state.unannounced = max(0.0, requests - announced)
 
-    def decide(self, service: str, priority: int, random_fraction: float) -> Decision:
+    def decide(
+        self,
+        service: str,
+        priority: int,
+        random_fraction: float,
+        now: float,
+        is_return: bool = False,
+    ) -> Decision:
         """Return whether a request is admitted.
 
+        :param is_return: see `record_arrival`.
         :param random_fraction: random number, uniformly distributed from 0 to 1.
         """
         state = self._service_by_name.get(service)
         if state is None or state.requests < FREE_OCCUPANCY * state.slots:
-            return Decision(True, priority)
+            return Decision(ADMITTED, priority)
         target = max(
             TARGET_RATIO * state.usable_slots, MIN_TARGET_OCCUPANCY * state.slots
         )
@@ -340,13 +376,15 @@
         capacity = max(0.0, state.ended_rate + free / CORRECTION_SECONDS)
         rates = {priority: 0.0} | state.rate_by_priority
         share = compute_shares(rates, capacity)[priority]
+        is_admitted = random_fraction < share * (RETURN_WEIGHT if is_return else 1.0)
         return Decision(
-            random_fraction < share,
+            ADMITTED if is_admitted else REFUSED,
             priority,
             share,
             capacity,
             sum(state.rate_by_priority.values()),
             state.requests / max(1.0, state.usable_slots),
+            now - state.oldest_at,
         )
 
     def _get(self, name: str, now: float) -> _Service:
--- a/lacewingcleat/request_context.py
+++ b/lacewingcleat/request_context.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from lacewingcleat.priority_admission import Decision
 from lacewingcleat.request_access import Granted
 from lacewingcleat.server_record import ServerRecord
 
@@ -59,6 +60,7 @@
     :param may_crash_servers: whether a server has crashed at the start of its answer
         and another one might.
     :param cancelled: whether the caller has disconnected.
+    :param admission: decision on the admission, if the service has several priorities.
     :param first_event_at: time at which the first event was forwarded.
     :param longest_event_interval: longest time in seconds between two forwarded events.
     """
@@ -80,6 +82,7 @@
     attempts: list[AttemptRecord] = field(default_factory=list)
     may_crash_servers: bool = False
     cancelled: bool = False
+    admission: Decision | None = None
     first_event_at: float | None = None
     longest_event_interval: float = 0.0
 
--- a/lacewingcleat/retry_after.py
+++ b/lacewingcleat/retry_after.py
@@ -6,6 +6,7 @@
 recover.
 """
 
+from collections import OrderedDict
 from enum import Enum
 from random import Random
 
@@ -23,6 +24,19 @@
 OTHER_ENTRY_WAIT_SECONDS = 0.05
 
 
+# Wait for a priority of which some requests are refused, for a share of 1 and of 0. A
+# lower share means a larger excess, which lasts longer: bursts take some seconds.
+SHORT_WAIT_RANGE_SECONDS = (0.4, 1.0)
+LONG_WAIT_RANGE_SECONDS = (1.2, 3.0)
+# A caller's clock and the rounding of the header let it return this much early.
+EARLY_TOLERANCE_SECONDS = 0.05
+# Time after the announced one for which a caller counts as returned.
+RETURN_WINDOW_SECONDS = 1.0
+# Maximum number of refused requests that are remembered; an entry refuses some dozens a
+# second and tells most callers to return within 3 s.
+MAX_REFUSED_REQUESTS = 4_096
+
+
 class NotRunCause(Enum):
     """Name the causes for which a request did not run."""
 
@@ -50,3 +64,56 @@
         case NotRunCause.OUTAGE:
             wait = OUTAGE_WAIT_SECONDS
     return min(wait, max_wait)
+
+
+def priority_retry_after_seconds(
+    share: float, deadline: float, random: Random, now: float
+) -> float:
+    """Return the seconds after which a caller refused by its priority should retry.
+
+    :param share: share of the requests of its priority that is admitted.
+    :param deadline: time until which the caller waits for a response.
+    """
+    max_wait = max(0.0, (deadline - now) * MAX_WAIT_SHARE - NETWORK_MARGIN_SECONDS)
+    low, high = (
+        share * short + (1.0 - share) * long
+        for short, long in zip(
+            SHORT_WAIT_RANGE_SECONDS, LONG_WAIT_RANGE_SECONDS, strict=True
+        )
+    )
+    # The range is scaled and not cut off, so that returns stay spread.
+    scale = min(1.0, max_wait / high)
+    return random.uniform(low, high) * scale
+
+
+class RefusedRequests:
+    """Remember refused requests and the times at which they were told to return.
+
+    A request that is repeated before that time has no further chance of admission, so
+    repeating it at once gains nothing. Requests are recognised by their content, as
+    each attempt of a caller has another identifier.
+    """
+
+    __slots__ = ("_return_at_by_fingerprint",)
+
+    def __init__(self) -> None:
+        self._return_at_by_fingerprint: OrderedDict[str, float] = OrderedDict()
+
+    def record(self, fingerprint: str, return_at: float) -> None:
+        """Remember a refusal."""
+        table = self._return_at_by_fingerprint
+        table.pop(fingerprint, None)
+        table[fingerprint] = return_at
+        if len(table) > MAX_REFUSED_REQUESTS:
+            table.popitem(last=False)
+
+    def seconds_early(self, fingerprint: str, now: float) -> float:
+        """Return how much too early a request is repeated, 0 if it is not."""
+        return_at = self._return_at_by_fingerprint.get(fingerprint, now)
+        early = return_at - now
+        return early if early > EARLY_TOLERANCE_SECONDS else 0.0
+
+    def take_return(self, fingerprint: str, now: float) -> bool:
+        """Return whether a request returns at its announced time, and forget it."""
+        return_at = self._return_at_by_fingerprint.pop(fingerprint, None)
+        return return_at is not None and now <= return_at + RETURN_WINDOW_SECONDS
--- a/tests/test_priority_admission.py
+++ b/tests/test_priority_admission.py
@@ -13,6 +13,12 @@
     compute_shares,
     find_prioritized_services,
 )
+from lacewingcleat.retry_after import (
+    MAX_REFUSED_REQUESTS,
+    MAX_WAIT_SHARE,
+    RefusedRequests,
+    priority_retry_after_seconds,
+)
 from lacewingcleat.routing_config import ConfigAccount
 from tests.builders_direct import make_config, make_route
 
@@ -44,6 +50,15 @@
         urgent_before = before.by_priority[0]
         self.assertGreater(served[0], urgent_before.served_share + 0.1)
         self.assertGreater(outcomes.value_share, before.value_share)
+        # Some callers repeat at once, the others return when they are told to. Those
+        # of one priority are too few to compare.
+        impatient = sum(got.impatient for got in outcomes.by_priority)
+        impatient_served = sum(got.impatient_served for got in outcomes.by_priority)
+        total = sum(got.in_time + got.late for got in outcomes.by_priority)
+        self.assertLessEqual(
+            impatient_served / impatient,
+            (total - impatient_served) / (callers - impatient),
+        )
 
     def test_few_entries(self) -> None:
         """Guards against serving the most urgent route least."""
@@ -101,28 +116,28 @@
         """Guards against entries that fill the servers with their own batch work."""
         self.admission.record_arrival(SERVICE, 2, 0.0)
         self._fill(80, {0: 20.0})
-        self.assertTrue(self.admission.decide(SERVICE, 0, 0.5).admitted)
-        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5).admitted)
+        self.assertTrue(self.admission.decide(SERVICE, 0, 0.5, 0.0).admitted)
+        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5, 0.0).admitted)
 
     def test_nothing_is_refused_while_servers_are_half_empty(self) -> None:
         """Guards against refusals beside free slots."""
         self._fill(49, {0: 500.0, 2: 500.0})
-        self.assertTrue(self.admission.decide(SERVICE, 2, 0.999).admitted)
+        self.assertTrue(self.admission.decide(SERVICE, 2, 0.999, 0.0).admitted)
 
     def test_peers_that_are_silent_are_forgotten(self) -> None:
         """Guards against yielding to the callers of entries that are gone."""
         self._fill(80, {0: 500.0})
-        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5).admitted)
+        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5, 0.0).admitted)
         later = self.admission.peer_ttl + 0.1
         self.admission.record_arrival(SERVICE, 2, later)
         self.admission.update(SERVICE, 100.0, 80.0, 0.0, later)
-        self.assertTrue(self.admission.decide(SERVICE, 2, 0.5).admitted)
+        self.assertTrue(self.admission.decide(SERVICE, 2, 0.5, 0.0).admitted)
 
     def test_servers_loads_count_without_peers(self) -> None:
         """Guards against a half of a partition that fills what the other half uses."""
         self.admission.record_arrival(SERVICE, 2, 0.0)
         self.admission.update(SERVICE, 100.0, 80.0, 90.0, 0.0)
-        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5).admitted)
+        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5, 0.0).admitted)
 
     def test_impossible_figures_of_peers_are_ignored(self) -> None:
         """Guards against one datagram that stops all admission."""
@@ -136,7 +151,7 @@
             bad = ServiceDemand(SERVICE, {0: rate}, 1.0, in_flight)
             self.admission.record_peer("q", [bad], 0.0)
             self.admission.update(SERVICE, 100.0, 80.0, 0.0, 0.0)
-            self.assertTrue(self.admission.decide(SERVICE, 2, 0.9).admitted)
+            self.assertTrue(self.admission.decide(SERVICE, 2, 0.9, 0.0).admitted)
             (message,) = self.admission.next_message(0.0)
             self.assertEqual(0, message.in_flight)
 
@@ -146,7 +161,7 @@
         self.admission.set_services([])
         self.admission.set_services([SERVICE])
         self._fill(80, {0: 500.0})
-        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5).admitted)
+        self.assertFalse(self.admission.decide(SERVICE, 2, 0.5, 0.0).admitted)
 
 
 class FindPrioritizedServicesTest(TestCase):
@@ -160,7 +175,7 @@
         for _ in range(1_000):
             admission.record_arrival("s", 1, 0.0)
         admission.update("s", 6.0, 6.0, 100.0, 0.0)
-        self.assertTrue(admission.decide("s", 1, 0.999).admitted)
+        self.assertTrue(admission.decide("s", 1, 0.999, 0.0).admitted)
         self.assertEqual([], admission.next_message(0.0))
 
     def test_routes_or_accounts_may_differ(self) -> None:
@@ -176,3 +191,50 @@
         routes = make_route("a", "/a/"), make_route("b", "/b/", priority=2)
         config = make_config(*routes, keys={"k": ConfigAccount("acme", 3)})
         self.assertEqual(frozenset(), find_prioritized_services(config))
+
+
+class RetryAfterTest(TestCase):
+    def test_waits_are_spread_and_longer_for_a_lower_share(self) -> None:
+        """Guards against returns that arrive together, or while nothing has changed."""
+        random = Random(1)
+        means = []
+        for share in (1.0, 0.5, 0.0):
+            waits = [
+                priority_retry_after_seconds(share, 8.0, random, 0.0)
+                for _ in range(500)
+            ]
+            self.assertGreater(max(waits), 1.5 * min(waits))
+            means.append(sum(waits) / len(waits))
+        self.assertEqual(means, sorted(means))
+
+    def test_waits_stay_spread_below_what_callers_accept(self) -> None:
+        """Guards against one wait for all callers with little time left."""
+        random = Random(1)
+        waits = [
+            priority_retry_after_seconds(0.0, 2.0, random, 0.0) for _ in range(100)
+        ]
+        self.assertLess(max(waits), 2.0 * MAX_WAIT_SHARE)
+        self.assertGreater(max(waits), 1.5 * min(waits))
+        passed = priority_retry_after_seconds(0.5, 1.0, random, 2.0)
+        self.assertEqual(0.0, passed)
+
+    def test_a_request_is_early_until_its_time_and_returns_once(self) -> None:
+        """Guards against repeats that gain chances, and against lasting preference."""
+        refused = RefusedRequests()
+        self.assertFalse(refused.take_return("a", 0.0))
+        refused.record("a", 2.0)
+        self.assertEqual(1.0, refused.seconds_early("a", 1.0))
+        self.assertEqual(0.0, refused.seconds_early("a", 1.96))
+        self.assertEqual(0.0, refused.seconds_early("b", 1.0))
+        self.assertTrue(refused.take_return("a", 2.1))
+        self.assertFalse(refused.take_return("a", 2.1))
+        refused.record("a", 2.0)
+        self.assertFalse(refused.take_return("a", 9.0))
+
+    def test_the_table_is_bounded(self) -> None:
+        """Guards against memory that grows with the number of refusals."""
+        refused = RefusedRequests()
+        for number in range(MAX_REFUSED_REQUESTS + 1):
+            refused.record(str(number), 5.0)
+        self.assertEqual(0.0, refused.seconds_early("0", 1.0))
+        self.assertEqual(4.0, refused.seconds_early("1", 1.0))
