Let admitted requests wait for a slot while they can be in time

Cause: about a tenth of the most urgent attempts was refused because all servers were full for a moment, although their priority was to be admitted.

Change: such a request waits in the entry by urgency and arrival until its first event could no longer be within its objective, by recent times to a first event. The queue is bounded by the slots that become free meanwhile. It is woken by ends of own requests and by datagrams of peers. A request whose caller leaves is dropped.

--- a/bench/lock_step.py
+++ b/bench/lock_step.py
@@ -217,6 +217,7 @@
             if stream.last_event_at is None:
                 waited = now - stream.arrived_at
                 stream.is_late |= waited > self._objective(stream)
+                self._begin_events(stream, now)
             else:
                 interval = now - stream.last_event_at
                 stream.is_late |= interval > model.max_event_interval
@@ -232,6 +233,9 @@
     def _objective(self, stream: Stream) -> float:
         return self._model.first_event_objective
 
+    def _begin_events(self, stream: Stream, now: float) -> None:
+        """Note the first event of a stream."""
+
     def _finish(self, stream: Stream) -> None:
         if stream.arrived_at > WARM_UP_SECONDS:
             self.outcome.late += stream.is_late
--- a/bench/priority_load.py
+++ b/bench/priority_load.py
@@ -37,7 +37,8 @@
     priority_retry_after_seconds,
     retry_after_seconds,
 )
-from lacewingcleat.server_choice import ChosenServer, choose_server
+from lacewingcleat.server_choice import ChosenServer, ServerChoice, choose_server
+from lacewingcleat.waiting_requests import FirstEventTimes, Waiting, WaitingRequests
 
 DEFAULT_SECONDS = 30.0
 TICK_SECONDS = 0.25
@@ -90,7 +91,9 @@
     entry: int
     arrived_at: float
     impatient: bool
+    number: int
     attempts: int = 0
+    called_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -124,6 +127,7 @@
 @dataclass(slots=True, eq=False)
 class _PriorityStream(Stream):
     caller: Caller | None = None
+    begun_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -148,9 +152,17 @@
     """Play one group.
 
     :param by_priority: whether requests are admitted by priority.
+    :param waits: whether requests wait in the entry while all servers are full.
     """
 
-    def __init__(self, entries: int, load: float, seed: int, by_priority: bool) -> None:
+    def __init__(
+        self,
+        entries: int,
+        load: float,
+        seed: int,
+        by_priority: bool,
+        waits: bool = True,
+    ) -> None:
         model = GROUP_MODEL
         super().__init__(model, adaptive_share, load, seed)
         self._entries = [self._make_entry() for _ in range(entries)]
@@ -163,6 +175,11 @@
             ttl = COUNTS_TTL_INTERVALS * SEND_INTERVAL_SECONDS * rounds
             entry.loads.peer_count_ttl = admission.peer_ttl = ttl
         self._by_priority = by_priority
+        self._waits = by_priority and waits
+        self._queues: list[WaitingRequests[Caller]] = [
+            WaitingRequests() for _ in range(entries)
+        ]
+        self._first_times = [FirstEventTimes() for _ in range(entries)]
         self._refused = [RefusedRequests() for _ in range(entries)]
         self._occupancies = [0.0] * entries
         self._turns = [0] * entries
@@ -186,6 +203,7 @@
                 self._call(caller, moment)
             now = end
             self._exchange(now)
+            self._start_waiting(now)
         return self.outcomes
 
     def _schedule(self, priority: int, now: float) -> None:
@@ -201,7 +219,8 @@
                 break
         entry = self._arrivals.choices(range(len(self._entries)), self._weights)[0]
         impatient = self._arrivals.random() < IMPATIENT_SHARE
-        self._push(at, Caller(priority, entry, at, impatient))
+        number = next(self._number)
+        self._push(at, Caller(priority, entry, at, impatient, number))
 
     def _push(self, at: float, caller: Caller) -> None:
         heapq.heappush(self._calls, (at, next(self._number), caller))
@@ -214,19 +233,38 @@
                 got.callers += 1
                 got.impatient += caller.impatient
         caller.attempts += 1
+        caller.called_at = now
         choice = self._choose(caller, now)
         if isinstance(choice, ChosenServer):
             self._begin(caller, choice, now)
-        else:
+        elif choice is not None:
             self._refuse(caller, choice, now)
 
-    def _choose(self, caller: Caller, now: float) -> ChosenServer | float:
-        """Return the server, or the Retry-After of a refusal."""
-        entry = self._entries[caller.entry]
+    def _start_waiting(self, now: float) -> None:
+        for number, queue in enumerate(self._queues):
+            for late in queue.take_late(now):
+                self._refuse(late.item, self._wait(late.item, 1.0, now), now)
+            while (first := queue.first(SERVICE)) is not None:
+                choice = self._choose_server(number, now)
+                if not isinstance(choice, ChosenServer):
+                    break
+                queue.remove(first.item)
+                self._begin(first.item, choice, now)
+
+    def _enqueue(self, caller: Caller, now: float) -> bool:
+        objective = CLASSES[caller.priority].objective
+        first = self._first_times[caller.entry].estimate(SERVICE, objective)
+        latest = now + objective - first
+        waiting = Waiting(caller, SERVICE, caller.priority, now, latest)
+        rate = self._admissions[caller.entry].free_rate(SERVICE)
+        return self._queues[caller.entry].add(waiting, rate, now)
+
+    def _choose(self, caller: Caller, now: float) -> ChosenServer | float | None:
+        """Return the server, the Retry-After of a refusal, or none to wait."""
         admission = self._admissions[caller.entry]
         share, refused = 1.0, self._refused[caller.entry]
         if self._by_priority:
-            fingerprint, priority = str(id(caller)), caller.priority
+            fingerprint, priority = str(caller.number), caller.priority
             early = refused.seconds_early(fingerprint, now)
             if early and admission.decide(SERVICE, priority, 1.0, now).share < 1.0:
                 return early
@@ -238,10 +276,19 @@
             share = decision.share
             if not decision.admitted:
                 return self._wait(caller, share, now)
+        choice = self._choose_server(caller.entry, now)
+        if isinstance(choice, ChosenServer):
+            return choice
+        if self._waits and self._enqueue(caller, now):
+            return None
+        return self._wait(caller, share, now)
+
+    def _choose_server(self, number: int, now: float) -> ServerChoice:
+        entry = self._entries[number]
         share = entry.limit.slot_share(GROUP)
-        is_full = self._occupancies[caller.entry] >= MAX_OCCUPANCY_RATIO * share
+        is_full = self._occupancies[number] >= MAX_OCCUPANCY_RATIO * share
         limit = self._model.slots * share
-        choice = choose_server(
+        return choose_server(
             self._records,
             entry.loads,
             lambda record: 1.0,
@@ -250,11 +297,6 @@
             self._random,
             now,
         )
-        return (
-            choice
-            if isinstance(choice, ChosenServer)
-            else self._wait(caller, share, now)
-        )
 
     def _wait(self, caller: Caller, share: float, now: float) -> float:
         """Return the Retry-After of a refused caller."""
@@ -263,7 +305,7 @@
             cause = NotRunCause.LOADED
             return retry_after_seconds(cause, deadline, self._random, now)
         wait = priority_retry_after_seconds(share, deadline, self._random, now)
-        self._refused[caller.entry].record(str(id(caller)), now + wait)
+        self._refused[caller.entry].record(str(caller.number), now + wait)
         return wait
 
     def _begin(self, caller: Caller, choice: ChosenServer, now: float) -> None:
@@ -273,7 +315,9 @@
         self._admissions[caller.entry].record_begin(SERVICE, now)
         rank = self._records.index(choice.record)
         self._streams.append(
-            _PriorityStream(caller.entry, rank, now, events, caller=caller)
+            _PriorityStream(
+                caller.entry, rank, caller.called_at, events, None, False, caller, now
+            )
         )
         got = self.outcomes.by_priority[caller.priority]
         if caller.arrived_at > WARM_UP_SECONDS:
@@ -294,6 +338,10 @@
             got.refused += 1
             got.refused_again += not caller.impatient
 
+    def _begin_events(self, stream: Stream, now: float) -> None:
+        assert isinstance(stream, _PriorityStream)
+        self._first_times[stream.entry].record(SERVICE, now - stream.begun_at)
+
     def _finish(self, stream: Stream) -> None:
         assert isinstance(stream, _PriorityStream) and stream.caller is not None
         now = stream.last_event_at or 0.0
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -18,7 +18,13 @@
 from lacewingcleat.load_view import Target
 from lacewingcleat.local_reply import LocalReply, make_local_reply
 from lacewingcleat.platform import request_headers as names
-from lacewingcleat.priority_admission import EARLY, Decision
+from lacewingcleat.priority_admission import (
+    ADMITTED,
+    EARLY,
+    FULL,
+    WAITED,
+    Decision,
+)
 from lacewingcleat.request_access import (
     DenialReason,
     Denied,
@@ -45,8 +51,15 @@
     priority_retry_after_seconds,
     retry_after_seconds,
 )
-from lacewingcleat.server_choice import ChosenServer, NoServer, ServersFull
+from lacewingcleat.routing_config import RequestKind
+from lacewingcleat.server_choice import (
+    ChosenServer,
+    NoServer,
+    ServerChoice,
+    ServersFull,
+)
 from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.waiting_requests import Waiting, WaitingRequests
 
 # Maximum number of attempts that end before the request is written, such as failed
 # connection attempts.
@@ -66,6 +79,8 @@
         configuration at a given time.
     :param may_begin: returns whether a request with a deadline may be sent to a server
         at a given time.
+    :param call_later: calls a function after some seconds; without it no request waits
+        for a free slot.
     """
 
     def __init__(
@@ -79,6 +94,7 @@
         refresh_config: Callable[[], Awaitable[None]],
         config_may_be_lost: Callable[[float], bool] = lambda _now: False,
         may_begin: Callable[[float, float], bool] = lambda _deadline, _now: True,
+        call_later: Callable[[float, Callable[[], None]], object] | None = None,
     ) -> None:
         self._settings = settings
         self._state = state
@@ -89,6 +105,11 @@
         self._refresh_config = refresh_config
         self._config_may_be_lost = config_may_be_lost
         self._may_begin = may_begin
+        self._call_later = call_later
+        self._waiting: WaitingRequests[RequestContext] = WaitingRequests()
+        self._choice_by_waiting: dict[
+            RequestContext, defer.Deferred[ServerChoice | None]
+        ] = {}
         self._open_requests: set[CallerRequest] = set()
 
     def handle(self, request: CallerRequest) -> None:
@@ -238,7 +259,10 @@
         try:
             answer = self._refuse_by_priority(context, request, events)
             if answer is None:
-                answer = self._start_attempt(context, request, events, race)
+                choice = await self._wait_for_server(context)
+                if context.cancelled:
+                    return 0, "caller gone"
+                answer = self._start_attempt(context, request, events, race, choice)
             while answer is None:
                 match await race.next_notice():
                     case AttemptSilent(attempt):
@@ -263,9 +287,9 @@
             return None
         now = read_now()
         context.admission = decision = self._decide_admission(context, now)
-        self._metrics.count_admission(decision.priority, decision.outcome)
         if decision.admitted:
             return None
+        self._metrics.count_admission(decision.priority, decision.outcome)
         self._log.request(
             "refused by priority",
             now,
@@ -296,10 +320,89 @@
         fraction = self._state.random.random()
         return admission.decide(service, priority, fraction, now, is_return)
 
+    async def _wait_for_server(self, context: RequestContext) -> ServerChoice | None:
+        """Return the server of an admitted request, after a wait if all are full.
+
+        Return none if the request was admitted without regard to its priority.
+        """
+        decision = context.admission
+        if decision is None:
+            return None
+        now = read_now()
+        choice: ServerChoice | None = self._state.choose_server(
+            context.service, context.failed_servers, now
+        )
+        outcome = decision.outcome
+        if isinstance(choice, ServersFull) and self._enqueue(context, now):
+            done: defer.Deferred[ServerChoice | None] = defer.Deferred()
+            self._choice_by_waiting[context] = done
+            choice = await done
+            outcome = WAITED
+        if isinstance(choice, ServersFull):
+            outcome = FULL
+        if choice is not None:
+            self._metrics.count_admission(decision.priority, outcome)
+        if outcome != ADMITTED:
+            self._log.request(
+                "all servers full",
+                now,
+                request=context.request_id,
+                service=context.service,
+                priority=decision.priority,
+                decision=outcome if choice is not None else "left",
+                waited_ms=round((read_now() - now) * 1000.0, 1),
+                share=round(decision.share, 3),
+                occupancy=round(decision.occupancy, 3),
+            )
+        return choice
+
+    def _enqueue(self, context: RequestContext, now: float) -> bool:
+        """Let a request wait for a slot, if it can still be in time then."""
+        if self._call_later is None:
+            return False
+        route, service = context.granted.route, context.service
+        objective = route.target_latency_seconds
+        first_event = self._state.first_event_times.estimate(service, objective)
+        latest_start = min(context.deadline, context.arrived_at + objective)
+        waiting = Waiting(
+            context,
+            service,
+            context.granted.priority,
+            context.arrived_at,
+            latest_start - first_event,
+        )
+        free_rate = self._state.admission.free_rate(service)
+        if not self._waiting.add(waiting, free_rate, now):
+            return False
+        self._call_later(waiting.latest_start - now, self.wake_waiting)
+        return True
+
+    def wake_waiting(self) -> None:
+        """Start the waiting requests that fit, and refuse those that are too late."""
+        if not len(self._waiting):
+            return
+        now = read_now()
+        for late in self._waiting.take_late(now):
+            self._end_wait(late.item, ServersFull(0.0))
+        for service in self._waiting.services():
+            while (first := self._waiting.first(service)) is not None:
+                choice = self._state.choose_server(service, frozenset(), now)
+                if isinstance(choice, ServersFull):
+                    break
+                # The request is counted in the loads before the next one is tried.
+                self._end_wait(first.item, choice)
+
+    def _end_wait(self, context: RequestContext, choice: ServerChoice | None) -> None:
+        self._waiting.remove(context)
+        done = self._choice_by_waiting.pop(context, None)
+        if done is not None:
+            done.callback(choice)
+
     def _abandon(self, context: RequestContext, race: AttemptRace) -> None:
         """End all work on a request whose caller has disconnected."""
         context.cancelled = True
         race.end()
+        self._end_wait(context, None)
 
     def _start_attempt(
         self,
@@ -307,18 +410,22 @@
         request: CallerRequest,
         events: ResumableEvents,
         race: AttemptRace,
+        choice: ServerChoice | None = None,
     ) -> tuple[int, str] | None:
         """Start an attempt, or answer the caller if there is no server for it.
 
         While another attempt is open it decides the answer.
+
+        :param choice: server for the attempt, if it has been chosen already.
         """
         now = read_now()
         if self._crashes_servers(context, now):
             unsent = CRASHES_SERVER, NotRunCause.OUTAGE
         else:
-            choice = self._state.choose_server(
-                context.service, context.failed_servers, now
-            )
+            if choice is None:
+                choice = self._state.choose_server(
+                    context.service, context.failed_servers, now
+                )
             match choice:
                 case ChosenServer(record, load):
                     self._state.rate_limits.take(record.incarnation, now)
@@ -461,6 +568,8 @@
         result = await self._runner.run(
             context, request, attempt, events.for_attempt(), race
         )
+        self._record_first_event(context, attempt, result)
+        self.wake_waiting()
         context.attempts.append(
             AttemptRecord(
                 attempt.record.name,
@@ -476,6 +585,22 @@
             self._record_health(attempt, result)
         return result
 
+    def _record_first_event(
+        self, context: RequestContext, attempt: OpenAttempt, result: AttemptResult
+    ) -> None:
+        """Record how long a server took to the first event or to the response."""
+        service = context.service
+        if not self._state.admission.is_active(service):
+            return
+        first_event_at = context.first_event_at
+        if context.granted.route.kind is not RequestKind.STREAM and (
+            result.attempt.response is ResponseKind.COMPLETE
+        ):
+            first_event_at = read_now()
+        if first_event_at is not None and first_event_at >= attempt.started_at:
+            seconds = first_event_at - attempt.started_at
+            self._state.first_event_times.record(service, seconds)
+
     def _record_health(self, attempt: OpenAttempt, result: AttemptResult) -> None:
         """Count the result of an attempt towards the ejection of its server."""
         record = attempt.record
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -132,6 +132,7 @@
             self._store_reader.refresh,
             lambda now: self._store_reader.view.may_be_lost(CONFIG_KEY, now),
             self._stop.may_begin,
+            reactor.callLater,
         )
         self._caller_factory = CallerFactory(
             reactor,
@@ -327,6 +328,7 @@
                 load.instance, load.count_by_server, now
             )
             self._state.admission.record_peer(load.instance, load.demands, now)
+            self._dispatcher.wake_waiting()
             self._record_peer_config(load, now)
             if is_new_process:
                 # It is not ready before it knows the version in force here.
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -30,6 +30,7 @@
 from lacewingcleat.server_directory import ServerDirectory
 from lacewingcleat.server_rate_limits import ServerRateLimits
 from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.waiting_requests import FirstEventTimes
 
 # Minimum number of entries among which the fleet's extra retries are divided, because
 # an entry that has just started or is partitioned off sees few peers.
@@ -71,6 +72,7 @@
         "connection_backoff",
         "crash_evidence",
         "directory",
+        "first_event_times",
         "groups",
         "loads",
         "max_event_interval_seconds",
@@ -102,6 +104,7 @@
         self.outliers = OutlierEjection()
         self.concurrency_limit = AdaptiveConcurrencyLimit()
         self.admission = PriorityAdmission()
+        self.first_event_times = FirstEventTimes()
         self.refused_requests = RefusedRequests()
         self.peers = peers
         self.random = random
--- a/lacewingcleat/priority_admission.py
+++ b/lacewingcleat/priority_admission.py
@@ -52,6 +52,8 @@
 ADMITTED = "admitted"
 REFUSED = "refused"
 EARLY = "early"
+WAITED = "waited"
+FULL = "full"
 
 
 class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
@@ -387,6 +389,13 @@
             now - state.oldest_at,
         )
 
+    def free_rate(self, service: str) -> float:
+        """Return the slots a second that become free for the requests of one entry."""
+        state = self._service_by_name.get(service)
+        if state is None:
+            return 0.0
+        return state.ended_rate / (1.0 + len(self._demands_by_peer))
+
     def _get(self, name: str, now: float) -> _Service:
         service = self._service_by_name.get(name)
         if service is None:
