Leave requests without an open server to the choice of the server

Cause: with all groups of a service closed, the admission saw no slots and refused by priority, with the short Retry-After of a loaded service.

Change: without slots the admission decides nothing. Tests play a partition into halves, a silent entry and a restart of half of the entries.

--- a/bench/priority_load.py
+++ b/bench/priority_load.py
@@ -366,11 +366,25 @@
         assert isinstance(stream, _PriorityStream) and stream.caller is not None
         return CLASSES[stream.caller.priority].objective
 
+    def _is_connected(self, number: int, other: int, now: float) -> bool:
+        """Return whether a datagram from one entry to another arrives."""
+        return True
+
+    def _restart(self, number: int, now: float) -> None:
+        """Let an entry forget everything but its requests in flight."""
+        former = self._admissions[number].next_message(now)
+        admission = self._admissions[number] = PriorityAdmission()
+        admission.set_services([SERVICE])
+        admission.peer_ttl = self._entries[number].loads.peer_count_ttl
+        for _ in range(sum(demand.in_flight for demand in former)):
+            admission.record_begin(SERVICE, now)
+        self._refused[number] = RefusedRequests()
+
     def _tell(self, number: int, others: list[int], now: float) -> None:
         counts = self._entries[number].loads.in_flight_by_name()
         demands = self._admissions[number].next_message(now)
         for other in others:
-            if other != number:
+            if other != number and self._is_connected(number, other, now):
                 loads = self._entries[other].loads
                 loads.record_peer_counts(str(number), counts, now)
                 self._admissions[other].record_peer(str(number), demands, now)
--- a/lacewingcleat/priority_admission.py
+++ b/lacewingcleat/priority_admission.py
@@ -423,7 +423,10 @@
         :param random_fraction: random number, uniformly distributed from 0 to 1.
         """
         state = self._service_by_name.get(service)
-        if state is None or state.requests < FREE_OCCUPANCY * state.slots:
+        # Without an open server the choice of the server names the cause.
+        if state is None or state.slots <= 0.0:
+            return Decision(ADMITTED, priority)
+        if state.requests < FREE_OCCUPANCY * state.slots:
             return Decision(ADMITTED, priority)
         target = max(
             TARGET_RATIO * state.usable_slots, MIN_TARGET_OCCUPANCY * state.slots
--- a/tests/test_priority_admission.py
+++ b/tests/test_priority_admission.py
@@ -84,6 +84,62 @@
         self._check(67, 1.4, 3)
 
 
+FAULT_BEGIN_SECONDS, FAULT_END_SECONDS = 8.0, 16.0
+
+
+class _PartitionedSimulation(PrioritySimulation):
+    """Divide the entries into two halves for some seconds."""
+
+    def _is_connected(self, number: int, other: int, now: float) -> bool:
+        in_fault = FAULT_BEGIN_SECONDS <= now < FAULT_END_SECONDS
+        return not in_fault or number % 2 == other % 2
+
+
+class _FrozenSimulation(PrioritySimulation):
+    """Let the entry with the most callers be silent for some seconds."""
+
+    def _is_connected(self, number: int, other: int, now: float) -> bool:
+        in_fault = FAULT_BEGIN_SECONDS <= now < FAULT_END_SECONDS
+        return not in_fault or number != 0
+
+
+class _RestartedSimulation(PrioritySimulation):
+    """Restart half of the entries at once."""
+
+    is_restarted = False
+
+    def _exchange(self, now: float) -> None:
+        if now >= FAULT_BEGIN_SECONDS and not self.is_restarted:
+            self.is_restarted = True
+            for number in range(0, len(self._entries), 2):
+                self._restart(number, now)
+        super()._exchange(now)
+
+
+class FaultsTest(TestCase):
+    """Play faults of entries and check that urgent callers are still served most."""
+
+    def _check(self, kind: type[PrioritySimulation]) -> None:
+        before = _play(29, 1.2, 3, by_priority=False)
+        outcomes = kind(29, 1.2, 3, True).play(SIMULATED_SECONDS)
+        served = [got.served_share for got in outcomes.by_priority]
+        for urgent, other in pairwise(served):
+            self.assertLessEqual(other, urgent + MAX_INVERSION, served)
+        self.assertGreater(served[0], before.by_priority[0].served_share + 0.1)
+
+    def test_two_halves_that_do_not_hear_each_other(self) -> None:
+        """Guards against halves that each admit as if they had all slots."""
+        self._check(_PartitionedSimulation)
+
+    def test_a_silent_entry(self) -> None:
+        """Guards against shares that depend on one entry."""
+        self._check(_FrozenSimulation)
+
+    def test_half_of_the_entries_restart(self) -> None:
+        """Guards against restarted entries that admit all or nothing."""
+        self._check(_RestartedSimulation)
+
+
 class ComputeSharesTest(TestCase):
     def test_enough_capacity_admits_all(self) -> None:
         """Guards against refusals while there is capacity."""
@@ -173,6 +229,12 @@
         self.assertTrue(self.admission.decide(SERVICE, 0, 0.5, 0.0).admitted)
         self.assertFalse(self.admission.decide(SERVICE, 2, 0.5, 0.0).admitted)
 
+    def test_without_servers_the_choice_of_the_server_decides(self) -> None:
+        """Guards against a closed group that is reported as short of capacity."""
+        self._fill(10, {0: 500.0, 2: 500.0})
+        self.admission.update(SERVICE, 0.0, 0.0, 0.0, 0.0)
+        self.assertTrue(self.admission.decide(SERVICE, 2, 0.999, 0.0).admitted)
+
     def test_nothing_is_refused_while_servers_are_half_empty(self) -> None:
         """Guards against refusals beside free slots."""
         self._fill(49, {0: 500.0, 2: 500.0})
