--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -209,10 +209,10 @@
             return unsent_result(record, reason)
         context.send_count += 1
         attempt.sent_at = now
-        headers = make_request_headers(context, request, record, events, now)
-        if self._state.admission.is_active(record.service):
-            priority = context.granted.priority
-            headers.append((names.REQUEST_PRIORITY, b"%d" % priority))
+        sends_priority = self._state.admission.is_active(record.service)
+        headers = make_request_headers(
+            context, request, record, events, now, sends_priority
+        )
         self._connection_by_attempt[attempt] = connection
         self._context_by_attempt[attempt] = context
         try:
@@ -504,8 +504,12 @@
     record: ServerRecord,
     events: ResumableEvents,
     now: float,
+    sends_priority: bool = False,
 ) -> Headers:
-    """Return the headers of the request to the server."""
+    """Return the headers of the request to the server.
+
+    :param sends_priority: whether requests to the service differ in priority.
+    """
     resumed = events.delivered_count > 0
     dropped_names = names.DROPPED_HEADERS | HOP_BY_HOP_HEADERS
     headers = [
@@ -518,6 +522,8 @@
     headers.append((names.EXPECTED_SERVER, record.name.encode()))
     if context.granted.account is not None:
         headers.append((names.ACCOUNT, context.granted.account.name.encode()))
+    if sends_priority:
+        headers.append((names.REQUEST_PRIORITY, b"%d" % context.granted.priority))
     if resumed and events.last_event_id is not None:
         headers.append((names.LAST_EVENT_ID, b"%d" % events.last_event_id))
     if request.body or request.method not in (b"GET", b"HEAD"):
--- a/tests/test_direct_attempt.py
+++ b/tests/test_direct_attempt.py
@@ -10,7 +10,7 @@
 
 from lacewingcleat.attempt_race import AttemptRace
 from lacewingcleat.attempt_result import AttemptResult
-from lacewingcleat.direct_attempt import AttemptRunner
+from lacewingcleat.direct_attempt import AttemptRunner, make_request_headers
 from lacewingcleat.direct_settings import PlatformBounds
 from lacewingcleat.direct_state import DirectState
 from lacewingcleat.load_gossip import LoadGossip
@@ -19,6 +19,8 @@
 from lacewingcleat.request_context import OpenAttempt, RequestContext
 from lacewingcleat.resumable_events import ResumableEvents
 from lacewingcleat.retries import ResponseKind
+from lacewingcleat.routing_config import ConfigAccount
+from lacewingcleat.server_connection import Headers
 from tests.builders_direct import (
     connect_in_memory,
     make_caller_request,
@@ -64,3 +66,27 @@
         self.assertTrue(transport.disconnected)
         self.assertEqual(0, state.loads.estimate(record.name, 0.0))
         log.failure.assert_called_once()
+
+
+class RequestPriorityTest(TestCase):
+    def _headers(self, account: ConfigAccount | None, sends_priority: bool) -> Headers:
+        granted = Granted(make_route(priority=2), account)
+        context = RequestContext("q", granted, "s", 0.0, 9.0, 9.0, 1, 0.0)
+        request = make_caller_request()
+        request.headers.append((names.REQUEST_PRIORITY, b"0"))
+        events = ResumableEvents(None)
+        headers = make_request_headers(
+            context, request, make_record(), events, 0.0, sends_priority
+        )
+        return [header for header in headers if header[0] == names.REQUEST_PRIORITY]
+
+    def test_servers_get_the_priority_where_it_differs(self) -> None:
+        """Guards against servers that queue urgent requests behind others."""
+        expected = [(names.REQUEST_PRIORITY, b"2")]
+        self.assertEqual(expected, self._headers(None, True))
+        expected = [(names.REQUEST_PRIORITY, b"7")]
+        self.assertEqual(expected, self._headers(ConfigAccount("acme", 7), True))
+
+    def test_callers_do_not_set_the_priority(self) -> None:
+        """Guards against callers that make their own requests urgent."""
+        self.assertEqual([], self._headers(None, False))
--- a/tests/test_load_gossip.py
+++ b/tests/test_load_gossip.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import msgspec
 from msgspec.structs import replace
 from testtools import TestCase
 
@@ -12,6 +13,7 @@
     LoadGossip,
     PeerLoad,
 )
+from lacewingcleat.priority_admission import ServiceDemand
 
 
 def _load(
@@ -99,3 +101,21 @@
             zone = "a" if number < 12 else "b"
             gossip.record(replace(load, zone=zone), 1.0)
         self.assertEqual(10, len(gossip.announcement_recipients()))
+
+
+class PeerLoadTest(TestCase):
+    def test_datagrams_of_other_releases_can_be_read(self) -> None:
+        """Guards against entries of two releases that ignore each other."""
+        load = _load_of_this_release()
+        fields = msgspec.msgpack.decode(msgspec.msgpack.encode(load))
+        older = msgspec.msgpack.encode(fields[:-1])
+        newer = msgspec.msgpack.encode([*fields, {"more": 1}])
+        decoder = msgspec.msgpack.Decoder(PeerLoad)
+        self.assertEqual([], decoder.decode(older).demands)
+        self.assertEqual(load, decoder.decode(newer))
+
+
+def _load_of_this_release() -> PeerLoad:
+    demand = ServiceDemand("s", {0: 1.5, 2: 0.25}, 3.0, 4)
+    gossip = LoadGossip("me", "10.0.0.1:1", (), Random(1))
+    return gossip.next_message({"i-1": 2}, True, demands=[demand])
