Test that impossible figures of peers change no decision

Cause: the test passed without the check that it guards, since the servers were idle and nothing was refused anyway.

Change: the decision is compared with the one before the datagram, at full servers.

Measured: passes; fails with the check removed.

--- a/tests/test_priority_admission.py
+++ b/tests/test_priority_admission.py
@@ -256,20 +256,21 @@
         self.assertFalse(self.admission.decide(SERVICE, 2, 0.5, 0.0).admitted)
 
     def test_impossible_figures_of_peers_are_ignored(self) -> None:
-        """Guards against one datagram that stops all admission."""
+        """Guards against one datagram that changes all decisions."""
+        self._fill(80, {0: 30.0, 2: 10.0})
+        expected = self.admission.decide(SERVICE, 2, 0.5, 0.0)
+        self.assertGreater(expected.capacity, 0.0)
         for rate, in_flight in (
             (float("nan"), 1),
             (float("inf"), 1),
             (-1.0, 1),
             (1.0, -5),
         ):
-            self._fill(0, {0: 1.0})
             bad = ServiceDemand(SERVICE, {0: rate}, 1.0, in_flight)
             self.admission.record_peer("q", [bad], 0.0)
-            self.admission.update(SERVICE, 100.0, 80.0, 0.0, 0.0)
-            self.assertTrue(self.admission.decide(SERVICE, 2, 0.9, 0.0).admitted)
-            (message,) = self.admission.next_message(0.0)
-            self.assertEqual(0, message.in_flight)
+            self._fill(80, {0: 30.0, 2: 10.0})
+            decision = self.admission.decide(SERVICE, 2, 0.5, 0.0)
+            self.assertEqual(expected, decision)
 
     def test_counts_survive_a_change_of_the_services(self) -> None:
         """Guards against negative counts after a configuration change."""
