Remember refusals only if the caller was told a time

Cause: a request whose first attempt may have run and that then met full servers was remembered as refused, although its caller gets 502 without Retry-After.

Change: such a request is not remembered.

Conclusion: only callers who were told a time can be too early.

--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -676,7 +676,9 @@
         if early and decision.outcome == EARLY:
             return early
         wait = priority_retry_after_seconds(decision.share, deadline, random, now)
-        refused.record(context.fingerprint, now + wait)
+        if not context.may_have_run:
+            # Otherwise the caller is told no time, as the outcome is unknown.
+            refused.record(context.fingerprint, now + wait)
         return wait
 
     def _forward_response(
--- a/tests/test_priority_dispatch.py
+++ b/tests/test_priority_dispatch.py
@@ -17,13 +17,15 @@
 from lacewingcleat.direct_state import DirectState
 from lacewingcleat.load_gossip import LoadGossip
 from lacewingcleat.platform import request_headers as names
-from lacewingcleat.priority_admission import ServiceDemand
+from lacewingcleat.priority_admission import ADMITTED, Decision, ServiceDemand
+from lacewingcleat.request_access import Granted
 from lacewingcleat.request_context import OpenAttempt, RequestContext
 from lacewingcleat.retries import Attempt, ResponseKind, SendProgress
 from lacewingcleat.retry_after import (
     LOADED_WAIT_RANGE_SECONDS,
     MAX_WAIT_SHARE,
     NETWORK_MARGIN_SECONDS,
+    NotRunCause,
 )
 from lacewingcleat.routing_config import Route
 from lacewingcleat.server_choice import ServersFull
@@ -234,6 +236,18 @@
         remaining = float(repeats[-1].headers[names.RETRY_AFTER])
         self.assertAlmostEqual(announced - 0.1, remaining, places=2)
 
+    def test_a_caller_that_was_told_no_time_is_not_early(self) -> None:
+        """Guards against refusing callers who repeat a request of unknown outcome."""
+        granted = Granted(URGENT, None)
+        context = RequestContext("q", granted, "s", self.now, 999.0, 999.0, 1, 0.0)
+        context.fingerprint = "f"
+        context.admission = Decision(ADMITTED, 1)
+        for may_have_run in (True, False):
+            context.may_have_run = may_have_run
+            self.dispatcher._retry_after(context, NotRunCause.LOADED, self.now)
+            early = self.state.refused_requests.seconds_early("f", self.now)
+            self.assertEqual(may_have_run, early == 0.0)
+
     def test_equal_priorities_leave_the_decisions_as_they_were(self) -> None:
         """Guards against waiting and other random draws where no priority differs."""
         self._use_routes(URGENT, make_route("v", "/v/"))
