--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -111,13 +111,17 @@
         :param events: position in the stream, for the events of this attempt.
         :param race: all attempts of the request.
         """
-        loads = self._state.loads
+        loads, admission = self._state.loads, self._state.admission
         loads.begin_request(attempt.record.name)
+        admission.record_begin(attempt.record.service, read_now())
         self._on_begin()
+        has_run = False
         try:
             result = await self._run_attempt(context, request, attempt, events, race)
+            has_run = result.attempt.response is not ResponseKind.NOT_RUN
         finally:
             loads.end_request(attempt.record.name)
+            admission.record_end(attempt.record.service, has_run, read_now())
         if attempt.sent_at is None or context.cancelled or attempt.superseded:
             return result
         if is_answer_lost(result) and not attempt.survived_start:
@@ -238,7 +242,10 @@
             return unsent_result(record, reason)
         context.send_count += 1
         attempt.sent_at = now
-        headers = make_request_headers(context, request, record, events, now)
+        sends_priority = self._state.admission.is_active(record.service)
+        headers = make_request_headers(
+            context, request, record, events, now, sends_priority
+        )
         self._connection_by_attempt[attempt] = connection
         self._context_by_attempt[attempt] = context
         try:
@@ -553,8 +560,12 @@
     record: ServerRecord,
     events: ResumableEvents,
     now: float,
+    sends_priority: bool = False,
 ) -> Headers:
-    """Return the headers of the request to the server."""
+    """Return the headers of the request to the server.
+
+    :param sends_priority: whether requests to the service differ in priority.
+    """
     resumed = events.delivered_count > 0
     dropped_names = names.DROPPED_HEADERS | HOP_BY_HOP_HEADERS
     headers = [
@@ -567,6 +578,8 @@
     headers.append((names.EXPECTED_SERVER, record.name.encode()))
     if context.granted.account is not None:
         headers.append((names.ACCOUNT, context.granted.account.name.encode()))
+    if sends_priority:
+        headers.append((names.REQUEST_PRIORITY, b"%d" % context.granted.priority))
     if resumed and events.last_event_id is not None:
         headers.append((names.LAST_EVENT_ID, b"%d" % events.last_event_id))
     if request.body or request.method not in (b"GET", b"HEAD"):
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -139,6 +139,7 @@
             self._store_reader.refresh,
             lambda now: self._store_reader.view.may_be_lost(CONFIG_KEY, now),
             self._stop.may_begin,
+            reactor.callLater,
         )
         self._caller_factory = CallerFactory(
             reactor,
@@ -320,6 +321,7 @@
             crashes,
             limits,
             self._peer_configs.in_force(now),
+            self._state.admission.next_message(now),
         )
         self._peer_socket.send(message, recipients)
 
@@ -354,6 +356,8 @@
             self._state.loads.record_peer_counts(
                 load.instance, load.count_by_server, now
             )
+            self._state.admission.record_peer(load.instance, load.demands, now)
+            self._dispatcher.handle_peer_counts()
             self._record_peer_config(load, now)
             if is_new_process:
                 # It is not ready before it knows the version in force here.
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -12,6 +12,7 @@
     """Define the metrics of one process in its own registry."""
 
     __slots__ = (
+        "admissions",
         "client_bytes",
         "client_connections",
         "client_cuts",
@@ -49,6 +50,12 @@
             ["status", "reason"],
             registry=self.registry,
         )
+        self.admissions = Counter(
+            "lacewing_direct_admissions_total",
+            "Requests to services with several priorities, by priority and decision.",
+            ["priority", "decision"],
+            registry=self.registry,
+        )
         self.retries = Counter(
             "lacewing_direct_retries_total",
             "Attempts after the first one, by the end of the one before.",
@@ -217,6 +224,10 @@
         for zone, seconds in seconds_by_zone.items():
             self.evacuated_seconds.labels(zone).set(seconds)
 
+    def count_admission(self, priority: int, decision: str) -> None:
+        """Count a decision on admission."""
+        self.admissions.labels(str(priority), decision).inc()
+
     def count_request(self, status: int, reason: str) -> None:
         """Count a completed request.
 
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -14,8 +14,13 @@
 from lacewingcleat.load_gossip import LoadGossip
 from lacewingcleat.load_view import Target
 from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent
+from lacewingcleat.priority_admission import (
+    PriorityAdmission,
+    find_prioritized_services,
+)
 from lacewingcleat.request_context import RequestContext
 from lacewingcleat.retries import RetryBudget, RetryPolicy
+from lacewingcleat.retry_after import RefusedRequests
 from lacewingcleat.routing_config import EngineCapacity, RoutingConfig
 from lacewingcleat.server_choice import (
     ChosenServer,
@@ -31,6 +36,7 @@
     ServerRestrictions,
     UnusableReason,
 )
+from lacewingcleat.waiting_requests import FirstEventTimes
 
 # Minimum number of entries among which the fleet's extra retries are divided, because
 # an entry that has just started or is partitioned off sees few peers.
@@ -83,11 +89,13 @@
         "_refusal_by_service",
         "_retry_budget_by_service",
         "_zone",
+        "admission",
         "concurrency_limit",
         "config",
         "connection_backoff",
         "crash_evidence",
         "directory",
+        "first_event_times",
         "groups",
         "loads",
         "max_event_interval_seconds",
@@ -95,6 +103,7 @@
         "peers",
         "random",
         "rate_limits",
+        "refused_requests",
         "restrictions",
     )
 
@@ -119,6 +128,9 @@
         self.crash_evidence = CrashEvidence()
         self.outliers = OutlierEjection()
         self.concurrency_limit = AdaptiveConcurrencyLimit()
+        self.admission = PriorityAdmission()
+        self.first_event_times = FirstEventTimes()
+        self.refused_requests = RefusedRequests()
         self.peers = peers
         self.random = random
         self.rate_limits = ServerRateLimits(peers.own_address)
@@ -180,6 +192,7 @@
             return False
         self.config = config
         self.max_event_interval_seconds = config.min_event_interval_seconds()
+        self.admission.set_services(find_prioritized_services(config))
         return True
 
     def choose_server(
@@ -421,8 +434,29 @@
             ):
                 share = self.concurrency_limit.slot_share(name)
                 changes.append(LimitChange(name, share, occupancy, pace))
+        self._update_admission(now)
         return changes
 
+    def _update_admission(self, now: float) -> None:
+        """Update the admission to the services whose requests differ in priority."""
+        self.admission.peer_ttl = self.peers.counts_ttl()
+        for service in self.admission.services:
+            records = [
+                record
+                for record in self.directory.accepting_servers(service, now)
+                if self.groups.is_open(record.name)
+            ]
+            usable_slots = sum(
+                record.slots
+                * self.concurrency_limit.slot_share(
+                    self.groups.find_group_name(record.name)
+                )
+                for record in records
+            )
+            slots = sum(record.slots for record in records)
+            requests = sum(self.loads.estimate(record.name, now) for record in records)
+            self.admission.update(service, slots, usable_slots, requests, now)
+
     def _occupancy(self, records: Iterable[ServerRecord], now: float) -> float:
         """Return the estimated number of requests per slot of some servers."""
         slots, requests = 0, 0.0
--- a/lacewingcleat/request_context.py
+++ b/lacewingcleat/request_context.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from lacewingcleat.priority_admission import Decision
 from lacewingcleat.request_access import Granted
 from lacewingcleat.server_record import ServerRecord
 
@@ -61,6 +62,7 @@
     :param unusable_servers: number of servers by the reason for which none was chosen,
         empty if one was.
     :param cancelled: whether the caller has disconnected.
+    :param admission: decision on the admission, if the service has several priorities.
     :param first_event_at: time at which the first event was forwarded.
     :param longest_event_interval: longest time in seconds between two forwarded events.
     """
@@ -83,6 +85,7 @@
     may_crash_servers: bool = False
     unusable_servers: dict[str, int] = field(default_factory=dict)
     cancelled: bool = False
+    admission: Decision | None = None
     first_event_at: float | None = None
     longest_event_interval: float = 0.0
 
