Decode how long servers are cold and what they accept then

Cause: the records of servers, the services of the configuration and the settings say when servers are cold and what they accept; the direct entry decoded none of it.

Change: ServerRecord.cold_seconds (an optional value; one out of range counts as 0, because refusing the record would take a server out of use that was used before), ServiceConfig.cold_seconds and cold_per_second, and the bounds cold_overshoot and cold_slack of the settings file with defaults of 1.5 and 5. Records that differ only in the cold time are equal, so that heartbeats which count it down are no change of a server.

Conclusion: nothing uses the values yet, so no decision changes.

--- a/lacewingcleat/direct_settings.py
+++ b/lacewingcleat/direct_settings.py
@@ -4,6 +4,10 @@
 
 # Used if the settings do not say how often servers renew their registration.
 DEFAULT_HEARTBEAT_SECONDS = 1.2
+# What a cold server accepts in a second, as a multiple of its rate and as requests
+# beyond that, if the settings do not say so.
+DEFAULT_COLD_OVERSHOOT = 1.5
+DEFAULT_COLD_SLACK = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +22,9 @@
     :param extra_retries: additional retries allowed in each window, over all entries.
     :param retry_window_seconds: length of the windows of the retry budget.
     :param heartbeat_seconds: interval in which servers renew their registration.
+    :param cold_overshoot: requests that a cold server accepts in a second from all
+        entries together, as a multiple of its rate.
+    :param cold_slack: requests that it accepts in a second beyond that.
     """
 
     revocation_seconds: float
@@ -29,6 +36,9 @@
     retry_window_seconds: float
     heartbeat_seconds: float = DEFAULT_HEARTBEAT_SECONDS
 
+    cold_overshoot: float = DEFAULT_COLD_OVERSHOOT
+    cold_slack: float = DEFAULT_COLD_SLACK
+
 
 @dataclass(frozen=True, slots=True)
 class DirectSettings:
--- a/lacewingcleat/platform/config_item.py
+++ b/lacewingcleat/platform/config_item.py
@@ -63,6 +63,8 @@
     name: str
     max_connections: int = 100
     engine: _Engine | None = None
+    cold_start_s: float | None = None
+    cold_per_s: float | None = None
 
 
 class _Tenant(msgspec.Struct):
@@ -142,8 +144,12 @@
 
 def _convert_service(service: _Service) -> ServiceConfig:
     engine = service.engine
+    cold_seconds = max(0.0, service.cold_start_s or 0.0)
+    cold_per_second = max(0.0, service.cold_per_s or 0.0)
     if engine is None:
-        return ServiceConfig(service.name, service.max_connections, None)
+        return ServiceConfig(
+            service.name, service.max_connections, None, cold_seconds, cold_per_second
+        )
     figures = EngineCapacity(
         batch_slots=engine.slots,
         kv_cache_tokens=engine.kv_cache_tokens,
@@ -155,4 +161,6 @@
         if engine.link_mbps > 0.0
         else 0.0,
     )
-    return ServiceConfig(service.name, service.max_connections, figures)
+    return ServiceConfig(
+        service.name, service.max_connections, figures, cold_seconds, cold_per_second
+    )
--- a/lacewingcleat/platform/settings_file.py
+++ b/lacewingcleat/platform/settings_file.py
@@ -4,6 +4,8 @@
 from result import Err, Ok, Result
 
 from lacewingcleat.direct_settings import (
+    DEFAULT_COLD_OVERSHOOT,
+    DEFAULT_COLD_SLACK,
     DEFAULT_HEARTBEAT_SECONDS,
     DirectSettings,
     PlatformBounds,
@@ -23,6 +25,9 @@
     retry_budget_extra: float
     budget_window_s: float
 
+    cold_overshoot: float = DEFAULT_COLD_OVERSHOOT
+    cold_slack: float = DEFAULT_COLD_SLACK
+
 
 class _Store(msgspec.Struct):
     address: str
@@ -69,6 +74,8 @@
                 extra_retries=bounds.retry_budget_extra,
                 retry_window_seconds=bounds.budget_window_s,
                 heartbeat_seconds=settings.heartbeat_interval_ms / MS_PER_SECOND,
+                cold_overshoot=bounds.cold_overshoot,
+                cold_slack=bounds.cold_slack,
             ),
         ),
     )
--- a/lacewingcleat/routing_config.py
+++ b/lacewingcleat/routing_config.py
@@ -95,11 +95,16 @@
     """Represent the configuration of a service.
 
     :param engine: capacity of the model engines, None for a plain service.
+    :param cold_seconds: time for which a server is cold after its start.
+    :param cold_per_second: requests per second that a cold server accepts from all
+        entries together, 0 if they are not limited.
     """
 
     name: str
     max_connections: int
     engine: EngineCapacity | None
+    cold_seconds: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lacewingcleat/server_record.py
+++ b/lacewingcleat/server_record.py
@@ -1,6 +1,6 @@
 """state: the record with which a backend server registers at the platform."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,6 +12,8 @@
     :param leaving: whether it is shutting down and accepts no new requests.
     :param started_ms: start of its process in Unix milliseconds, 0 if unknown; a server
         that restarts under the same name has lost its state.
+    :param cold_seconds: time for which it was still cold when the record was written.
+        Records that differ only in it are equal.
     """
 
     name: str
@@ -21,6 +23,7 @@
     slots: int
     leaving: bool
     started_ms: int
+    cold_seconds: float = field(default=0.0, compare=False)
 
     @property
     def incarnation(self) -> str:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -157,6 +157,78 @@
             found = decode_server(f"servers/{name}", _encode(SERVER))
             self.assertIsInstance(found, Err, name)
 
+    def test_cold_time_of_servers(self) -> None:
+        """Guards against a server that an odd cold time takes out of use."""
+        cold_seconds_by_text = {
+            "3000": 3.0,
+            "2500.5": 2.5005,
+            "0": 0.0,
+            "-1": 0.0,
+            "600001": 0.0,
+            "1e400": 0.0,
+            "9" * 5_000: 0.0,
+            '"3000"': 0.0,
+            "null": 0.0,
+            "[]": 0.0,
+        }
+        sound = _encode({**SERVER, "cold_remaining_ms": 3000})
+        for text, seconds in cold_seconds_by_text.items():
+            data = sound.replace(b"3000", text.encode())
+            record = decode_server("servers/i-1", data).unwrap()
+            self.assertEqual(seconds, record.cold_seconds, text[:40])
+        absent = {key: SERVER[key] for key in SERVER if key != "cold_remaining_ms"}
+        record = decode_server("servers/i-1", _encode(absent)).unwrap()
+        self.assertEqual(0.0, record.cold_seconds)
+        self.assertEqual(decode_server("servers/i-1", sound).unwrap(), record)
+
+    def test_cold_limits_of_services(self) -> None:
+        """Guards against limits of a service that are read wrongly or not at all."""
+        services = [
+            {"name": "s", "max_connections": 1, "cold_start_s": 3, "cold_per_s": 26.0},
+            {"name": "t", "max_connections": 1, "cold_start_s": 0, "cold_per_s": None},
+            {"name": "u", "max_connections": 1, "cold_start_s": -1, "cold_per_s": -2},
+            {
+                "name": "v",
+                "max_connections": 1,
+                "cold_per_s": 2,
+                "engine": {"slots": 6, "kv_cache_tokens": 9},
+            },
+        ]
+        config = decode_config(_encode({**CONFIG, "services": services})).unwrap()
+        limits = {
+            name: (service.cold_seconds, service.cold_per_second)
+            for name, service in config.service_by_name.items()
+        }
+        self.assertEqual(
+            {"s": (3.0, 26.0), "t": (0.0, 0.0), "u": (0.0, 0.0), "v": (0.0, 2.0)},
+            limits,
+        )
+
+    def test_cold_bounds_of_the_settings(self) -> None:
+        """Guards against bounds that are needed although they have defaults."""
+        bounds = {
+            "revocation_ms": 5000,
+            "configuration_apply_ms": 2000,
+            "drain_timeout_ms": 2000,
+            "grace_period_s": 8,
+            "retry_budget_ratio": 0.2,
+            "retry_budget_extra": 92,
+            "budget_window_s": 10,
+        }
+        settings = {
+            "node_name": "e",
+            "zone": "z",
+            "listen_addresses": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+            "platform": {"address": "127.0.0.1:3"},
+        }
+        for more, expected in (
+            ({}, (1.5, 5.0)),
+            ({"cold_overshoot": 2.0, "cold_slack": 3}, (2.0, 3.0)),
+        ):
+            data = _encode({**settings, "bounds": {**bounds, **more}})
+            decoded = decode_settings(data).unwrap().bounds
+            self.assertEqual(expected, (decoded.cold_overshoot, decoded.cold_slack))
+
     @given(data=st.binary(max_size=200))
     def test_malformed_data_raises_no_exception(self, data: bytes) -> None:
         """Guards against malformed data that terminates the process."""
