Send cold servers only their allowance, and few requests beside warm ones

Cause: the direct entry did not know that a server is cold.

Change: a server is cold by its record, for cold_start_s after a start that the entry has seen in the store, and when it is reached again after failed connections. It may be cold, and is limited but not avoided, while the view of the store is older than 3.5 s, after an answer was lost and while connections fail. A cold server has a quarter of its weight and gets no request that has used half of its time. If all servers of a service are cold, callers get Retry-After from the time at which the first is warm, jittered.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -111,6 +111,8 @@
             loads.end_request(attempt.record.name)
         if attempt.sent_at is None or context.cancelled or attempt.superseded:
             return result
+        if is_answer_lost(result):
+            self._state.record_lost_answer(attempt.record, read_now())
         if is_answer_lost(result) and not attempt.survived_start:
             await self._examine_loss(context, attempt.record, result)
         return result
@@ -245,9 +247,16 @@
                 return idle
         opened = await self._pool.connect(record)
         connected = not isinstance(opened, str)
-        self._state.connection_backoff.record_attempt(
-            record.name, connected, read_now()
-        )
+        now = read_now()
+        if self._state.record_connection(record, connected, now):
+            seconds = self._state.cold_servers.warm_at(record.name, now) - now
+            self._log.belief(
+                "server cold",
+                now,
+                server=record.name,
+                seconds=round(seconds, 3),
+                source="reached again",
+            )
         return opened
 
     def _find_obstacle(
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -264,17 +264,23 @@
             unsent = CRASHES_SERVER, NotRunCause.OUTAGE
         else:
             choice = self._state.choose_server(
-                context.service, context.failed_servers, now
+                context.service,
+                context.failed_servers,
+                now,
+                self._state.may_use_cold_server(context, now),
             )
             match choice:
                 case ChosenServer(record, load):
                     self._state.rate_limits.take(record.incarnation, now)
+                    self._state.cold_servers.take(record.name, now)
                     attempt = OpenAttempt(record, load, now)
                     running = self._attempt(context, request, attempt, events, race)
                     race.start(attempt, running)
                     return None
                 case ServersFull():
                     unsent = "servers-full", NotRunCause.LOADED
+                    if self._state.all_warm_from(context.service, now) is not None:
+                        unsent = "servers-cold", NotRunCause.COLD
                 case NoServer():
                     unsent = "no-server", NotRunCause.OUTAGE
         if race.has_open:
@@ -479,7 +485,10 @@
         self, context: RequestContext, cause: NotRunCause, now: float
     ) -> float:
         random = self._state.random
-        return retry_after_seconds(cause, context.caller_deadline, random, now)
+        warm_at = None
+        if cause is NotRunCause.COLD:
+            warm_at = self._state.all_warm_from(context.service, now)
+        return retry_after_seconds(cause, context.caller_deadline, random, now, warm_at)
 
     def _forward_response(
         self,
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -104,6 +104,7 @@
         self._store_changes = StoreChanges(
             self._state, self._store_reader.view, log, self._apply_limits
         )
+        self._state.view_age = self._store_reader.view.age
         self._report_poller = ReportPoller(self._pool, self._record_status, log)
         self._map_driver = MapDriver(
             reactor,
@@ -214,6 +215,9 @@
             self._metrics.refused_suspects.set(evidence.refused_count)
             limited_count = self._state.rate_limits.limited_count
             self._metrics.limited_servers.set(limited_count)
+            cold_servers = self._state.cold_servers
+            self._metrics.set_cold_servers(cold_servers.shares(now))
+            self._metrics.cold_requests.set(cold_servers.sent_count)
             self._metrics.reports.set(self._report_poller.poll_count)
             self._metrics.server_connections.set(self._pool.connect_count)
             malformed, unsent = (
@@ -371,6 +375,8 @@
         self._peer_configs.retain(self._peers.addresses())
         for event in self._state.update_outliers(now):
             self._log.belief("outlier", now, change=str(event))
+        for share in self._state.cold_servers.expire(now):
+            self._log.belief("server warm", now, server=share.server, sent=share.sent)
         for change in self._state.adjust_concurrency(now):
             self._log_limit(change, now)
         for record in self._state.servers_to_poll(now):
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -1,7 +1,10 @@
 """transport: metrics of a direct entry."""
 
+from collections.abc import Sequence
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from lacewingcleat.cold_servers import ColdShare
 from lacewingcleat.latency_buckets import LATENCY_BUCKETS_SECONDS
 
 
@@ -9,6 +12,10 @@
     """Define the metrics of one process in its own registry."""
 
     __slots__ = (
+        "cold_allowance",
+        "cold_requests",
+        "cold_sent",
+        "cold_servers",
         "config_age",
         "crashes",
         "internal_errors",
@@ -116,6 +123,28 @@
             "Backend servers that name a limit in their answers.",
             registry=self.registry,
         )
+        self.cold_servers = Gauge(
+            "lacewing_direct_cold_servers",
+            "Backend servers that are known to be cold.",
+            registry=self.registry,
+        )
+        self.cold_requests = Gauge(
+            "lacewing_direct_cold_requests",
+            "Requests sent to cold backend servers since the start.",
+            registry=self.registry,
+        )
+        self.cold_allowance = Gauge(
+            "lacewing_direct_cold_allowance",
+            "Requests per second that this entry may send to a cold backend server.",
+            ["server"],
+            registry=self.registry,
+        )
+        self.cold_sent = Gauge(
+            "lacewing_direct_cold_sent",
+            "Requests that this entry has sent to a backend server since it is cold.",
+            ["server"],
+            registry=self.registry,
+        )
         self.lost_datagrams = Gauge(
             "lacewing_direct_lost_datagrams",
             "Datagrams that could not be read or sent since the start.",
@@ -133,6 +162,15 @@
             registry=self.registry,
         )
 
+    def set_cold_servers(self, shares: Sequence[ColdShare]) -> None:
+        """Show the servers that are cold now, and no others."""
+        self.cold_servers.set(len(shares))
+        self.cold_allowance.clear()
+        self.cold_sent.clear()
+        for share in shares:
+            self.cold_allowance.labels(share.server).set(share.per_second)
+            self.cold_sent.labels(share.server).set(share.sent)
+
     def count_request(self, status: int, reason: str) -> None:
         """Count a completed request.
 
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -1,12 +1,13 @@
 """coordination: state of a direct entry and the routing decisions based on it."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
 from lacewingcleat.adaptive_concurrency import AdaptiveConcurrencyLimit, GroupPace
-from lacewingcleat.connection_backoff import ConnectionBackoff
+from lacewingcleat.cold_servers import ColdServers
+from lacewingcleat.connection_backoff import MAX_BACKOFF_SECONDS, ConnectionBackoff
 from lacewingcleat.crash_evidence import CrashEvidence
 from lacewingcleat.direct_settings import PlatformBounds
 from lacewingcleat.group_tracker import GroupTracker
@@ -15,7 +16,7 @@
 from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent
 from lacewingcleat.request_context import RequestContext
 from lacewingcleat.retries import RetryBudget, RetryPolicy
-from lacewingcleat.routing_config import EngineCapacity, RoutingConfig
+from lacewingcleat.routing_config import EngineCapacity, RoutingConfig, ServiceConfig
 from lacewingcleat.server_choice import (
     ChosenServer,
     ServerChoice,
@@ -36,6 +37,16 @@
 # The limits of single servers do not hold the share where entries know little of each
 # other.
 MAX_OCCUPANCY_RATIO = 1.1
+# Fraction of its weight that a cold server has, so that it gets few requests while warm
+# servers have free slots.
+COLD_WEIGHT = 0.25
+# Age of the view of the store above which a server may have restarted unnoticed. While
+# the store answers, the view is at most as old as two watches of 1.4 s, the interval
+# between them and a response take.
+MAX_VIEW_SECONDS = 3.5
+# Part of its time that a request must still have to be sent to a cold server, which is
+# slow: a request that is late there would be repeated at another server.
+MIN_COLD_TIME_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,9 +68,11 @@
 
     __slots__ = (
         "_bounds",
+        "_cold_services",
         "_occupancy_by_group",
         "_retry_budget_by_service",
         "_zone",
+        "cold_servers",
         "concurrency_limit",
         "config",
         "connection_backoff",
@@ -72,6 +85,7 @@
         "peers",
         "random",
         "rate_limits",
+        "view_age",
     )
 
     def __init__(
@@ -97,6 +111,16 @@
         self.peers = peers
         self.random = random
         self.rate_limits = ServerRateLimits(peers.own_address)
+        self.cold_servers = ColdServers(
+            peers.own_address,
+            bounds.cold_overshoot,
+            bounds.cold_slack,
+            peers.has_seeds,
+        )
+        # Services whose cold servers accept few requests.
+        self._cold_services: dict[str, ServiceConfig] = {}
+        # Returns the age in seconds of the view of the store at a given time.
+        self.view_age: Callable[[float], float] = lambda _now: 0.0
 
     def has_ready_peer(self, now: float) -> bool:
         """Return whether a peer has reported that it is ready for requests."""
@@ -112,7 +136,10 @@
         if not self.retry_budget(context.service, now).has_retry(now):
             return False
         choice = self.choose_server(
-            context.service, context.failed_servers | {current_server}, now
+            context.service,
+            context.failed_servers | {current_server},
+            now,
+            self.may_use_cold_server(context, now),
         )
         match choice:
             case ChosenServer(record, load):
@@ -154,6 +181,11 @@
             return False
         self.config = config
         self.max_event_interval_seconds = config.min_event_interval_seconds()
+        self._cold_services = {
+            name: service
+            for name, service in config.service_by_name.items()
+            if service.cold_per_second > 0.0
+        }
         return True
 
     def choose_server(
@@ -161,10 +193,12 @@
         service: str,
         excluded: frozenset[str],
         now: float,
+        may_use_cold: bool = True,
     ) -> ServerChoice:
         """Choose the server for a request of a service.
 
         :param excluded: servers at which an attempt has failed.
+        :param may_use_cold: whether the request may be sent to a cold server.
         """
         servers = self.directory.accepting_servers(service, now)
         failed_groups = self._groups_of(excluded)
@@ -180,7 +214,7 @@
             candidates,
             self.loads,
             lambda record: self._weight(record, now),
-            lambda record: self._request_limit(record, now),
+            lambda record: self._request_limit(record, now, may_use_cold),
             self._zone,
             self.random,
             now,
@@ -229,7 +263,9 @@
             records[name] for name in self.groups.select_servers_to_poll(records, now)
         ]
 
-    def _request_limit(self, record: ServerRecord, now: float) -> float:
+    def _request_limit(
+        self, record: ServerRecord, now: float, may_use_cold: bool
+    ) -> float:
         """Return the number of requests at which a server counts as full.
 
         A pass of a group takes longer with each of its streams, so all servers are full
@@ -239,6 +275,8 @@
         """
         if not self.rate_limits.may_send(record.incarnation, now):
             return 0.0
+        if self._cold_services and not self._may_send_cold(record, now, may_use_cold):
+            return 0.0
         group = self.groups.find_group_name(record.name)
         share = self.concurrency_limit.slot_share(group)
         occupancy = self._occupancy_by_group.get(group, 0.0) if group else 0.0
@@ -246,6 +284,94 @@
             return 0.0
         return math.floor(record.slots * share + self.random.random())
 
+    def may_use_cold_server(self, context: RequestContext, now: float) -> bool:
+        """Return whether a request has enough time left for a cold server."""
+        allowed_seconds = context.deadline - context.arrived_at
+        return context.deadline - now >= MIN_COLD_TIME_SHARE * allowed_seconds
+
+    def _may_send_cold(
+        self, record: ServerRecord, now: float, may_use_cold: bool
+    ) -> bool:
+        """Return whether the coldness of a server, if any, permits a request now."""
+        service = self._cold_services.get(record.service)
+        if service is None:
+            return True
+        if self.view_age(now) > MAX_VIEW_SECONDS:
+            self._suspect_restart(record, service.cold_seconds, now)
+        if not may_use_cold and self.cold_servers.is_cold(record.name, now):
+            return False
+        return self.cold_servers.may_send(record.name, now)
+
+    def _suspect_restart(
+        self, record: ServerRecord, seconds: float, now: float
+    ) -> None:
+        service = self._cold_services.get(record.service)
+        if service is not None:
+            self.cold_servers.suspect(
+                record.name, seconds, service.cold_per_second, now
+            )
+
+    def record_lost_answer(self, record: ServerRecord, now: float) -> None:
+        """Record that a server has broken off, as it may have restarted."""
+        service = self._cold_services.get(record.service)
+        if service is not None:
+            self._suspect_restart(record, service.cold_seconds, now)
+
+    def record_connection(
+        self, record: ServerRecord, connected: bool, now: float
+    ) -> bool:
+        """Record the result of a connection attempt.
+
+        A server that is reached again may have restarted before its new record arrives.
+
+        :returns: whether the server now counts as cold for this reason.
+        """
+        has_changed = self.connection_backoff.record_attempt(
+            record.name, connected, now
+        )
+        service = self._cold_services.get(record.service)
+        if service is None:
+            return False
+        if not connected:
+            # Lasts beyond the back-off, so that no request is sent before the result of
+            # the next attempt is known.
+            seconds = service.cold_seconds + MAX_BACKOFF_SECONDS
+            self._suspect_restart(record, seconds, now)
+            return False
+        return has_changed and self.cold_servers.record(
+            record.name, service.cold_seconds, service.cold_per_second, now
+        )
+
+    def record_cold_record(
+        self, record: ServerRecord, has_started: bool, now: float
+    ) -> bool:
+        """Record what a new record of the store says about a server's coldness.
+
+        :param has_started: whether the server has started while the store was read.
+        :returns: whether the server was believed to be warm.
+        """
+        service = self._cold_services.get(record.service)
+        if service is None:
+            return False
+        seconds = record.cold_seconds
+        if has_started:
+            seconds = max(seconds, service.cold_seconds)
+        return self.cold_servers.record(
+            record.name, seconds, service.cold_per_second, now
+        )
+
+    def all_warm_from(self, service: str, now: float) -> float | None:
+        """Return when the first server of a service is warm, if all are cold now."""
+        if service not in self._cold_services:
+            return None
+        records = self.directory.accepting_servers(service, now)
+        if not all(self.cold_servers.is_cold(record.name, now) for record in records):
+            return None
+        return min(
+            (self.cold_servers.warm_at(record.name, now) for record in records),
+            default=None,
+        )
+
     def adjust_concurrency(self, now: float) -> list[LimitChange]:
         """Adjust the slot shares of all groups and return the changes."""
         self.concurrency_limit.retain(self.groups.group_names())
@@ -277,7 +403,10 @@
         return requests / slots if slots else 0.0
 
     def _weight(self, record: ServerRecord, now: float) -> float:
-        return self.outliers.weight(Target(record.service, record.name), now)
+        weight = self.outliers.weight(Target(record.service, record.name), now)
+        if self._cold_services and self.cold_servers.is_cold(record.name, now):
+            return weight * COLD_WEIGHT
+        return weight
 
     def update_outliers(self, now: float) -> list[OutlierEvent]:
         """Update outlier ejection and drop the state of removed servers."""
@@ -298,4 +427,6 @@
         self.connection_backoff.retain(names)
         self.rate_limits.retain(self.directory.incarnations())
         self.rate_limits.set_entries(self.peers.addresses(), now)
+        self.cold_servers.retain(names)
+        self.cold_servers.set_entries(self.peers.addresses(), now)
         return events
--- a/lacewingcleat/retry_after.py
+++ b/lacewingcleat/retry_after.py
@@ -21,6 +21,11 @@
 LOADED_WAIT_RANGE_SECONDS = (0.5, 1.6)
 # Another entry can serve the caller as soon as the caller connects to it.
 OTHER_ENTRY_WAIT_SECONDS = 0.05
+# Time after the first server of a service is warm over which the callers return that
+# were refused while all were cold.
+WARM_SPREAD_SECONDS = 0.5
+# Least part of the longest wait, where that is shorter than the time until then.
+MIN_CAPPED_SHARE = 0.6
 
 
 class NotRunCause(Enum):
@@ -29,6 +34,7 @@
     LOADED = "busy"
     OUTAGE = "outage"
     OTHER_ENTRY = "elsewhere"
+    COLD = "cold"
 
 
 def retry_after_seconds(
@@ -36,10 +42,12 @@
     deadline: float,
     random: Random,
     now: float,
+    warm_at: float | None = None,
 ) -> float:
     """Return the seconds after which the caller should retry.
 
     :param deadline: time until which the caller waits for a response.
+    :param warm_at: time from which the first server is warm, if all are cold.
     """
     max_wait = max(0.0, (deadline - now) * MAX_WAIT_SHARE - NETWORK_MARGIN_SECONDS)
     match cause:
@@ -49,4 +57,9 @@
             wait = random.uniform(*LOADED_WAIT_RANGE_SECONDS)
         case NotRunCause.OUTAGE:
             wait = OUTAGE_WAIT_SECONDS
+        case NotRunCause.COLD:
+            wait = max(0.0, (now if warm_at is None else warm_at) - now)
+            wait += random.uniform(0.0, WARM_SPREAD_SECONDS)
+            if wait > max_wait:
+                wait = max_wait * random.uniform(MIN_CAPPED_SHARE, 1.0)
     return min(wait, max_wait)
--- a/lacewingcleat/server_directory.py
+++ b/lacewingcleat/server_directory.py
@@ -113,6 +113,13 @@
         listed = self._listed_by_name.get(name)
         return listed.record if listed else None
 
+    def has_known_run(self, record: ServerRecord) -> bool:
+        """Return whether a run of a server is registered or was until lately."""
+        known = self._listed_by_name.get(record.name) or self._removed_by_name.get(
+            record.name
+        )
+        return known is not None and known.record.started_ms == record.started_ms
+
     def remove(self, name: str, store_returned_at: float, now: float) -> bool:
         """Remove an unregistered server, or start its grace period after an outage.
 
--- a/lacewingcleat/store_changes.py
+++ b/lacewingcleat/store_changes.py
@@ -28,7 +28,14 @@
     :param on_config: called with a configuration that has come into force and the time.
     """
 
-    __slots__ = ("_log", "_on_config", "_state", "_unread_since", "_view")
+    __slots__ = (
+        "_has_listed",
+        "_log",
+        "_on_config",
+        "_state",
+        "_unread_since",
+        "_view",
+    )
 
     def __init__(
         self,
@@ -42,6 +49,7 @@
         self._log = log
         self._on_config = on_config
         self._unread_since: float | None = None
+        self._has_listed = False
 
     def unread_config_seconds(self, now: float) -> float:
         """Return for how long a configuration may be in force that cannot be read.
@@ -63,6 +71,7 @@
                     error=repr(error)[:MAX_LOGGED_LENGTH],
                 )
                 self._reject_item(key, change, now)
+        self._has_listed = self._has_listed or self._view.complete_at > NEVER
 
     def _apply_item(self, key: str, change: ViewChange, now: float) -> None:
         item = self._view.item_by_key.get(key)
@@ -124,11 +133,13 @@
         name = record.name
         directory = self._state.directory
         may_be_copied = self._view.may_be_copied(item)
+        has_started = self._has_listed and not directory.has_known_run(record)
         if may_be_copied:
             previous = directory.put_copied(record, now)
         else:
             previous = directory.put(record)
         record = directory.find(name) or record
+        self._record_cold(record, previous, has_started, now)
         if previous is not None and previous == record:
             return
         if previous is not None and previous.started_ms != record.started_ms:
@@ -144,3 +155,31 @@
             copied=may_be_copied,
             started_ms=record.started_ms,
         )
+
+    def _record_cold(
+        self,
+        record: ServerRecord,
+        previous: ServerRecord | None,
+        has_started: bool,
+        now: float,
+    ) -> None:
+        """Record until when a server is cold, from the first sight of its record.
+
+        The same record may be read again later, when its server is warmer than it says.
+        """
+        is_repeated = (
+            previous is not None
+            and previous.incarnation == record.incarnation
+            and previous.cold_seconds == record.cold_seconds
+        )
+        if is_repeated:
+            return
+        if self._state.record_cold_record(record, has_started, now):
+            seconds = self._state.cold_servers.warm_at(record.name, now) - now
+            self._log.belief(
+                "server cold",
+                now,
+                server=record.name,
+                seconds=round(seconds, 3),
+                source="new run" if has_started else "record",
+            )
