Limit servers that turn cold without a record, and describe cold servers

Cause: a server may become cold at any moment without a new record in the store. Health checks tell, but cost a slot.

Change: slow_first_events.py compares the times to the first events of streams; two in a row at 3 times the median of the service's other servers limit a server to the shares of a cold one for cold_start_s.

Conclusion: an entry that sends a server much notices that it is cold; entries do not tell each other.

--- a/lacewingcleat/cold_servers.py
+++ b/lacewingcleat/cold_servers.py
@@ -177,17 +177,22 @@
 
     def suspect(
         self, server: str, seconds: float, per_second: float, now: float
-    ) -> None:
-        """Keep to the shares at a server that may have restarted unnoticed.
+    ) -> bool:
+        """Keep to the shares at a server that may be cold.
 
         Such a server is probably warm, so it is not avoided otherwise.
 
+        :returns: whether it was not limited before.
+
         :param seconds: time for which it may be cold.
         :param per_second: see `record`.
         """
-        if seconds > 0.0 and per_second > 0.0:
-            cold = self._limit(server, per_second, now)
-            cold.suspected_until = max(cold.suspected_until, now + seconds)
+        if seconds <= 0.0 or per_second <= 0.0:
+            return False
+        cold = self._limit(server, per_second, now)
+        was_limited = cold.is_limited(now)
+        cold.suspected_until = max(cold.suspected_until, now + seconds)
+        return not was_limited
 
     def _limit(self, server: str, per_second: float, now: float) -> _ColdServer:
         cold = self._cold_by_name.get(server)
--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -353,6 +353,17 @@
             group = self._state.groups.find_group_name(record.name)
             self._log.belief("group refuses", now, group=group, server=record.name)
 
+    def _record_first_event(self, attempt: OpenAttempt, now: float) -> None:
+        record = attempt.record
+        seconds = now - (attempt.sent_at or now)
+        if self._state.record_first_event(record, seconds, now):
+            self._log.belief(
+                "server may be cold",
+                now,
+                server=record.name,
+                first_ms=round(seconds * 1000.0, 1),
+            )
+
     def _record_limit(self, attempt: OpenAttempt, head: ResponseHead) -> None:
         limit = names.parse_server_limit(head.header(names.SERVER_LIMIT))
         is_signed = head.header(names.RESPONSE_SIGNATURE) is not None
@@ -429,6 +440,7 @@
                         context.first_event_at = now
                     if started_at is None:
                         started_at = now
+                        self._record_first_event(attempt, now)
                     elif now - started_at >= ANSWER_START_SECONDS:
                         self._record_survival(context, attempt, now)
                     if last_event_at is not None:
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -26,6 +26,7 @@
 from lacewingcleat.server_directory import ServerDirectory
 from lacewingcleat.server_rate_limits import ServerRateLimits
 from lacewingcleat.server_record import ServerRecord
+from lacewingcleat.slow_first_events import SlowFirstEvents
 
 # Minimum number of entries among which the fleet's extra retries are divided, because
 # an entry that has just started or is partitioned off sees few peers.
@@ -85,6 +86,7 @@
         "peers",
         "random",
         "rate_limits",
+        "slow_first_events",
         "view_age",
     )
 
@@ -117,6 +119,7 @@
             bounds.cold_slack,
             peers.has_seeds,
         )
+        self.slow_first_events = SlowFirstEvents()
         # Services whose cold servers accept few requests.
         self._cold_services: dict[str, ServiceConfig] = {}
         # Returns the age in seconds of the view of the store at a given time.
@@ -304,12 +307,26 @@
 
     def _suspect_restart(
         self, record: ServerRecord, seconds: float, now: float
-    ) -> None:
+    ) -> bool:
         service = self._cold_services.get(record.service)
-        if service is not None:
-            self.cold_servers.suspect(
-                record.name, seconds, service.cold_per_second, now
-            )
+        return service is not None and self.cold_servers.suspect(
+            record.name, seconds, service.cold_per_second, now
+        )
+
+    def record_first_event(
+        self, record: ServerRecord, seconds: float, now: float
+    ) -> bool:
+        """Record the time to a stream's first event.
+
+        :returns: whether its server may now be cold, unlike before.
+        """
+        service = self._cold_services.get(record.service)
+        if service is None:
+            return False
+        slow_events = self.slow_first_events
+        if not slow_events.record(record.service, record.name, seconds, now):
+            return False
+        return self._suspect_restart(record, service.cold_seconds, now)
 
     def record_lost_answer(self, record: ServerRecord, now: float) -> None:
         """Record that a server has broken off, as it may have restarted."""
@@ -428,5 +445,6 @@
         self.rate_limits.retain(self.directory.incarnations())
         self.rate_limits.set_entries(self.peers.addresses(), now)
         self.cold_servers.retain(names)
+        self.slow_first_events.retain(names)
         self.cold_servers.set_entries(self.peers.addresses(), now)
         return events
--- a/tests/cold_fakes.py
+++ b/tests/cold_fakes.py
@@ -12,7 +12,9 @@
     FakeStore,
     Listener,
     ReceivedRequest,
+    encode_chunk,
     encode_signed_response,
+    encode_stream_head,
 )
 
 COLD_PER_SECOND = 4.0
@@ -21,6 +23,9 @@
 COLD_SLACK = 5.0
 WINDOW_SECONDS = 1.0
 CALLER_DEADLINE_SECONDS = 2.5
+# Times to the first event of a stream at a warm server and a cold one.
+FIRST_EVENT_SECONDS = 0.02
+SLOW_SECONDS = 0.25
 
 
 def allowed_arrivals(per_second: float = COLD_PER_SECOND) -> float:
@@ -79,12 +84,14 @@
     """Run servers of the service `s` and record the arrivals at each.
 
     :ivar arrivals_by_name: times of the requests at each server.
+    :ivar slow_names: servers whose streams begin late.
     """
 
     def __init__(self, config: dict[str, object]) -> None:
         self.store = FakeStore()
         self.store.put("op/config", config)
         self.arrivals_by_name: dict[str, list[float]] = {}
+        self.slow_names: set[str] = set()
         self._servers: list[FakeServer] = []
 
     def add(self, name: str, born: int = 1, cold_ms: object = 0) -> RestartingServer:
@@ -104,7 +111,12 @@
     def _serve(self, request: ReceivedRequest, stream: socket.socket) -> bool:
         name = request.headers["x-expect-instance"]
         self.arrivals_by_name[name].append(time.monotonic())
-        stream.sendall(encode_signed_response(request, 200, b"x"))
+        if not request.target.startswith("/stream/"):
+            stream.sendall(encode_signed_response(request, 200, b"x"))
+            return True
+        stream.sendall(encode_stream_head(request))
+        time.sleep(SLOW_SECONDS if name in self.slow_names else FIRST_EVENT_SECONDS)
+        stream.sendall(encode_chunk(b"id: 1\ndata: x\n\n") + encode_chunk(b""))
         return True
 
     def close(self) -> None:
@@ -118,11 +130,15 @@
     """Send requests to each of some entries at a steady rate.
 
     :param rate: requests per second and entry.
+    :param path: target of the requests.
     :ivar answers: time, status and Retry-After of each response.
     """
 
-    def __init__(self, entries: list[EntryProcess], rate: float) -> None:
+    def __init__(
+        self, entries: list[EntryProcess], rate: float, path: str = "/get/x"
+    ) -> None:
         self._rate = rate
+        self._path = path
         self.answers: list[tuple[float, int, str | None]] = []
         self._stopped = threading.Event()
         self._threads = [
@@ -136,7 +152,9 @@
         while not self._stopped.wait(1.0 / self._rate):
             number += 1
             response, _ = entry.call(
-                "/get/x", request_id=f"{entry.port}-{number}", key="k"
+                self._path,
+                request_id=f"{threading.get_ident()}-{number}",
+                key="k",
             )
             retry_after = response.headers.get("Retry-After")
             self.answers.append((time.monotonic(), response.status, retry_after))
--- a/tests/test_cold_decisions.py
+++ b/tests/test_cold_decisions.py
@@ -203,6 +203,17 @@
         self.state.record_lost_answer(record, 1.0)
         self.assertFalse(self.state.cold_servers.may_send("i-0", 1.0))
 
+    def test_slow_first_events_limit_a_server(self) -> None:
+        """Guards against full load on a server that is cold without a new record."""
+        record = self._put("i-0")
+        other = self._put("i-1")
+        for _ in range(20):
+            self.state.record_first_event(other, 0.2, 1.0)
+        seen = [self.state.record_first_event(record, 1.0, 1.0) for _ in range(3)]
+        self.assertEqual([False, True, False], seen)
+        self.assertFalse(self.state.cold_servers.may_send("i-0", 1.0))
+        self.assertTrue(self.state.cold_servers.may_send("i-1", 1.0))
+
 
 class ColdRecordsTest(TestCase):
     def setUp(self) -> None:
--- a/tests/test_cold_entries.py
+++ b/tests/test_cold_entries.py
@@ -99,6 +99,27 @@
         self.assertGreater(len(cold_arrivals), 0)
         self.assertLessEqual(busiest_second(cold_arrivals), allowed_arrivals())
 
+    def test_server_that_turns_cold_without_a_record(self) -> None:
+        """Guards against full load on a server that only its slow streams show."""
+        config = make_cold_config(1.0, COLD_SECONDS)
+        self.servers.store.put("op/config", {**config, "version": 2})
+        for number in range(2):
+            self.servers.add(f"i-{number}")
+        with run_entries(self.servers.store, 1) as entries:
+            self._wait_for_servers(entries, 2)
+            callers = FastCallers(entries * 6, REQUESTS_PER_SECOND / 6.0, "/stream/x")
+            wait_for(lambda: len(callers.answers) >= 80)
+            self.servers.slow_names.add("i-0")
+            wait_for(lambda: bool(entries[0].log_lines("server may be cold")))
+            noticed_at = time.monotonic()
+            time.sleep(2.0)
+            callers.stop()
+            lines = entries[0].log_lines("server may be cold")
+        self.assertEqual({"i-0"}, {line["server"] for line in lines})
+        arrivals = self.servers.arrivals_by_name["i-0"]
+        cold_arrivals = [at for at in arrivals if at > noticed_at]
+        self.assertLessEqual(busiest_second(cold_arrivals), allowed_arrivals(1.0))
+
     def test_server_that_is_warm_by_its_record_is_used_at_once(self) -> None:
         """Guards against sparing all servers when an entry starts."""
         self.servers.add("i-0", born=7)
