--- a/tests/test_cold_entries.py
+++ b/tests/test_cold_entries.py
@@ -1,6 +1,7 @@
 """Entries before servers that are cold after a start."""
 
 import time
+from http.client import HTTPConnection
 
 from testtools import TestCase
 
@@ -33,6 +34,14 @@
         for entry in entries:
             entry.wait_until_ready(count)
 
+    def _read_metrics(self, entry: EntryProcess) -> str:
+        connection = HTTPConnection("127.0.0.1", entry.ready_port, timeout=5)
+        try:
+            connection.request("GET", "/metrics")
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
     def test_new_server_beside_warm_ones_gets_few_requests(self) -> None:
         """Guards against each entry sending a new server its share of the load."""
         for number in range(2):
@@ -65,6 +74,11 @@
             wait_for(lambda: bool(arrivals))
             time.sleep(1.5)
             callers.stop()
+            metrics = [self._read_metrics(entry) for entry in entries]
+        for text in metrics:
+            self.assertIn("lacewing_direct_cold_servers 1.0", text)
+            self.assertIn('lacewing_direct_cold_allowance{server="cold"}', text)
+            self.assertIn('lacewing_direct_cold_sent{server="cold"}', text)
         self.assertEqual({200, 503}, callers.statuses)
         self.assertLessEqual(busiest_second(arrivals), allowed_arrivals())
         waits = [
