Bound when a suspected server is limited, and for how long

Also, an old view of the store limited all servers for 3 s more after the view was fresh again, and made an entry without a share refuse everything.

Change: a lost answer limits a server for the 3 s in which it may start again and cold_start_s. An old view limits servers for 0.5 s, renewed by each request, and not at all at an entry without a share of any server.

Conclusion: a suspended entry serves as soon as its view of the store is fresh.

--- a/lacewingcleat/cold_servers.py
+++ b/lacewingcleat/cold_servers.py
@@ -257,8 +257,16 @@
             cold.view = self._view
             self._assign_share(server, cold)
 
+    def has_part(self, per_second: float) -> bool:
+        """Return whether the known entries may send anything to a cold server."""
+        return self._find_bound(per_second) >= 1.0
+
+    def _find_bound(self, per_second: float) -> float:
+        """Return the requests in any second that the known entries may send."""
+        return (per_second * self._overshoot + self._slack) * self._part
+
     def _assign_share(self, server: str, cold: _ColdServer) -> None:
-        bound = (cold.per_second * self._overshoot + self._slack) * self._part
+        bound = self._find_bound(cold.per_second)
         rate = min(cold.per_second, cold.per_second * self._overshoot * self._part)
         count, share = _divide(rate, bound, len(self._entries))
         owners = rank_by_rendezvous(server, self._entries)[:count]
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -45,6 +45,13 @@
 # the store answers, the view is at most as old as two watches of 1.4 s, the interval
 # between them and a response take.
 MAX_VIEW_SECONDS = 3.5
+# Time for which a server is suspected for that reason. It is renewed with each request
+# and ends soon after the store has told what has changed.
+OLD_VIEW_SUSPICION_SECONDS = 0.5
+# Time for which a server that has failed is expected to start again. It is cold after
+# that. It is not below the longest back-off, so that no request is sent before the
+# result of the next connection attempt is known.
+RESTART_SECONDS = MAX_BACKOFF_SECONDS
 # Part of its time that a request must still have to be sent to a cold server, which is
 # slow: a request that is late there would be repeated at another server.
 MIN_COLD_TIME_SHARE = 0.5
@@ -299,8 +306,13 @@
         service = self._cold_services.get(record.service)
         if service is None:
             return True
-        if self.view_age(now) > MAX_VIEW_SECONDS:
-            self._suspect_restart(record, service.cold_seconds, now)
+        per_second = service.cold_per_second
+        if self.view_age(now) > MAX_VIEW_SECONDS and self.cold_servers.has_part(
+            per_second
+        ):
+            # Without a share of any server the entry would refuse all requests, though
+            # nothing tells that a server has restarted.
+            self._suspect_restart(record, OLD_VIEW_SUSPICION_SECONDS, now)
         if not may_use_cold and self.cold_servers.is_cold(record.name, now):
             return False
         return self.cold_servers.may_send(record.name, now)
@@ -332,7 +344,8 @@
         """Record that a server has broken off, as it may have restarted."""
         service = self._cold_services.get(record.service)
         if service is not None:
-            self._suspect_restart(record, service.cold_seconds, now)
+            seconds = RESTART_SECONDS + service.cold_seconds
+            self._suspect_restart(record, seconds, now)
 
     def record_connection(
         self, record: ServerRecord, connected: bool, now: float
@@ -350,9 +363,7 @@
         if service is None:
             return False
         if not connected:
-            # Lasts beyond the back-off, so that no request is sent before the result of
-            # the next attempt is known.
-            seconds = service.cold_seconds + MAX_BACKOFF_SECONDS
+            seconds = RESTART_SECONDS + service.cold_seconds
             self._suspect_restart(record, seconds, now)
             return False
         return has_changed and self.cold_servers.record(
--- a/tests/test_cold_decisions.py
+++ b/tests/test_cold_decisions.py
@@ -9,7 +9,12 @@
 from testtools import TestCase
 
 from lacewingcleat.direct_settings import PlatformBounds
-from lacewingcleat.direct_state import MAX_VIEW_SECONDS, DirectState
+from lacewingcleat.direct_state import (
+    MAX_VIEW_SECONDS,
+    OLD_VIEW_SUSPICION_SECONDS,
+    RESTART_SECONDS,
+    DirectState,
+)
 from lacewingcleat.load_gossip import LoadGossip
 from lacewingcleat.request_access import Granted
 from lacewingcleat.request_context import RequestContext
@@ -185,6 +190,29 @@
         self.assertLessEqual(chosen, PER_SECOND + 1.0)
         self.assertIs(None, self.state.all_warm_from("s", 1.0))
 
+    def test_limits_of_an_old_view_end_with_it(self) -> None:
+        """Guards against an entry that refuses for seconds after it was suspended."""
+        self._put("i-0")
+        self.state.view_age = lambda _now: MAX_VIEW_SECONDS + 0.1
+        self.state.choose_server("s", frozenset(), 1.0)
+        self.assertFalse(self.state.cold_servers.may_send("i-0", 1.0))
+        self.state.view_age = lambda _now: 0.1
+        later = 1.01 + OLD_VIEW_SUSPICION_SECONDS
+        self.assertTrue(self.state.cold_servers.may_send("i-0", later))
+
+    def test_old_view_of_an_entry_without_peers_limits_nothing(self) -> None:
+        """Guards against refusing everything without a sign of a restart."""
+        peers = LoadGossip("me", "10.0.0.1:1", ("10.0.0.2:1",), Random(1))
+        config = self.state.config
+        self.state = DirectState("z", BOUNDS, peers, Random(1))
+        assert config is not None
+        self.state.apply_config(config)
+        self.state.update_outliers(0.0)
+        self._put("i-0")
+        self.state.view_age = lambda _now: MAX_VIEW_SECONDS + 0.1
+        choice = self.state.choose_server("s", frozenset(), 1.0)
+        self.assertIsInstance(choice, ChosenServer)
+
     def test_server_that_is_reached_again_is_cold(self) -> None:
         """Guards against full load before the record of a restart arrives."""
         record = self._put("i-0")
@@ -202,6 +230,15 @@
         record = self._put("i-0")
         self.state.record_lost_answer(record, 1.0)
         self.assertFalse(self.state.cold_servers.may_send("i-0", 1.0))
+        # It may start only some seconds after it has broken off, and is cold then.
+        sent = 0
+        for step in range(100):
+            now = 1.0 + RESTART_SECONDS + COLD_SECONDS - 1.0 + step / 100.0
+            self.state.update_outliers(now)
+            if self.state.cold_servers.may_send("i-0", now):
+                self.state.cold_servers.take("i-0", now)
+                sent += 1
+        self.assertLessEqual(sent, PER_SECOND + 1.0)
 
     def test_slow_first_events_limit_a_server(self) -> None:
         """Guards against full load on a server that is cold without a new record."""
