--- a/tests/cold_fakes.py
+++ b/tests/cold_fakes.py
@@ -132,6 +132,7 @@
     :param rate: requests per second and entry.
     :param path: target of the requests.
     :ivar answers: time, status and Retry-After of each response.
+    :ivar last_status_by_port: latest status by the port of the entry.
     """
 
     def __init__(
@@ -140,6 +141,7 @@
         self._rate = rate
         self._path = path
         self.answers: list[tuple[float, int, str | None]] = []
+        self.last_status_by_port: dict[int, int] = {}
         self._stopped = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, args=(entry,)) for entry in entries
@@ -158,6 +160,7 @@
             )
             retry_after = response.headers.get("Retry-After")
             self.answers.append((time.monotonic(), response.status, retry_after))
+            self.last_status_by_port[entry.port] = response.status
 
     @property
     def statuses(self) -> set[int]:
