--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -124,6 +124,8 @@
             admission.record_end(attempt.record.service, has_run, read_now())
         if attempt.sent_at is None or context.cancelled or attempt.superseded:
             return result
+        if is_answer_lost(result):
+            self._state.record_lost_answer(attempt.record, read_now())
         if is_answer_lost(result) and not attempt.survived_start:
             await self._examine_loss(context, attempt.record, result)
         return result
@@ -285,9 +287,16 @@
                 return idle
         opened = await self._pool.connect(record)
         connected = not isinstance(opened, str)
-        self._state.connection_backoff.record_attempt(
-            record.name, connected, read_now()
-        )
+        now = read_now()
+        if self._state.record_connection(record, connected, now):
+            seconds = self._state.cold_servers.warm_at(record.name, now) - now
+            self._log.belief(
+                "server cold",
+                now,
+                server=record.name,
+                seconds=round(seconds, 3),
+                source="reached again",
+            )
         return opened
 
     def _find_obstacle(
@@ -406,6 +415,17 @@
         if self._signals.record(context, attempt, head, connection.request_count, now):
             self.withdraw_restricted(now)
 
+    def _record_first_event(self, attempt: OpenAttempt, now: float) -> None:
+        record = attempt.record
+        seconds = now - (attempt.sent_at or now)
+        if self._state.record_first_event(record, seconds, now):
+            self._log.belief(
+                "server may be cold",
+                now,
+                server=record.name,
+                first_ms=round(seconds * 1000.0, 1),
+            )
+
     def _record_limit(self, attempt: OpenAttempt, head: ResponseHead) -> None:
         limit = names.parse_server_limit(head.header(names.SERVER_LIMIT))
         is_signed = head.header(names.RESPONSE_SIGNATURE) is not None
@@ -483,6 +503,7 @@
                         context.first_event_at = now
                     if started_at is None:
                         started_at = now
+                        self._record_first_event(attempt, now)
                     elif now - started_at >= ANSWER_START_SECONDS:
                         self._record_survival(context, attempt, now)
                     if last_event_at is not None:
--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -436,17 +436,23 @@
         else:
             if choice is None:
                 choice = self._state.choose_server(
-                    context.service, context.failed_servers, now
+                    context.service,
+                    context.failed_servers,
+                    now,
+                    self._state.may_use_cold_server(context, now),
                 )
             match choice:
                 case ChosenServer(record, load):
                     self._state.rate_limits.take(record.incarnation, now)
+                    self._state.cold_servers.take(record.name, now)
                     attempt = OpenAttempt(record, load, now)
                     running = self._attempt(context, request, attempt, events, race)
                     race.start(attempt, running)
                     return None
                 case ServersFull():
                     unsent = "servers-full", NotRunCause.LOADED
+                    if self._state.all_warm_from(context.service, now) is not None:
+                        unsent = "servers-cold", NotRunCause.COLD
                 case NoServer():
                     unsent = "no-server", NotRunCause.OUTAGE
         if race.has_open:
@@ -677,6 +683,9 @@
             release_at = self._state.first_release(context.service, now)
             if release_at is not None:
                 return release_wait_seconds(release_at, deadline, random, now)
+        if cause is NotRunCause.COLD:
+            warm_at = self._state.all_warm_from(context.service, now)
+            return retry_after_seconds(cause, deadline, random, now, warm_at)
         decision = context.admission
         if decision is None or cause is not NotRunCause.LOADED:
             return retry_after_seconds(cause, deadline, random, now)
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -1,9 +1,10 @@
 """transport: metrics of a direct entry."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from lacewingcleat.cold_servers import ColdShare
 from lacewingcleat.latency_buckets import LATENCY_BUCKETS_SECONDS
 from lacewingcleat.memory_budget import MemoryBudget
 
@@ -17,6 +18,10 @@
         "client_connections",
         "client_cuts",
         "clients_waiting",
+        "cold_allowance",
+        "cold_requests",
+        "cold_sent",
+        "cold_servers",
         "config_age",
         "crashes",
         "evacuated_seconds",
@@ -150,6 +155,28 @@
             "Values of Retry-After that could not be read since the start.",
             registry=self.registry,
         )
+        self.cold_servers = Gauge(
+            "lacewing_direct_cold_servers",
+            "Backend servers that are known to be cold.",
+            registry=self.registry,
+        )
+        self.cold_requests = Gauge(
+            "lacewing_direct_cold_requests",
+            "Requests sent to cold backend servers since the start.",
+            registry=self.registry,
+        )
+        self.cold_allowance = Gauge(
+            "lacewing_direct_cold_allowance",
+            "Requests per second that this entry may send to a cold backend server.",
+            ["server"],
+            registry=self.registry,
+        )
+        self.cold_sent = Gauge(
+            "lacewing_direct_cold_sent",
+            "Requests that this entry has sent to a backend server since it is cold.",
+            ["server"],
+            registry=self.registry,
+        )
         self.lost_datagrams = Gauge(
             "lacewing_direct_lost_datagrams",
             "Datagrams that could not be read or sent since the start.",
@@ -228,6 +255,15 @@
         """Count a decision on admission."""
         self.admissions.labels(str(priority), decision).inc()
 
+    def set_cold_servers(self, shares: Sequence[ColdShare]) -> None:
+        """Show the servers that are cold now, and no others."""
+        self.cold_servers.set(len(shares))
+        self.cold_allowance.clear()
+        self.cold_sent.clear()
+        for share in shares:
+            self.cold_allowance.labels(share.server).set(share.per_second)
+            self.cold_sent.labels(share.server).set(share.sent)
+
     def count_request(self, status: int, reason: str) -> None:
         """Count a completed request.
 
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -2,12 +2,13 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
 from lacewingcleat.adaptive_concurrency import AdaptiveConcurrencyLimit, GroupPace
-from lacewingcleat.connection_backoff import ConnectionBackoff
+from lacewingcleat.cold_servers import ColdServers
+from lacewingcleat.connection_backoff import MAX_BACKOFF_SECONDS, ConnectionBackoff
 from lacewingcleat.crash_evidence import CrashEvidence
 from lacewingcleat.direct_settings import PlatformBounds
 from lacewingcleat.group_tracker import GroupTracker
@@ -21,7 +22,7 @@
 from lacewingcleat.request_context import RequestContext
 from lacewingcleat.retries import RetryBudget, RetryPolicy
 from lacewingcleat.retry_after import RefusedRequests
-from lacewingcleat.routing_config import EngineCapacity, RoutingConfig
+from lacewingcleat.routing_config import EngineCapacity, RoutingConfig, ServiceConfig
 from lacewingcleat.server_choice import (
     ChosenServer,
     ServerChoice,
@@ -36,6 +37,7 @@
     ServerRestrictions,
     UnusableReason,
 )
+from lacewingcleat.slow_first_events import SlowFirstEvents
 from lacewingcleat.waiting_requests import FirstEventTimes
 
 # Minimum number of entries among which the fleet's extra retries are divided, because
@@ -51,6 +53,23 @@
 # Time for which the reasons of a refusal are reused, since an overloaded entry refuses
 # many requests for the same ones.
 EXPLANATION_SECONDS = 0.1
+# Fraction of its weight that a cold server has, so that it gets few requests while warm
+# servers have free slots.
+COLD_WEIGHT = 0.25
+# Age of the view of the store above which a server may have restarted unnoticed. While
+# the store answers, the view is at most as old as two watches of 1.4 s, the interval
+# between them and a response take.
+MAX_VIEW_SECONDS = 3.5
+# Time for which a server is suspected for that reason. It is renewed with each request
+# and ends soon after the store has told what has changed.
+OLD_VIEW_SUSPICION_SECONDS = 0.5
+# Time for which a server that has failed is expected to start again. It is cold after
+# that. It is not below the longest back-off, so that no request is sent before the
+# result of the next connection attempt is known.
+RESTART_SECONDS = MAX_BACKOFF_SECONDS
+# Part of its time that a request must still have to be sent to a cold server, which is
+# slow: a request that is late there would be repeated at another server.
+MIN_COLD_TIME_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,11 +104,13 @@
 
     __slots__ = (
         "_bounds",
+        "_cold_services",
         "_occupancy_by_group",
         "_refusal_by_service",
         "_retry_budget_by_service",
         "_zone",
         "admission",
+        "cold_servers",
         "concurrency_limit",
         "config",
         "connection_backoff",
@@ -105,6 +126,8 @@
         "rate_limits",
         "refused_requests",
         "restrictions",
+        "slow_first_events",
+        "view_age",
     )
 
     def __init__(
@@ -135,6 +158,17 @@
         self.random = random
         self.rate_limits = ServerRateLimits(peers.own_address)
         self.restrictions = ServerRestrictions()
+        self.cold_servers = ColdServers(
+            peers.own_address,
+            bounds.cold_overshoot,
+            bounds.cold_slack,
+            peers.has_seeds,
+        )
+        self.slow_first_events = SlowFirstEvents()
+        # Services whose cold servers accept few requests.
+        self._cold_services: dict[str, ServiceConfig] = {}
+        # Returns the age in seconds of the view of the store at a given time.
+        self.view_age: Callable[[float], float] = lambda _now: 0.0
 
     def has_ready_peer(self, now: float) -> bool:
         """Return whether a peer has reported that it is ready for requests."""
@@ -150,7 +184,10 @@
         if not self.retry_budget(context.service, now).has_retry(now):
             return False
         choice = self.choose_server(
-            context.service, context.failed_servers | {current_server}, now
+            context.service,
+            context.failed_servers | {current_server},
+            now,
+            self.may_use_cold_server(context, now),
         )
         match choice:
             case ChosenServer(record, load):
@@ -193,6 +230,11 @@
         self.config = config
         self.max_event_interval_seconds = config.min_event_interval_seconds()
         self.admission.set_services(find_prioritized_services(config))
+        self._cold_services = {
+            name: service
+            for name, service in config.service_by_name.items()
+            if service.cold_per_second > 0.0
+        }
         return True
 
     def choose_server(
@@ -200,10 +242,12 @@
         service: str,
         excluded: frozenset[str],
         now: float,
+        may_use_cold: bool = True,
     ) -> ServerChoice:
         """Choose the server for a request of a service.
 
         :param excluded: servers at which an attempt has failed.
+        :param may_use_cold: whether the request may be sent to a cold server.
         """
         servers = self.directory.accepting_servers(service, now)
         failed_groups = self._failed_groups(excluded, now)
@@ -221,22 +265,25 @@
             choice = self._choose_among(
                 [record for record in candidates if record.zone not in spared_zones],
                 now,
+                may_use_cold,
             )
             # A spared zone is used before a caller is refused.
             if isinstance(choice, ChosenServer):
                 return choice
-        return self._choose_among(candidates, now)
+        return self._choose_among(candidates, now, may_use_cold)
 
-    def _choose_among(self, candidates: list[ServerRecord], now: float) -> ServerChoice:
+    def _choose_among(
+        self, candidates: list[ServerRecord], now: float, may_use_cold: bool
+    ) -> ServerChoice:
         returning_zones = frozenset(self.restrictions.returning_zones(now))
         return choose_server(
             candidates,
             self.loads,
             lambda record: self._weight(record, now),
             lambda record: (
-                self._returning_limit(record, now)
+                self._returning_limit(record, now, may_use_cold)
                 if record.zone in returning_zones
-                else self._request_limit(record, now)
+                else self._request_limit(record, now, may_use_cold)
             ),
             self._zone,
             self.random,
@@ -264,6 +311,8 @@
             return UnusableReason.GROUP_CLOSED
         if not self.rate_limits.may_send(record.incarnation, now):
             return UnusableReason.RATE_LIMITED
+        if self._cold_services and not self._may_send_cold(record, now, True):
+            return UnusableReason.COLD
         return None
 
     def count_unusable(
@@ -338,11 +387,13 @@
             restriction = self.restrictions.find(current, now)
         return restriction
 
-    def _returning_limit(self, record: ServerRecord, now: float) -> float:
+    def _returning_limit(
+        self, record: ServerRecord, now: float, may_use_cold: bool
+    ) -> float:
         """Return the request limit of a server whose zone was evacuated until now."""
         share = self.restrictions.slot_share(record.zone, now)
         return min(
-            self._request_limit(record, now),
+            self._request_limit(record, now, may_use_cold),
             math.floor(record.slots * share + self.random.random()),
         )
 
@@ -397,7 +448,9 @@
             records[name] for name in self.groups.select_servers_to_poll(records, now)
         ]
 
-    def _request_limit(self, record: ServerRecord, now: float) -> float:
+    def _request_limit(
+        self, record: ServerRecord, now: float, may_use_cold: bool
+    ) -> float:
         """Return the number of requests at which a server counts as full.
 
         A pass of a group takes longer with each of its streams, so all servers are full
@@ -407,6 +460,8 @@
         """
         if not self.rate_limits.may_send(record.incarnation, now):
             return 0.0
+        if self._cold_services and not self._may_send_cold(record, now, may_use_cold):
+            return 0.0
         group = self.groups.find_group_name(record.name)
         share = self.concurrency_limit.slot_share(group)
         occupancy = self._occupancy_by_group.get(group, 0.0) if group else 0.0
@@ -414,6 +469,112 @@
             return 0.0
         return math.floor(record.slots * share + self.random.random())
 
+    def may_use_cold_server(self, context: RequestContext, now: float) -> bool:
+        """Return whether a request has enough time left for a cold server."""
+        allowed_seconds = context.deadline - context.arrived_at
+        return context.deadline - now >= MIN_COLD_TIME_SHARE * allowed_seconds
+
+    def _may_send_cold(
+        self, record: ServerRecord, now: float, may_use_cold: bool
+    ) -> bool:
+        """Return whether the coldness of a server, if any, permits a request now."""
+        service = self._cold_services.get(record.service)
+        if service is None:
+            return True
+        per_second = service.cold_per_second
+        if self.view_age(now) > MAX_VIEW_SECONDS and self.cold_servers.has_part(
+            per_second
+        ):
+            # Without a share of any server the entry would refuse all requests, though
+            # nothing tells that a server has restarted.
+            self._suspect_restart(record, OLD_VIEW_SUSPICION_SECONDS, now)
+        if not may_use_cold and self.cold_servers.is_cold(record.name, now):
+            return False
+        return self.cold_servers.may_send(record.name, now)
+
+    def _suspect_restart(
+        self, record: ServerRecord, seconds: float, now: float
+    ) -> bool:
+        service = self._cold_services.get(record.service)
+        return service is not None and self.cold_servers.suspect(
+            record.name, seconds, service.cold_per_second, now
+        )
+
+    def record_first_event(
+        self, record: ServerRecord, seconds: float, now: float
+    ) -> bool:
+        """Record the time to a stream's first event.
+
+        :returns: whether its server may now be cold, unlike before.
+        """
+        service = self._cold_services.get(record.service)
+        if service is None:
+            return False
+        slow_events = self.slow_first_events
+        if not slow_events.record(record.service, record.name, seconds, now):
+            return False
+        return self._suspect_restart(record, service.cold_seconds, now)
+
+    def record_lost_answer(self, record: ServerRecord, now: float) -> None:
+        """Record that a server has broken off, as it may have restarted."""
+        service = self._cold_services.get(record.service)
+        if service is not None:
+            seconds = RESTART_SECONDS + service.cold_seconds
+            self._suspect_restart(record, seconds, now)
+
+    def record_connection(
+        self, record: ServerRecord, connected: bool, now: float
+    ) -> bool:
+        """Record the result of a connection attempt.
+
+        A server that is reached again may have restarted before its new record arrives.
+
+        :returns: whether the server now counts as cold for this reason.
+        """
+        has_changed = self.connection_backoff.record_attempt(
+            record.name, connected, now
+        )
+        service = self._cold_services.get(record.service)
+        if service is None:
+            return False
+        if not connected:
+            seconds = RESTART_SECONDS + service.cold_seconds
+            self._suspect_restart(record, seconds, now)
+            return False
+        return has_changed and self.cold_servers.record(
+            record.name, service.cold_seconds, service.cold_per_second, now
+        )
+
+    def record_cold_record(
+        self, record: ServerRecord, has_started: bool, now: float
+    ) -> bool:
+        """Record what a new record of the store says about a server's coldness.
+
+        :param has_started: whether the server has started while the store was read.
+        :returns: whether the server was believed to be warm.
+        """
+        service = self._cold_services.get(record.service)
+        if service is None:
+            return False
+        seconds = record.cold_seconds
+        if has_started:
+            seconds = max(seconds, service.cold_seconds)
+        return self.cold_servers.record(
+            record.name, seconds, service.cold_per_second, now
+        )
+
+    def all_warm_from(self, service: str, now: float) -> float | None:
+        """Return when the first server of a service is warm, if all are cold now."""
+        if service not in self._cold_services:
+            return None
+        records = self.directory.accepting_servers(service, now)
+        if not all(self.cold_servers.is_cold(record.name, now) for record in records):
+            return None
+        return min(
+            (self.cold_servers.warm_at(record.name, now) for record in records),
+            default=None,
+        )
+
     def adjust_concurrency(self, now: float) -> list[LimitChange]:
         """Adjust the slot shares of all groups and return the changes."""
         self.concurrency_limit.retain(self.groups.group_names())
@@ -466,7 +627,10 @@
         return requests / slots if slots else 0.0
 
     def _weight(self, record: ServerRecord, now: float) -> float:
-        return self.outliers.weight(Target(record.service, record.name), now)
+        weight = self.outliers.weight(Target(record.service, record.name), now)
+        if self._cold_services and self.cold_servers.is_cold(record.name, now):
+            return weight * COLD_WEIGHT
+        return weight
 
     def update_outliers(self, now: float) -> list[OutlierEvent]:
         """Update outlier ejection and drop the state of removed servers."""
@@ -487,4 +651,7 @@
         self.connection_backoff.retain(names)
         self.rate_limits.retain(self.directory.incarnations())
         self.rate_limits.set_entries(self.peers.addresses(), now)
+        self.cold_servers.retain(names)
+        self.slow_first_events.retain(names)
+        self.cold_servers.set_entries(self.peers.addresses(), now)
         return events
--- a/lacewingcleat/server_restrictions.py
+++ b/lacewingcleat/server_restrictions.py
@@ -61,6 +61,7 @@
     :cvar UNREGISTERED: its registration has lapsed or may be that of an earlier run.
     :cvar UNREACHABLE: connecting to it has failed.
     :cvar TRIED: an attempt at it or at its group has failed the request.
+    :cvar COLD: it is cold and this entry has used its part of what it accepts.
     :cvar FULL: it has as many requests as it may have.
     """
 
@@ -69,6 +70,7 @@
     UNREACHABLE = "unreachable"
     GROUP_CLOSED = "group closed"
     RATE_LIMITED = "rate limited"
+    COLD = "cold"
     EJECTED = "ejected"
     TRIED = "tried"
     FULL = "full"
