Rank requests by the priority of the account, then by that of the route

The target of 0.94 of the usable slots also refused requests in seconds in which nobody was late before.

Change: Granted.rank orders by both; shares, rates and waiting go by rank. The target is 1.02.

--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -294,13 +294,13 @@
         context.admission = decision = self._decide_admission(context, now)
         if decision.admitted:
             return None
-        self._metrics.count_admission(decision.priority, decision.outcome)
+        self._metrics.count_admission(decision.rank, decision.outcome)
         self._log.request(
             "refused by priority",
             now,
             request=context.request_id,
             service=context.service,
-            priority=decision.priority,
+            rank=decision.rank,
             decision=decision.outcome,
             share=round(decision.share, 3),
             account_share=round(decision.account_share, 3),
@@ -316,16 +316,16 @@
 
     def _decide_admission(self, context: RequestContext, now: float) -> Decision:
         admission, refused = self._state.admission, self._state.refused_requests
-        service, priority = context.service, context.granted.priority
+        service, rank = context.service, context.granted.rank
         if refused.seconds_early(context.fingerprint, now):
-            decision = admission.decide(service, priority, 1.0, now)
+            decision = admission.decide(service, rank, 1.0, now)
             if decision.share < 1.0:
                 return replace(decision, outcome=EARLY)
         is_return = refused.take_return(context.fingerprint, now)
         account = context.granted.account.name if context.granted.account else ""
-        admission.record_arrival(service, priority, now, is_return, account)
+        admission.record_arrival(service, rank, now, is_return, account)
         fraction = self._state.random.random()
-        return admission.decide(service, priority, fraction, now, is_return, account)
+        return admission.decide(service, rank, fraction, now, is_return, account)
 
     async def _wait_for_server(self, context: RequestContext) -> ServerChoice | None:
         """Return the server of an admitted request, after a wait if all are full.
@@ -348,14 +348,14 @@
         if isinstance(choice, ServersFull):
             outcome = FULL
         if choice is not None:
-            self._metrics.count_admission(decision.priority, outcome)
+            self._metrics.count_admission(decision.rank, outcome)
         if outcome != ADMITTED:
             self._log.request(
                 "all servers full",
                 now,
                 request=context.request_id,
                 service=context.service,
-                priority=decision.priority,
+                rank=decision.rank,
                 decision=outcome if choice is not None else "left",
                 waited_ms=round((read_now() - now) * 1000.0, 1),
                 share=round(decision.share, 3),
@@ -374,7 +374,7 @@
         waiting = Waiting(
             context,
             service,
-            context.granted.priority,
+            context.granted.rank,
             context.arrived_at,
             latest_start - first_event,
         )
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -57,8 +57,8 @@
         )
         self.admissions = Counter(
             "lacewing_direct_admissions_total",
-            "Requests to services with several priorities, by priority and decision.",
-            ["priority", "decision"],
+            "Requests to services with several priorities, by rank and decision.",
+            ["rank", "decision"],
             registry=self.registry,
         )
         self.retries = Counter(
@@ -251,9 +251,9 @@
         for zone, seconds in seconds_by_zone.items():
             self.evacuated_seconds.labels(zone).set(seconds)
 
-    def count_admission(self, priority: int, decision: str) -> None:
+    def count_admission(self, rank: int, decision: str) -> None:
         """Count a decision on admission."""
-        self.admissions.labels(str(priority), decision).inc()
+        self.admissions.labels(str(rank), decision).inc()
 
     def set_cold_servers(self, shares: Sequence[ColdShare]) -> None:
         """Show the servers that are cold now, and no others."""
--- a/lacewingcleat/priority_admission.py
+++ b/lacewingcleat/priority_admission.py
@@ -35,23 +35,24 @@
 # Maximum number of accounts of a service whose rates are kept; the least recently seen
 # one is dropped and counts as new.
 MAX_ACCOUNTS = 1_024
-# Fraction of the slots in use at which the admitted rate equals the rate of ends. The
-# rest is kept for urgent requests that arrive before the others are refused.
-TARGET_RATIO = 0.94
+# Requests, as a fraction of the slots that may be used, at which the admitted rate
+# equals the rate of ends. Servers count as full at 1.1; the rest is kept for urgent
+# requests that arrive before the others are refused.
+TARGET_RATIO = 1.02
 # Occupancy, as a fraction of all slots, below which nothing is refused: callers must
 # not be refused while servers are half empty, and counts may be a little late.
 FREE_OCCUPANCY = 0.5
 # Lower bound of the target, as a fraction of all slots, so that the number of requests
 # seldom varies to below half of the slots.
 MIN_TARGET_OCCUPANCY = 0.55
-# Minimum share of a priority, as a fraction of the mean share of all. No route may be
+# Minimum share of a rank, as a fraction of the mean share of all. No route may be
 # served less than a quarter as often as the mean; the rest covers delayed information.
 MIN_SHARE_RATIO = 0.3
 # How much more likely a caller that returns when it was told is to be admitted than a
-# new one of its priority.
+# new one of its rank.
 RETURN_WEIGHT = 2.0
-# Largest number of priorities of a service that are accepted from a peer.
-MAX_PRIORITIES = 10
+# Largest number of ranks of a service that are accepted from a peer.
+MAX_RANKS = 100
 # Largest number of services that are accepted from a peer.
 MAX_SERVICES = 64
 # Largest rate that is accepted from a peer, far above what one entry can serve.
@@ -69,13 +70,13 @@
 class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
     """Announce what the callers of one entry ask of a service.
 
-    :param rate_by_priority: arrivals a second by priority.
+    :param rate_by_rank: arrivals a second by rank, see `Granted.rank`.
     :param ended_rate: requests that end at the servers, a second.
     :param in_flight: requests that the entry has at the servers.
     """
 
     service: str
-    rate_by_priority: dict[int, float]
+    rate_by_rank: dict[int, float]
     ended_rate: float = 0.0
     in_flight: int = 0
 
@@ -85,16 +86,16 @@
     """Represent a decision with its inputs.
 
     :param outcome: admitted, refused, or refused because it was repeated too early.
-    :param share: share of the requests of this priority that is admitted.
-    :param capacity: requests a second that can be admitted, all priorities.
-    :param demand: arrivals a second of all entries, all priorities.
+    :param share: share of the requests of this rank that is admitted.
+    :param capacity: requests a second that can be admitted, all ranks.
+    :param demand: arrivals a second of all entries, all ranks.
     :param occupancy: requests in flight per slot that may be used.
     :param account_share: share of the requests of its account that is admitted.
     :param age: seconds since the oldest of the peers' announcements that were used.
     """
 
     outcome: str
-    priority: int
+    rank: int
     share: float = 1.0
     capacity: float = 0.0
     demand: float = 0.0
@@ -150,21 +151,21 @@
     :ivar in_flight: requests that this entry has at its servers.
     :ivar peer_in_flight: the same of the other entries, as they announced them.
     :ivar unannounced: further requests that the servers have reported.
-    :ivar rate_by_priority: arrivals a second of all entries.
+    :ivar rate_by_rank: arrivals a second of all entries.
     :ivar ended_rate: requests that end, a second, of all entries.
-    :ivar meter_by_account: arrivals of this entry by priority and account.
+    :ivar meter_by_account: arrivals of this entry by rank and account.
     :ivar work_seconds: time that a request takes, from the requests and their ends.
     :ivar oldest_at: time of the oldest announcement in these sums.
     """
 
     ended: RateMeter
-    arrivals_by_priority: dict[int, RateMeter]
+    arrivals_by_rank: dict[int, RateMeter]
     slots: float = 0.0
     usable_slots: float = 0.0
     in_flight: int = 0
     peer_in_flight: int = 0
     unannounced: float = 0.0
-    rate_by_priority: dict[int, float] = field(default_factory=dict)
+    rate_by_rank: dict[int, float] = field(default_factory=dict)
     ended_rate: float = 0.0
     work_seconds: float = MAX_CORRECTION_SECONDS
     oldest_at: float = 0.0
@@ -179,52 +180,46 @@
 
 
 def find_prioritized_services(config: RoutingConfig) -> frozenset[str]:
-    """Return the services whose requests differ in priority."""
-    account_priorities = {
-        account.priority for account in config.account_by_key.values()
-    }
+    """Return the services whose routes differ in priority.
+
+    Accounts that differ in priority change nothing where all routes have the same one:
+    such deployments are served in the order of arrival.
+    """
     priorities_by_service: dict[str, set[int]] = {}
     for routes in config.routes_by_host.values():
         for route in routes:
-            priorities = {route.priority}
-            if config.requires_keys and not route.public:
-                priorities = {
-                    route.priority if priority is None else priority
-                    for priority in account_priorities
-                }
             for item in route.weighted_services:
                 if item.weight > 0.0:
-                    priorities_by_service.setdefault(item.service, set()).update(
-                        priorities
-                    )
+                    priorities = priorities_by_service.setdefault(item.service, set())
+                    priorities.add(route.priority)
     return frozenset(
         name for name, found in priorities_by_service.items() if len(found) > 1
     )
 
 
 def compute_shares(
-    rate_by_priority: Mapping[int, float], capacity: float
+    rate_by_rank: Mapping[int, float], capacity: float
 ) -> dict[int, float]:
-    """Return the share of the requests of each priority to admit.
+    """Return the share of the requests of each rank to admit.
 
-    More urgent priorities are served first, except for a minimum of each.
+    More urgent ranks are served first, except for a minimum of each.
 
     :param capacity: requests a second that can be admitted.
     """
-    demand = sum(rate_by_priority.values())
+    demand = sum(rate_by_rank.values())
     if capacity >= demand:
-        return dict.fromkeys(rate_by_priority, 1.0)
+        return dict.fromkeys(rate_by_rank, 1.0)
     minimum = MIN_SHARE_RATIO * max(0.0, capacity) / demand
     remaining = max(0.0, capacity) * (1.0 - MIN_SHARE_RATIO)
     shares = {}
-    for priority in sorted(rate_by_priority):
-        wanted = (1.0 - minimum) * rate_by_priority[priority]
+    for rank in sorted(rate_by_rank):
+        wanted = (1.0 - minimum) * rate_by_rank[rank]
         if wanted < remaining:
             remaining -= wanted
-            shares[priority] = 1.0
+            shares[rank] = 1.0
         else:
             extra = (1.0 - minimum) * remaining / wanted if wanted else 0.0
-            shares[priority] = minimum + extra
+            shares[rank] = minimum + extra
             remaining = 0.0
     return shares
 
@@ -233,10 +228,10 @@
     """Return the share of the requests of one account to admit.
 
     Accounts below their fair share are admitted entirely, and the others get equal
-    parts of what is left, so that all together get the share of their priority.
+    parts of what is left, so that all together get the share of their rank.
 
     :param rate: requests of the account.
-    :param rates: requests of all accounts of its priority.
+    :param rates: requests of all accounts of its rank.
     """
     ordered = sorted(rates)
     remaining = share * sum(ordered)
@@ -253,9 +248,9 @@
 
     One negative or infinite figure would change the shares at all entries.
     """
-    rates = [demand.ended_rate, *demand.rate_by_priority.values()]
+    rates = [demand.ended_rate, *demand.rate_by_rank.values()]
     return (
-        len(demand.rate_by_priority) <= MAX_PRIORITIES
+        len(demand.rate_by_rank) <= MAX_RANKS
         and demand.in_flight >= 0
         and all(0.0 <= rate <= MAX_RATE for rate in rates)
     )
@@ -273,7 +268,7 @@
         self._demands_by_peer: dict[str, tuple[float, dict[str, ServiceDemand]]] = {}
 
     def set_services(self, services: Collection[str]) -> None:
-        """Set the services whose routes or accounts differ in priority."""
+        """Set the services whose routes differ in priority."""
         if self._active == frozenset(services):
             return
         self._active = frozenset(services)
@@ -295,7 +290,7 @@
     def record_arrival(
         self,
         service: str,
-        priority: int,
+        rank: int,
         now: float,
         is_return: bool = False,
         account: str = "",
@@ -307,11 +302,11 @@
         """
         if service not in self._active:
             return
-        meters = self._get(service, now).arrivals_by_priority
+        meters = self._get(service, now).arrivals_by_rank
         weight = RETURN_WEIGHT if is_return else 1.0
-        meters.setdefault(priority, RateMeter(now)).count(now, weight)
+        meters.setdefault(rank, RateMeter(now)).count(now, weight)
         accounts = self._service_by_name[service].meter_by_account
-        key = priority, account
+        key = rank, account
         meter = accounts.get(key)
         if meter is None:
             meter = accounts[key] = RateMeter(now, ACCOUNT_RATE_SECONDS)
@@ -364,8 +359,8 @@
             ServiceDemand(
                 name,
                 {
-                    priority: round(meter.rate(now), 2)
-                    for priority, meter in service.arrivals_by_priority.items()
+                    rank: round(meter.rate(now), 2)
+                    for rank, meter in service.arrivals_by_rank.items()
                 },
                 round(service.ended.rate(now), 2),
                 service.in_flight,
@@ -392,8 +387,7 @@
         state = self._get(service, now)
         state.slots, state.usable_slots = slots, usable_slots
         rates = {
-            priority: meter.rate(now)
-            for priority, meter in state.arrivals_by_priority.items()
+            rank: meter.rate(now) for rank, meter in state.arrivals_by_rank.items()
         }
         state.ended_rate = state.ended.rate(now)
         state.oldest_at = now
@@ -406,9 +400,9 @@
                 continue
             state.oldest_at = min(state.oldest_at, received_at)
             state.ended_rate += demand.ended_rate
-            for priority, rate in demand.rate_by_priority.items():
-                rates[priority] = rates.get(priority, 0.0) + rate
-        state.rate_by_priority = rates
+            for rank, rate in demand.rate_by_rank.items():
+                rates[rank] = rates.get(rank, 0.0) + rate
+        state.rate_by_rank = rates
         announced = state.in_flight + state.peer_in_flight
         state.unannounced = max(0.0, requests - announced)
         if announced and state.ended_rate > 0.0:
@@ -418,7 +412,7 @@
     def decide(
         self,
         service: str,
-        priority: int,
+        rank: int,
         random_fraction: float,
         now: float,
         is_return: bool = False,
@@ -434,9 +428,9 @@
         state = self._service_by_name.get(service)
         # Without an open server the choice of the server names the cause.
         if state is None or state.slots <= 0.0:
-            return Decision(ADMITTED, priority)
+            return Decision(ADMITTED, rank)
         if state.requests < FREE_OCCUPANCY * state.slots:
-            return Decision(ADMITTED, priority)
+            return Decision(ADMITTED, rank)
         target = max(
             TARGET_RATIO * state.usable_slots, MIN_TARGET_OCCUPANCY * state.slots
         )
@@ -445,32 +439,30 @@
             MAX_CORRECTION_SECONDS, max(MIN_CORRECTION_SECONDS, state.work_seconds)
         )
         capacity = max(0.0, state.ended_rate + free / correction_seconds)
-        rates = {priority: 0.0} | state.rate_by_priority
-        share = compute_shares(rates, capacity)[priority]
-        account_share = self._account_share(state, priority, account, share, now)
+        rates = {rank: 0.0} | state.rate_by_rank
+        share = compute_shares(rates, capacity)[rank]
+        account_share = self._account_share(state, rank, account, share, now)
         weight = RETURN_WEIGHT if is_return else 1.0
         is_admitted = random_fraction < account_share * weight
         return Decision(
             ADMITTED if is_admitted else REFUSED,
-            priority,
+            rank,
             share,
             capacity,
-            sum(state.rate_by_priority.values()),
+            sum(state.rate_by_rank.values()),
             state.requests / max(1.0, state.usable_slots),
             now - state.oldest_at,
             account_share,
         )
 
     def _account_share(
-        self, state: _Service, priority: int, account: str, share: float, now: float
+        self, state: _Service, rank: int, account: str, share: float, now: float
     ) -> float:
         meters = state.meter_by_account
-        meter = meters.get((priority, account))
+        meter = meters.get((rank, account))
         if share >= 1.0 or meter is None:
             return share
-        rates = [
-            other.recent(now) for key, other in meters.items() if key[0] == priority
-        ]
+        rates = [other.recent(now) for key, other in meters.items() if key[0] == rank]
         return compute_account_share(meter.recent(now), rates, share)
 
     def free_rate(self, service: str) -> float:
--- a/lacewingcleat/request_access.py
+++ b/lacewingcleat/request_access.py
@@ -16,6 +16,8 @@
 # Views may deny requests up to this fraction of the time within which a configuration
 # must be applied.
 DENIAL_AGE_FRACTION = 0.9
+# Priorities from 0 to this one are distinguished; less urgent ones count as this one.
+LEAST_URGENT_PRIORITY = 9
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +37,20 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def rank(self) -> int:
+        """Return the order of urgency among the requests of a service, 0 first.
+
+        The priority decides, and among requests of the same one that of the route, so
+        that routes differ in urgency also for accounts of the same priority.
+        """
+        levels = LEAST_URGENT_PRIORITY + 1
+        return levels * _clamp(self.priority) + _clamp(self.route.priority)
+
+
+def _clamp(priority: int) -> int:
+    return min(LEAST_URGENT_PRIORITY, max(0, priority))
+
 
 class DenialReason:
     """Define the reason codes of denied requests."""
