Let expert maps of large groups follow the demand

Change: the ranks of a sample are read in turn, within the same share of the time. Counts are cumulative, so the sample accumulates over rounds; it has as many ranks as can be read in 2 s. Selections over a longer interval count less, ranks that do not answer are left out, and a plan must save more than its copies and orders cost. The states are read again before a switch.

--- a/lacewingcleat/expert_demand.py
+++ b/lacewingcleat/expert_demand.py
@@ -3,11 +3,32 @@
 import statistics
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import log
 from operator import add
+from random import Random
 
 # Demand for an expert persists for as long as the prompts in flight, a few seconds;
 # older counts are decayed.
 DEMAND_HALF_LIFE_SECONDS = 1.2
+# A group pauses while a rank's counts are read, at most for this part of the time.
+READ_PAUSE_SECONDS_PER_COUNT = 0.0005 / 400
+MAX_READ_PAUSE_SHARE = 0.012
+# Maximum number of counts read per second from a group whose ranks have few counts.
+MAX_READS_PER_SECOND = 8.6
+# Time in which each rank of the sample is read once. In a longer cycle the sample has
+# more ranks, whose counts are older.
+SAMPLE_CYCLE_SECONDS = 2.0
+# With fewer ranks, the halves of the sample say too little about its reliability.
+MIN_SAMPLED_RANKS = 4
+# Longest cycle of a sample that still follows the demand. Nothing is read from groups
+# whose ranks have so many counts that a cycle would take longer.
+MAX_CYCLE_SECONDS = 3.0
+# Number of cycles after which one rank of the sample is replaced. The first counts of a
+# rank only set its baseline.
+CYCLES_PER_CHANGE = 4
+# Counts of a rank that was last read longer ago only set a new baseline: most of the
+# selections since then belong to prompts that have ended.
+MAX_BASELINE_AGE_SECONDS = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +42,75 @@
     counts: tuple[int, ...]
 
 
+class RankSampler:
+    """Choose the ranks of one group whose counts are read in a round.
+
+    The ranks of the sample are read in turn, as often as the pause of a read allows.
+    Counts are cumulative, so that a rank's next counts contain all selections since its
+    last ones: the sample accumulates over rounds. Every few cycles one rank of the
+    sample is replaced, so that a rank with unusual prompts does not stay in it.
+
+    :param size: number of ranks of the group.
+    :param counts_per_rank: number of counts that a rank returns.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_next",
+        "_others",
+        "_reads_per_second",
+        "_reads_since_change",
+        "_updated_at",
+    )
+
+    def __init__(
+        self, size: int, counts_per_rank: int, random: Random, now: float
+    ) -> None:
+        pause_seconds = counts_per_rank * READ_PAUSE_SECONDS_PER_COUNT
+        self._reads_per_second = min(
+            MAX_READS_PER_SECOND, MAX_READ_PAUSE_SHARE / pause_seconds
+        )
+        cycle_reads = int(self._reads_per_second * SAMPLE_CYCLE_SECONDS)
+        sampled = min(size, max(MIN_SAMPLED_RANKS, cycle_reads))
+        ranks = random.sample(range(size), size)
+        self._next, self._others = ranks[:sampled], ranks[sampled:]
+        self._updated_at = now
+        self._budget = 1.0
+        self._reads_since_change = 0
+
+    @property
+    def is_representative(self) -> bool:
+        """Return whether the ranks are read often enough to follow the demand."""
+        return len(self._next) <= MAX_CYCLE_SECONDS * self._reads_per_second
+
+    @property
+    def sampled_share(self) -> float:
+        """Return the share of the group's ranks that the sample contains."""
+        return len(self._next) / (len(self._next) + len(self._others))
+
+    def next_ranks(self, now: float) -> list[int]:
+        """Return the ranks to read now."""
+        elapsed = max(0.0, now - self._updated_at)
+        self._updated_at = now
+        # A group that was not read for a while is not paused by many reads at once.
+        self._budget = min(
+            self._reads_per_second, self._budget + elapsed * self._reads_per_second
+        )
+        count = min(int(self._budget), len(self._next))
+        self._budget -= count
+        if self._others and self._reads_since_change > CYCLES_PER_CHANGE * len(
+            self._next
+        ):
+            self._reads_since_change = 0
+            # The rank that is due was read longest ago.
+            self._others.append(self._next.pop(0))
+            self._next.insert(0, self._others.pop(0))
+        self._reads_since_change += count
+        ranks, self._next = self._next[:count], self._next[count:]
+        self._next += ranks
+        return ranks
+
+
 class ExpertDemandEstimator:
     """Estimate the load of each expert of one group.
 
@@ -38,8 +128,10 @@
         "_counts_by_rank",
         "_epoch",
         "_expert_count",
+        "_half_by_rank",
         "_layer_sets",
         "_loads_by_half",
+        "_read_at_by_rank",
         "_updated_at",
     )
 
@@ -49,6 +141,8 @@
         self._updated_at = now
         self._epoch = -1
         self._counts_by_rank: dict[int, tuple[int, ...]] = {}
+        self._read_at_by_rank: dict[int, float] = {}
+        self._half_by_rank: dict[int, int] = {}
         size = layer_sets * experts
         self._loads_by_half = ([0.0] * size, [0.0] * size)
 
@@ -66,8 +160,10 @@
             self._epoch = selections.epoch
             self._counts_by_rank.clear()
         previous = self._counts_by_rank.get(rank)
+        read_at = self._read_at_by_rank.get(rank, now)
         self._counts_by_rank[rank] = selections.counts
-        if previous is None:
+        self._read_at_by_rank[rank] = now
+        if previous is None or now - read_at > MAX_BASELINE_AGE_SECONDS:
             return False
         increments = [
             current_count - previous_count
@@ -77,10 +173,13 @@
         ]
         if min(increments) < 0:
             return False
-        self._add(increments, rank % 2, now)
+        # Ranks are assigned to the halves in turn, since the sample may contain any.
+        half = self._half_by_rank.setdefault(rank, len(self._half_by_rank) % 2)
+        weight = _age_weight(now - read_at)
+        self._add([weight * each for each in increments], half, now)
         return True
 
-    def _add(self, increments: Sequence[int], half: int, now: float) -> None:
+    def _add(self, increments: Sequence[float], half: int, now: float) -> None:
         decay = 0.5 ** (max(0.0, now - self._updated_at) / DEMAND_HALF_LIFE_SECONDS)
         self._updated_at = now
         for loads in self._loads_by_half:
@@ -106,6 +205,14 @@
         return result
 
 
+def _age_weight(seconds: float) -> float:
+    """Return the mean weight of selections made evenly during the last seconds."""
+    if seconds <= 0.0:
+        return 1.0
+    half_lives = seconds / DEMAND_HALF_LIFE_SECONDS
+    return float((1.0 - 0.5**half_lives) / (half_lives * log(2.0)))
+
+
 def _reliability(first: Sequence[float], second: Sequence[float]) -> float:
     """Return how far two halves of a sample agree, 0 to 1, for the whole sample.
 
--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -5,7 +5,9 @@
 this safe.
 """
 
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
+from random import Random
 from typing import Any
 
 from result import Err, Ok, Result
@@ -14,7 +16,7 @@
 from lacewingcleat.clock import read_now, read_wall
 from lacewingcleat.decision_log import DecisionLog
 from lacewingcleat.direct_state import DirectState
-from lacewingcleat.expert_demand import ExpertDemandEstimator
+from lacewingcleat.expert_demand import ExpertDemandEstimator, RankSampler
 from lacewingcleat.group_map_switch import (
     REASON_ARMED,
     GroupMapSwitch,
@@ -38,6 +40,8 @@
 from lacewingcleat.rendezvous import rank_by_rendezvous
 from lacewingcleat.replica_placement import ExpertsByRank, MapShape
 from lacewingcleat.replica_plan import (
+    NoPlan,
+    ReplicaPlan,
     ReplicaPlanner,
     is_map_change_worthwhile,
     make_shape,
@@ -52,16 +56,8 @@
 # Interval of the leadership check. A new leader starts a round at once; a leader that
 # has found an unfinished switch of another leader starts a round at each check.
 LEADERSHIP_CHECK_SECONDS = 0.35
-# Number of ranks whose expert counts are read in a round. Requests are spread evenly
-# over the ranks, so some ranks represent the group.
-SAMPLED_RANKS = 6
-MIN_SAMPLED_RANKS = 2
-# Share of the ranks below which their counts say too little about the group: its map is
-# then not changed, and nothing is read.
-MIN_SAMPLED_SHARE = 0.08
-# A group pauses while a rank's counts are read, at most for this part of the time.
-READ_PAUSE_SECONDS_PER_COUNT = 0.0005 / 400
-MAX_READ_PAUSE_SHARE = 0.012
+# Steps of a plan that are calculated without a break, about 3 ms for a large group.
+PLAN_STEPS_PER_SLICE = 8
 # After a switch the ranks report the new map only when the held pass has begun, which
 # is most of a second ahead, and reports are some hundred milliseconds old.
 SETTLE_SECONDS = 0.9
@@ -70,7 +66,7 @@
 # Rates for the time that orders take on their way: the map of a large group goes over
 # the narrow link of each rank, and once for each rank over the link of this entry.
 RANK_LINK_BYTES_PER_SECOND = 300_000
-ENTRY_LINK_BYTES_PER_SECOND = 2_000_000
+ENTRY_LINK_BYTES_PER_SECOND = 1_200_000
 MS_PER_SECOND = 1000
 # Versions of maps are wall clock milliseconds times this, plus a random number per
 # process below it. Versions of two leaders thus differ even in the same millisecond.
@@ -145,7 +141,9 @@
     ) -> dict[int, OrderAnswer]:
         """Send orders to several ranks concurrently and return their answers."""
         self.order_count += len(orders)
-        body_by_rank = {rank: encode_order(order) for rank, order in orders.items()}
+        # The same order goes to many ranks, and a map of a large group is long.
+        body_by_order = {id(order): encode_order(order) for order in orders.values()}
+        body_by_rank = {rank: body_by_order[id(o)] for rank, o in orders.items()}
         timeout = order_timeout([len(body) for body in body_by_rank.values()])
         response_by_rank = await self._gather(
             {
@@ -174,8 +172,11 @@
 class _GroupState:
     """State that a leader keeps for one group."""
 
-    def __init__(self, shape: MapShape, now: float) -> None:
+    def __init__(self, shape: MapShape, random: Random, now: float) -> None:
         self.shape = shape
+        self.sampler = RankSampler(
+            shape.ranks, shape.layer_sets * shape.experts, random, now
+        )
         self.demand = ExpertDemandEstimator(shape.layer_sets, shape.experts, now)
         self.planner = ReplicaPlanner(shape, now)
         self.hold_tracker = HoldTracker()
@@ -213,6 +214,8 @@
         self._version_offset = state.random.randrange(VERSIONS_PER_MS)
         self._last_version = 0
         self.order_count = 0
+        # Rounds that reached the decision, by outcome.
+        self.round_counts: Counter[str] = Counter()
 
     def start(self) -> None:
         """Start the periodic rounds."""
@@ -276,9 +279,7 @@
             rank: members[s] for rank, s in server_by_rank.items() if s in members
         }
         size = self._state.groups.count_ranks(name)
-        if size != len(record_by_rank) or not is_representative(
-            make_shape(size, engine)
-        ):
+        if size != len(record_by_rank):
             return
         client = HttpRankClient(self._reactor, self._pool, record_by_rank)
         try:
@@ -296,14 +297,22 @@
         shape = make_shape(size, engine)
         group = self._group_by_name.get(name)
         if group is None or group.shape != shape:
-            group = self._group_by_name[name] = _GroupState(shape, read_now())
+            group = self._group_by_name[name] = _GroupState(
+                shape, self._state.random, read_now()
+            )
+        if not group.sampler.is_representative:
+            self.round_counts["not representative"] += 1
+            return
         states = await client.read(range(size))
+        if len(states) != size:
+            # In a large group a single response is often late or lost.
+            states |= await client.read([r for r in range(size) if r not in states])
         if len(states) != size or len({s.epoch for s in states.values()}) != 1:
             return
         if not all(state.is_open for state in states.values()):
             return
         self._update_step_seconds(group, states)
-        version = states[0].map_version
+        version, epoch = states[0].map_version, states[0].epoch
         if any(state.map_version != version for state in states.values()):
             return
         if is_switch_pending(states):
@@ -336,9 +345,15 @@
             pace.typical_interval, self._state.max_event_interval_seconds
         ):
             return
-        if not await self._read_demand(group, client, size):
+        await self._read_demand(group, client)
+        plan = await self._make_plan(group)
+        if isinstance(plan, NoPlan):
+            self.round_counts[plan.value] += 1
             return
-        await self._switch_map(name, group, switch, states)
+        # The states may have changed while the plan was calculated.
+        states = await client.read(range(size))
+        if _is_undisturbed(states, size, epoch, version):
+            await self._switch_map(name, group, switch, states, plan)
 
     def _update_step_seconds(
         self, group: _GroupState, states: Mapping[int, RankMapState]
@@ -351,18 +366,28 @@
         group.last_step = step
         group.last_step_at = now
 
-    async def _read_demand(
-        self, group: _GroupState, client: HttpRankClient, size: int
-    ) -> bool:
-        for rank in range(min(_sampled_ranks(group.shape), size)):
+    async def _read_demand(self, group: _GroupState, client: HttpRankClient) -> None:
+        """Read the counts of the ranks whose turn it is; some may not answer."""
+        for rank in group.sampler.next_ranks(read_now()):
             response = await client.fetch(rank, COUNTS_TARGET, None)
             if not isinstance(response, FetchedResponse) or response.status != 200:
-                return False
+                continue
             counts = decode_counts(response.body)
-            if isinstance(counts, Err):
-                return False
-            group.demand.observe(rank, counts.ok_value, read_now())
-        return True
+            if isinstance(counts, Ok):
+                group.demand.observe(rank, counts.ok_value, read_now())
+
+    async def _make_plan(self, group: _GroupState) -> ReplicaPlan | NoPlan:
+        """Calculate a plan in slices, between which other requests are served."""
+        loads = group.demand.loads(group.sampler.sampled_share)
+        steps = group.planner.plan_in_steps(loads, read_now())
+        while True:
+            try:
+                for _ in range(PLAN_STEPS_PER_SLICE):
+                    next(steps)
+            except StopIteration as end:
+                plan: ReplicaPlan | NoPlan = end.value
+                return plan
+            await task.deferLater(self._reactor, 0.0, lambda: None)
 
     async def _adopt_map(
         self,
@@ -403,14 +428,11 @@
         group: _GroupState,
         switch: GroupMapSwitch,
         states: Mapping[int, RankMapState],
+        plan: ReplicaPlan,
     ) -> None:
-        sampled_share = _sampled_ranks(group.shape) / group.shape.ranks
-        loads = group.demand.loads(min(1.0, sampled_share))
-        plan = group.planner.plan(loads, read_now())
-        if plan is None:
-            return
         result = await switch.switch(plan.experts, states, group.step_seconds)
         now = read_now()
+        self.round_counts["switched" if result.switched else "switch failed"] += 1
         if result.switched:
             group.planner.record_switch(result.version, plan, now)
             self._last_round_at_by_group[name] = (
@@ -456,13 +478,15 @@
     )
 
 
-def _sampled_ranks(shape: MapShape) -> int:
-    """Return the number of ranks whose counts are read in a round."""
-    pause = shape.layer_sets * shape.experts * READ_PAUSE_SECONDS_PER_COUNT
-    count = int(MAX_READ_PAUSE_SHARE * REBALANCE_INTERVAL_SECONDS / pause)
-    return max(MIN_SAMPLED_RANKS, min(SAMPLED_RANKS, count))
-
-
-def is_representative(shape: MapShape) -> bool:
-    """Return whether the ranks whose counts may be read represent a group."""
-    return _sampled_ranks(shape) >= MIN_SAMPLED_SHARE * shape.ranks
+def _is_undisturbed(
+    states: Mapping[int, RankMapState], size: int, epoch: int, version: int
+) -> bool:
+    """Return whether all ranks use a map and no switch has begun."""
+    return len(states) == size and all(
+        state.is_open
+        and state.epoch == epoch
+        and state.map_version == version
+        and state.held_step is None
+        and state.armed_version is None
+        for state in states.values()
+    )
--- a/lacewingcleat/replica_placement.py
+++ b/lacewingcleat/replica_placement.py
@@ -6,7 +6,7 @@
 still close to a good one.
 """
 
-from collections.abc import Sequence
+from collections.abc import Generator, Sequence
 from dataclasses import dataclass
 from heapq import nlargest, nsmallest
 
@@ -33,6 +33,7 @@
         layer set in one switch.
     :param max_copies_per_switch: maximum number of experts that a rank can copy in one
         switch, over all layer sets.
+    :param copy_seconds: time that a rank needs to copy one expert.
     """
 
     ranks: int
@@ -41,6 +42,7 @@
     slots_per_rank: int
     max_copies_per_rank: int
     max_copies_per_switch: int
+    copy_seconds: float = 0.0
 
 
 def first_map(shape: MapShape) -> list[ExpertsByRank]:
@@ -72,12 +74,28 @@
     loads_by_set: Sequence[Sequence[float]],
     shape: MapShape,
 ) -> list[ExpertsByRank]:
+    """Return more even maps of all layer sets; see `improve_maps_in_steps`."""
+    steps = improve_maps_in_steps(maps, loads_by_set, shape)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            improved: list[ExpertsByRank] = end.value
+            return improved
+
+
+def improve_maps_in_steps(
+    maps: Sequence[ExpertsByRank],
+    loads_by_set: Sequence[Sequence[float]],
+    shape: MapShape,
+) -> Generator[None, None, list[ExpertsByRank]]:
     """Return more even maps of all layer sets that need few copies of experts.
 
     Each step moves a share of the hottest rank's load in one layer set to a rank with
     little load. Steps are taken in the order of their gain, as the copies of a rank are
     limited over all sets. No step makes another rank as hot as the hottest one was, so
-    the skew never grows.
+    the skew never grows. The generator yields after each step, because all steps for a
+    large group take longer than an entry's streams may be delayed.
     """
     copies = [0] * shape.ranks
     placements = [
@@ -96,6 +114,7 @@
             # The step has used up a copy of its rank.
             if other == index or (other_step and other_step.rank == step.rank):
                 steps[other] = placements[other].find_step()
+        yield
     return [placement.experts_by_rank for placement in placements]
 
 
--- a/lacewingcleat/replica_plan.py
+++ b/lacewingcleat/replica_plan.py
@@ -1,19 +1,30 @@
 """coordination: decide whether to change a group's replicas to match the demand."""
 
+from collections.abc import Generator
 from dataclasses import dataclass
+from enum import Enum
 
 from lacewingcleat.replica_placement import (
     ExpertsByRank,
     MapShape,
     first_map,
-    improve_maps,
+    improve_maps_in_steps,
     skew,
 )
 from lacewingcleat.routing_config import EngineCapacity
 
-# Minimum reduction of the mean skew over the layer sets. A switch costs orders, copies
-# and one second of forward passes that take 15 % longer.
+# Minimum reduction of the mean skew over the layer sets.
 MIN_SKEW_GAIN = 0.2
+# Part of the time of a pass that is spent in experts on an even map; this part grows
+# with the skew.
+EXPERT_PART = 0.4
+# Time for which a new map is expected to fit the demand: topics shift every four
+# seconds or so, and the demand is known and the map in use about 1.5 s later.
+EXPECTED_MAP_SECONDS = 2.5
+# Passes take this much longer while a rank copies experts.
+COPY_SLOWDOWN = 0.15
+# Time that the orders of a switch cost a group, for passes that start late.
+ORDER_COST_SECONDS = 0.02
 # With fewer expert selections than this, the estimate is mostly sampling noise.
 MIN_SELECTIONS = 400.0
 # Maps change only for groups whose event interval exceeds this share of the interval
@@ -54,6 +65,7 @@
         engine.expert_slots,
         engine.max_added_experts,
         max(1, copies),
+        engine.expert_copy_seconds,
     )
 
 
@@ -65,12 +77,22 @@
     :param skew_before: mean skew of the layer sets under the current map.
     :param skew_after: mean skew of the layer sets under the proposed map.
     :param copies: number of experts that ranks have to copy.
+    :param max_copies: largest number of experts that one rank has to copy.
     """
 
     experts: tuple[tuple[tuple[int, ...], ...], ...]
     skew_before: float
     skew_after: float
     copies: int
+    max_copies: int
+
+
+class NoPlan(Enum):
+    """Name the reason for which the map is kept."""
+
+    PAUSED = "recent switch or failure"
+    FEW_COUNTS = "too few selections observed"
+    NO_GAIN = "no gain"
 
 
 class ReplicaPlanner:
@@ -102,21 +124,48 @@
 
         :param loads: load estimates by layer set and expert.
         """
-        if now < self._next_plan_at or sum(loads[0]) < MIN_SELECTIONS:
-            return None
-        proposed = improve_maps(self.current, loads, self._shape)
-        skew_before = _mean_skew(self.current, loads)
-        skew_after = _mean_skew(proposed, loads)
-        if skew_before - skew_after < MIN_SKEW_GAIN:
-            return None
-        copies = sum(
-            len(new - old)
-            for proposed_experts, current_experts in zip(
-                proposed, self.current, strict=True
-            )
-            for new, old in zip(proposed_experts, current_experts, strict=True)
+        steps = self.plan_in_steps(loads, now)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                return end.value if isinstance(end.value, ReplicaPlan) else None
+
+    def plan_in_steps(
+        self, loads: list[list[float]], now: float
+    ) -> Generator[None, None, ReplicaPlan | NoPlan]:
+        """Return a map that justifies a switch, or why there is none.
+
+        The generator yields after each step of the calculation.
+        """
+        if now < self._next_plan_at:
+            return NoPlan.PAUSED
+        if sum(loads[0]) < MIN_SELECTIONS:
+            return NoPlan.FEW_COUNTS
+        proposed = yield from improve_maps_in_steps(self.current, loads, self._shape)
+        added = [
+            [len(new - old) for new, old in zip(new_ranks, old_ranks, strict=True)]
+            for new_ranks, old_ranks in zip(proposed, self.current, strict=True)
+        ]
+        copies_by_rank = [sum(column) for column in zip(*added, strict=True)]
+        plan = ReplicaPlan(
+            _freeze(proposed),
+            _mean_skew(self.current, loads),
+            _mean_skew(proposed, loads),
+            sum(copies_by_rank),
+            max(copies_by_rank),
         )
-        return ReplicaPlan(_freeze(proposed), skew_before, skew_after, copies)
+        return plan if self._is_worth_its_cost(plan) else NoPlan.NO_GAIN
+
+    def _is_worth_its_cost(self, plan: ReplicaPlan) -> bool:
+        """Return whether a map saves more time of passes than the switch costs."""
+        skew_gain = plan.skew_before - plan.skew_after
+        if skew_gain < MIN_SKEW_GAIN:
+            return False
+        pass_time = 1.0 - EXPERT_PART + EXPERT_PART * plan.skew_before
+        saved_seconds = EXPECTED_MAP_SECONDS * EXPERT_PART * skew_gain / pass_time
+        copy_seconds = plan.max_copies * self._shape.copy_seconds
+        return saved_seconds > COPY_SLOWDOWN * copy_seconds + ORDER_COST_SECONDS
 
     def record_switch(self, version: int, plan: ReplicaPlan, now: float) -> None:
         """Record that the group has switched to a proposed map."""
--- a/tests/test_expert_demand.py
+++ b/tests/test_expert_demand.py
@@ -4,7 +4,11 @@
 
 from testtools import TestCase
 
-from lacewingcleat.expert_demand import ExpertDemandEstimator, RankSelectionCounts
+from lacewingcleat.expert_demand import (
+    ExpertDemandEstimator,
+    RankSampler,
+    RankSelectionCounts,
+)
 from lacewingcleat.replica_placement import (
     MapShape,
     first_map,
@@ -98,3 +102,58 @@
         self.assertFalse(estimator.observe(0, RankSelectionCounts(1, (0, 0)), 0.0))
         self.assertFalse(estimator.observe(0, RankSelectionCounts(2, (9, 9)), 0.0))
         self.assertFalse(estimator.observe(0, RankSelectionCounts(2, (9,)), 0.0))
+
+    def test_old_selections_count_less(self) -> None:
+        """Guards against maps for the demand of the time before the topics shifted.
+
+        Rank 0 was read 4 s ago, rank 1 a moment ago; both have selected as often since.
+        """
+        estimator = ExpertDemandEstimator(1, 2, 0.0)
+        estimator.observe(0, RankSelectionCounts(1, (0, 0)), 0.0)
+        estimator.observe(1, RankSelectionCounts(1, (0, 0)), 3.8)
+        estimator.observe(0, RankSelectionCounts(1, (100, 0)), 4.0)
+        estimator.observe(1, RankSelectionCounts(1, (0, 100)), 4.0)
+        old, new = estimator.loads(1.0)[0]
+        self.assertLess(old, 0.5 * new)
+
+    def test_counts_after_a_long_time_set_a_baseline(self) -> None:
+        """Guards against counting the selections of prompts that ended long ago."""
+        estimator = ExpertDemandEstimator(1, 2, 0.0)
+        estimator.observe(0, RankSelectionCounts(1, (0, 0)), 0.0)
+        changed = estimator.observe(0, RankSelectionCounts(1, (9, 9)), 60.0)
+        self.assertFalse(changed)
+
+
+class RankSamplerTest(TestCase):
+    def _reads(self, size: int, counts: int, seconds: float) -> list[tuple[float, int]]:
+        """Return the time and the rank of each read."""
+        sampler = RankSampler(size, counts, Random(1), 0.0)
+        times = [0.7 * index for index in range(int(seconds / 0.7))]
+        return [(now, rank) for now in times for rank in sampler.next_ranks(now)]
+
+    def test_each_rank_of_the_sample_is_read_in_turn(self) -> None:
+        """Guards against counts that are too old when they are read again."""
+        for size, counts in ((72, 1728), (96, 3072), (63, 2016), (32, 1536)):
+            read_at_by_rank: dict[int, float] = {}
+            for now, rank in self._reads(size, counts, 6.0):
+                self.assertLess(now - read_at_by_rank.get(rank, now), 3.0)
+                read_at_by_rank[rank] = now
+            self.assertGreaterEqual(len(read_at_by_rank), 4)
+
+    def test_a_group_is_not_paused_by_many_reads_at_once(self) -> None:
+        """Guards against a pause for all reads that were not made while it was idle."""
+        sampler = RankSampler(72, 1728, Random(1), 0.0)
+        sampler.next_ranks(0.0)
+        self.assertLessEqual(len(sampler.next_ranks(600.0)), 6)
+
+    def test_the_sample_changes(self) -> None:
+        """Guards against a sample whose ranks serve unusual prompts for long."""
+        ranks = {rank for _, rank in self._reads(72, 1728, 60.0)}
+        self.assertGreater(len(ranks), 14)
+
+    def test_groups_with_too_many_counts_are_not_read(self) -> None:
+        """Guards against maps for a demand that has passed when it is known."""
+        for size, counts in ((72, 1728), (96, 3072), (63, 2016), (12, 288)):
+            self.assertTrue(RankSampler(size, counts, Random(1), 0.0).is_representative)
+        large = RankSampler(256, 60 * 256, Random(1), 0.0)
+        self.assertFalse(large.is_representative)
