Give each leader's expert maps versions of its own

Cause: a leader whose clock is behind the newest version took that version plus one.

Change: the low 21 bits of each version are a random number of the leader's process, and only the bits above are chosen (map_versions).

Conclusion: two processes can only agree on a version if they have drawn the same number of 2 million and choose the same prefix at once.

--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -26,6 +26,7 @@
 )
 from lacewingcleat.http_fetch import FetchedResponse, fetch
 from lacewingcleat.map_orders import GroupOrder, OrderAnswer, RankMapState
+from lacewingcleat.map_versions import MapVersions
 from lacewingcleat.platform.order_call import (
     COUNTS_TARGET,
     EXPERTS_TARGET,
@@ -67,10 +68,6 @@
 # the narrow link of each rank, and once for each rank over the link of this entry.
 RANK_LINK_BYTES_PER_SECOND = 300_000
 ENTRY_LINK_BYTES_PER_SECOND = 1_200_000
-MS_PER_SECOND = 1000
-# Versions of maps are wall clock milliseconds times this, plus a random number per
-# process below it. Versions of two leaders thus differ even in the same millisecond.
-VERSIONS_PER_MS = 1000
 
 
 class HttpRankClient(RankClient):
@@ -211,8 +208,7 @@
         self._log = log
         self._group_by_name: dict[str, _GroupState] = {}
         self._last_round_at_by_group: dict[str, float] = {}
-        self._version_offset = state.random.randrange(VERSIONS_PER_MS)
-        self._last_version = 0
+        self._versions = MapVersions(state.random)
         self.order_count = 0
         # Rounds that reached the decision, by outcome.
         self.round_counts: Counter[str] = Counter()
@@ -455,15 +451,8 @@
         )
 
     def _next_version(self, above: int) -> int:
-        """Return a map version above a given one and all earlier ones of this process.
-
-        Versions are derived from the wall clock, so that they normally exceed those of
-        earlier leaders; ranks refuse lower ones.
-        """
-        wall_ms = int(read_wall().timestamp() * MS_PER_SECOND)
-        version = wall_ms * VERSIONS_PER_MS + self._version_offset
-        self._last_version = max(self._last_version + 1, above + 1, version)
-        return self._last_version
+        """Return a map version above a given one and all earlier ones."""
+        return self._versions.next_version(above, read_wall().timestamp())
 
 
 def order_timeout(sizes: Sequence[int]) -> float:
--- a/tests/builders_direct.py
+++ b/tests/builders_direct.py
@@ -163,6 +163,7 @@
         self.sender_pause: Callable[[], None] | None = None
         self.before_order: Callable[[], None] = lambda: None
         self.reliable_map: object = None
+        self.experts_by_version: dict[int, object] = {}
 
     def advance(self, seconds: float) -> None:
         """Advance the clock, apply delayed orders and run passes."""
@@ -208,9 +209,11 @@
         if group_order.epoch != self.epoch:
             return OrderAnswer.CONFLICT
         match group_order.order:
-            case PrepareMap(version, _):
+            case PrepareMap(version, experts):
                 if version <= max(rank.versions) or rank.armed is not None:
                     return OrderAnswer.CONFLICT
+                if self.experts_by_version.setdefault(version, experts) != experts:
+                    raise MixedMapsError(f"two maps of version {version}")
                 rank.versions.add(version)
                 rank.prepared = version
             case ArmMap(version, step):
--- a/tests/test_group_map_switch.py
+++ b/tests/test_group_map_switch.py
@@ -20,6 +20,7 @@
     PrepareMap,
     ReleasePass,
 )
+from lacewingcleat.map_versions import MapVersions
 from tests.builders_direct import SimulatedGroup, SimulatedRankClient, run_coroutine
 
 EXPERTS = (((0,), (1,)),)
@@ -39,6 +40,19 @@
         return version
 
 
+class LeaderVersions(Versions):
+    """Hand out the map versions of one leader, whose clock differs from others'."""
+
+    def __init__(self, group: SimulatedGroup, clock_offset: float) -> None:
+        self._group = group
+        self._clock_offset = clock_offset
+        self._map_versions = MapVersions(group.random)
+
+    def next_version(self, above: int) -> int:
+        wall_seconds = 1000.0 + self._group.now + self._clock_offset
+        return self._map_versions.next_version(above, wall_seconds)
+
+
 def _make_switch(
     group: SimulatedGroup, versions: Versions, holds: HoldTracker
 ) -> GroupMapSwitch:
@@ -306,15 +320,47 @@
 
         Late orders of a leader that gave up or was replaced could cause this.
         """
+        self._play_switches(seed, lost, prepared, idle, second, restarts, None)
+
+    @settings(max_examples=40, deadline=None)
+    @given(
+        seed=st.integers(0, 2**32),
+        lost=st.sampled_from([0.02, 0.1, 0.3, 0.5]),
+        prepared=st.booleans(),
+        offset=st.sampled_from([-2.0, -0.5, 0.5, 2.0, 85.0]),
+        restarts=st.booleans(),
+    )
+    def test_maps_of_leaders_with_different_clocks_never_mix(
+        self, seed: int, lost: float, prepared: bool, offset: float, restarts: bool
+    ) -> None:
+        """Guards against two maps of the same version, and ranks that mix them.
+
+        A second leader, whose clock differs, acts while the first one is frozen.
+        """
+        self._play_switches(seed, lost, prepared, 0.0, True, restarts, offset)
+
+    def _play_switches(
+        self,
+        seed: int,
+        lost: float,
+        prepared: bool,
+        idle: float,
+        second: bool,
+        restarts: bool,
+        clock_offset: float | None,
+    ) -> None:
         group = self._group(seed, lost)
         group.idle_rate = idle
         if prepared:
             # A switch continues only if the orders to prepare the map are answered.
             group.reliable_map = EXPERTS
         orphans = HoldTracker()
-        versions = Versions()
+        versions = other_versions = Versions()
+        if clock_offset is not None:
+            versions = LeaderVersions(group, 0.0)
+            other_versions = LeaderVersions(group, clock_offset)
         if second:
-            group.sender_pause = lambda: self._run_second_leader(group, versions)
+            group.sender_pause = lambda: self._run_second_leader(group, other_versions)
         for _ in range(5):
             _switch(group, versions)
             if restarts and group.random.random() < 0.5:
