Share evidence about slow and failing servers of small services

Cause: with 3 or 4 servers and 29 to 67 entries each entry sees few answers, and a choice by counts alone goes on sending to a server that has become 5 to 12 times slower.

Change: server_pace keeps the latest answers of each server of a plain service. Entries add their own latest answers to the load datagram, at most twelve, and each decides by itself: a server is avoided if its answers take over twice as long as the fastest server's, by more than the spread explains, or if they are wrong. Requests that are overdue count before their end. Never all servers of a service are avoided. An avoided server gets 8 % of the idempotent requests, and others only if they would be answered earlier there. Servers of model services are left out.

--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -40,6 +40,7 @@
 )
 from lacewingcleat.retry_after import NotRunCause, retry_after_seconds
 from lacewingcleat.server_choice import ChosenServer, NoServer, ServersFull
+from lacewingcleat.server_pace import OpenRequest
 from lacewingcleat.server_record import ServerRecord
 
 # Maximum number of attempts that end before the request is written, such as failed
@@ -264,7 +265,10 @@
             unsent = CRASHES_SERVER, NotRunCause.OUTAGE
         else:
             choice = self._state.choose_server(
-                context.service, context.failed_servers, now
+                context.service,
+                context.failed_servers,
+                now,
+                may_probe=context.granted.route.retryable and not context.attempts,
             )
             match choice:
                 case ChosenServer(record, load):
@@ -405,9 +409,12 @@
         events: ResumableEvents,
         race: AttemptRace,
     ) -> AttemptResult:
+        measured = self._state.begin_pace(attempt, read_now())
         result = await self._runner.run(
             context, request, attempt, events.for_attempt(), race
         )
+        if measured is not None:
+            self._record_pace(measured, context, attempt, result)
         context.attempts.append(
             AttemptRecord(
                 attempt.record.name,
@@ -434,6 +441,21 @@
                 read_now(),
             )
 
+    def _record_pace(
+        self,
+        measured: OpenRequest,
+        context: RequestContext,
+        attempt: OpenAttempt,
+        result: AttemptResult,
+    ) -> None:
+        """Record how long a server took, unless its answer says nothing about that."""
+        was_ended = context.cancelled or attempt.superseded or attempt.sent_at is None
+        if was_ended or result.attempt.response is ResponseKind.NOT_RUN:
+            self._state.pace.discard(measured)
+            return
+        wrong = result.server_failed and not result.timed_out
+        self._state.pace.end(measured, wrong, read_now())
+
     def _counts_towards_ejection(
         self, record: ServerRecord, result: AttemptResult
     ) -> bool:
--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -257,6 +257,18 @@
     def _send_load(self) -> None:
         self._reactor.callLater(SEND_INTERVAL_SECONDS, self._send_load)
         self._send_counts(self._peers.next_recipients(read_now()))
+        self._evaluate_pace(read_now())
+
+    def _evaluate_pace(self, now: float) -> None:
+        for change in self._state.evaluate_pace(now):
+            self._log.belief(
+                "server avoided" if change.reason else "server used again",
+                now,
+                service=change.service,
+                server=change.server,
+                reason=change.reason.value if change.reason else "",
+                factor=round(change.factor, 2),
+            )
 
     def _announce_request(self) -> None:
         """Announce a new request, together with those that follow at once."""
@@ -291,6 +303,7 @@
             crashes,
             limits,
             self._peer_configs.in_force(now),
+            self._state.pace.next_message(now),
         )
         self._peer_socket.send(message, recipients)
 
@@ -325,6 +338,7 @@
             self._state.loads.record_peer_counts(
                 load.instance, load.count_by_server, now
             )
+            self._state.pace.record_peer(load.address, load.incarnation, load.pace, now)
             self._record_peer_config(load, now)
             if is_new_process:
                 # It is not ready before it knows the version in force here.
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -13,16 +13,18 @@
 from lacewingcleat.load_gossip import LoadGossip
 from lacewingcleat.load_view import Target
 from lacewingcleat.outlier_ejection import OutlierEjection, OutlierEvent
-from lacewingcleat.request_context import RequestContext
+from lacewingcleat.request_context import OpenAttempt, RequestContext
 from lacewingcleat.retries import RetryBudget, RetryPolicy
 from lacewingcleat.routing_config import EngineCapacity, RoutingConfig
 from lacewingcleat.server_choice import (
     ChosenServer,
     ServerChoice,
     ServerLoads,
+    choose_avoiding,
     choose_server,
 )
 from lacewingcleat.server_directory import ServerDirectory
+from lacewingcleat.server_pace import OpenRequest, PaceChange, ServerPace
 from lacewingcleat.server_rate_limits import ServerRateLimits
 from lacewingcleat.server_record import ServerRecord
 
@@ -69,6 +71,7 @@
         "loads",
         "max_event_interval_seconds",
         "outliers",
+        "pace",
         "peers",
         "random",
         "rate_limits",
@@ -97,6 +100,7 @@
         self.peers = peers
         self.random = random
         self.rate_limits = ServerRateLimits(peers.own_address)
+        self.pace = ServerPace(peers.own_address)
 
     def has_ready_peer(self, now: float) -> bool:
         """Return whether a peer has reported that it is ready for requests."""
@@ -161,10 +165,12 @@
         service: str,
         excluded: frozenset[str],
         now: float,
+        may_probe: bool = False,
     ) -> ServerChoice:
         """Choose the server for a request of a service.
 
         :param excluded: servers at which an attempt has failed.
+        :param may_probe: whether the request may be sent to a server that is avoided.
         """
         servers = self.directory.accepting_servers(service, now)
         failed_groups = self._groups_of(excluded)
@@ -176,17 +182,41 @@
             and self.groups.is_open(record.name)
             and self.groups.find_group_name(record.name) not in failed_groups
         ]
-        return choose_server(
+        return choose_avoiding(
             candidates,
-            self.loads,
-            lambda record: self._weight(record, now),
-            lambda record: self._request_limit(record, now),
-            self._zone,
-            self.random,
-            now,
-            own_zone_first=not self.peers.announces_to_all(),
+            lambda record: self.pace.avoided_factor(record.incarnation),
+            lambda records: choose_server(
+                records,
+                self.loads,
+                lambda record: self._weight(record, now),
+                lambda record: self._request_limit(record, now),
+                self._zone,
+                self.random,
+                now,
+                own_zone_first=not self.peers.announces_to_all(),
+            ),
+            may_probe and self.pace.draws_probe(self.random),
         )
 
+    def begin_pace(self, attempt: OpenAttempt, now: float) -> OpenRequest | None:
+        """Measure the answer of a server, unless it belongs to a model service."""
+        record = attempt.record
+        service = self.config and self.config.service_by_name.get(record.service)
+        if not service or service.engine is not None:
+            return None
+        return self.pace.begin(record.incarnation, attempt.load, record.slots, now)
+
+    def evaluate_pace(self, now: float) -> list[PaceChange]:
+        """Decide which servers of plain services are avoided; return the changes."""
+        changes: list[PaceChange] = []
+        self.pace.begin_evaluation(now)
+        for service in self.config.service_by_name.values() if self.config else ():
+            if service.engine is None:
+                records = self.directory.accepting_servers(service.name, now)
+                servers = [record.incarnation for record in records]
+                changes += self.pace.evaluate(service.name, servers, now)
+        return changes
+
     def _groups_of(self, servers: frozenset[str]) -> set[str]:
         """Return the groups of servers that have failed a request.
 
@@ -297,5 +327,6 @@
         self.groups.retain(names)
         self.connection_backoff.retain(names)
         self.rate_limits.retain(self.directory.incarnations())
+        self.pace.retain(self.directory.incarnations(), self.peers.addresses())
         self.rate_limits.set_entries(self.peers.addresses(), now)
         return events
--- a/lacewingcleat/load_gossip.py
+++ b/lacewingcleat/load_gossip.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from lacewingcleat.crash_evidence import CrashRecord
+from lacewingcleat.server_pace import PaceReport
 from lacewingcleat.server_rate_limits import NamedLimit
 
 # Interval between datagrams, short compared with the few hundred milliseconds that a
@@ -62,6 +63,7 @@
     :param config_version: version of the configuration that the sender has in force, 0
         for none.
     :param config_seconds: time for which the sender has had it in force.
+    :param pace: answers of servers of plain services that the sender lately got.
     """
 
     instance: str
@@ -77,6 +79,7 @@
     limits: list[NamedLimit] = []
     config_version: int = 0
     config_seconds: float = 0.0
+    pace: PaceReport = PaceReport()
 
 
 @dataclass(slots=True)
@@ -248,6 +251,7 @@
         crashes: Sequence[CrashRecord] = (),
         limits: Sequence[NamedLimit] = (),
         config_in_force: tuple[int, float] = (0, 0.0),
+        pace: PaceReport | None = None,
     ) -> PeerLoad:
         """Build the next datagram.
 
@@ -271,6 +275,7 @@
             list(crashes),
             list(limits),
             *config_in_force,
+            pace=pace or PaceReport(),
         )
 
     def announces_to_all(self) -> bool:
--- a/lacewingcleat/server_choice.py
+++ b/lacewingcleat/server_choice.py
@@ -194,6 +194,50 @@
     return ServersFull(least_load) if least_load < float("inf") else NoServer()
 
 
+def choose_avoiding(
+    servers: Sequence[ServerRecord],
+    factor_of: Callable[[ServerRecord], float | None],
+    choose: Callable[[Sequence[ServerRecord]], ServerChoice],
+    probes: bool,
+) -> ServerChoice:
+    """Choose a server that is not avoided, unless an avoided one answers earlier.
+
+    A request that would have to wait at the others may be answered earlier there.
+
+    :param factor_of: returns the time of an avoided server's answers as a multiple of
+        the others', None if the server is not avoided.
+    :param choose: chooses one of some servers.
+    :param probes: whether to choose an avoided server if there is one.
+    """
+    factor_by_name = {
+        record.name: factor
+        for record in servers
+        if (factor := factor_of(record)) is not None
+    }
+    avoided = [record for record in servers if record.name in factor_by_name]
+    if not avoided:
+        return choose(servers)
+    if probes:
+        choice = choose(avoided)
+        if isinstance(choice, ChosenServer):
+            return choice
+    usual = choose([record for record in servers if record.name not in factor_by_name])
+    if isinstance(usual, ChosenServer) and usual.load < usual.record.slots:
+        return usual
+    other = choose(avoided)
+    if not isinstance(usual, ChosenServer):
+        return usual if isinstance(other, NoServer) else other
+    if not isinstance(other, ChosenServer):
+        return usual
+    factor = factor_by_name[other.record.name]
+    return other if factor * _relative_wait(other) < _relative_wait(usual) else usual
+
+
+def _relative_wait(choice: ChosenServer) -> float:
+    """Return the expected time until an answer as a multiple of the work."""
+    return max(1.0, (choice.load + 1.0) / max(1, choice.record.slots))
+
+
 def _sample_servers(
     servers: Sequence[ServerRecord], zone: str | None, random: Random
 ) -> Sequence[ServerRecord]:
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -1,5 +1,6 @@
 """Outlier ejection, retries and retry budgets of a direct entry."""
 
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -12,9 +13,12 @@
 from lacewingcleat.group_tracker import RankStatus
 from lacewingcleat.load_gossip import LoadGossip, PeerLoad
 from lacewingcleat.request_access import Granted
-from lacewingcleat.request_context import RequestContext
+from lacewingcleat.request_context import OpenAttempt, RequestContext
 from lacewingcleat.retries import Attempt, ResponseKind, SendProgress
-from tests.builders_direct import make_record, make_route
+from lacewingcleat.routing_config import EngineCapacity, ServiceConfig
+from lacewingcleat.server_choice import ChosenServer
+from lacewingcleat.server_record import ServerRecord
+from tests.builders_direct import make_config, make_record, make_route
 
 BOUNDS = PlatformBounds(5.0, 2.0, 2.0, 8.0, 0.2, 92.0, 10.0)
 
@@ -101,3 +105,75 @@
         """Guards against ejecting servers that refuse requests while they are full."""
         self.assertFalse(self._counts_towards_ejection(ResponseKind.NOT_RUN))
         self.assertTrue(self._counts_towards_ejection(ResponseKind.COMPLETE))
+
+
+class AvoidedServerTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        peers = LoadGossip("me", "10.0.0.1:1", (), Random(1))
+        self.state = DirectState("z", BOUNDS, peers, Random(1))
+        services = {
+            "s": ServiceConfig("s", 100, None),
+            "model": ServiceConfig(
+                "model", 100, EngineCapacity(5, 1, 12, 144, 3, 2, 0.04)
+            ),
+        }
+        self.state.apply_config(replace(make_config(), service_by_name=services))
+        for number in range(3):
+            self.state.directory.put(make_record(f"i-{number}"))
+        self.now = 0.0
+
+    def _attempt(self, record: ServerRecord, seconds: float) -> None:
+        attempt = OpenAttempt(record, 0.0, self.now)
+        measured = self.state.begin_pace(attempt, self.now - seconds)
+        if measured is not None:
+            self.state.pace.end(measured, False, self.now)
+
+    def _choose(self, may_probe: bool = False) -> str:
+        choice = self.state.choose_server("s", frozenset(), self.now, may_probe)
+        assert isinstance(choice, ChosenServer)
+        return choice.record.name
+
+    def _make_slow(self, name: str) -> None:
+        for _ in range(5):
+            self.state.evaluate_pace(self.now)
+            for number in range(3):
+                record = make_record(f"i-{number}")
+                self._attempt(record, 0.3 if record.name == name else 0.02)
+            self.now += 0.2
+        self.state.evaluate_pace(self.now)
+
+    def test_only_probes_reach_an_avoided_server(self) -> None:
+        """Guards against orders at slow servers, and against slow ones without any."""
+        self._make_slow("i-1")
+        self.assertNotIn("i-1", {self._choose() for _ in range(200)})
+        probes = [self._choose(may_probe=True) for _ in range(400)].count("i-1")
+        self.assertGreater(probes, 5)
+        self.assertLess(probes, 60)
+
+    def test_an_avoided_server_is_used_when_the_others_are_full(self) -> None:
+        """Guards against refusals while a slow server has free slots."""
+        self._make_slow("i-1")
+        slots = make_record().slots
+        for name in ("i-0", "i-2"):
+            for _ in range(slots - 1):
+                self.state.loads.begin_request(name)
+        self.assertNotEqual("i-1", self._choose())
+        for name in ("i-0", "i-2"):
+            for _ in range(20 * slots):
+                self.state.loads.begin_request(name)
+        self.assertEqual("i-1", self._choose())
+
+    def test_servers_of_model_services_are_left_out(self) -> None:
+        """Guards against blaming one rank for the passes that its group shares."""
+        record = replace(make_record("m-1"), service="model")
+        self.assertIs(None, self.state.begin_pace(OpenAttempt(record, 0.0, 0.0), 0.0))
+
+    def test_choices_without_evidence_are_the_same(self) -> None:
+        """Guards against other choices in deployments without a slow server."""
+        choices = [self._choose(may_probe=True) for _ in range(50)]
+        self.state.random.seed(1)
+        again = [self._choose() for _ in range(50)]
+        self.state.random.seed(1)
+        self.assertEqual(again, [self._choose(may_probe=True) for _ in range(50)])
+        self.assertEqual({"i-0", "i-1", "i-2"}, set(choices))
