Estimate when a closed group opens, and export map rounds

Cause: callers of a closed group get the same Retry-After whatever the group needs, and operators cannot see why a map is kept.

Change: GroupTracker.expected_open_at and DirectState.expected_open_at give the time at which a group is expected to be open: its formation after the last missing rank is reachable again, else its usual closure, learned from earlier ones. Metrics count map rounds by outcome, the skew before and after the last planned switch, and avoided servers by service. The answers of servers go into regular datagrams only, since those with crash evidence may be full.

Measured: no figures; tests/test_group_tracker.py shows the estimates.

Conclusion: nothing calls expected_open_at yet. Retry-After and the pace of the return are left to retry_after and priority admission.

--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -47,6 +47,7 @@
 from lacewingcleat.request_access import max_key_admission_age
 from lacewingcleat.routing_config import RoutingConfig
 from lacewingcleat.server_connection import ServerConnectionPool
+from lacewingcleat.server_pace import PaceReport
 from lacewingcleat.server_rate_limits import NamedLimit
 from lacewingcleat.server_record import ServerRecord
 from lacewingcleat.store_changes import StoreChanges
@@ -208,6 +209,12 @@
             self._metrics.lost_log_lines.set(self._log.dropped_lines)
             self._metrics.internal_errors.set(self._log.failure_count)
             self._metrics.map_orders.set(self._map_driver.order_count)
+            for outcome, count in self._map_driver.round_counts.items():
+                self._metrics.map_rounds.labels(outcome).set(count)
+            for when, skew in self._map_driver.last_skews.items():
+                self._metrics.map_skew.labels(when).set(skew)
+            for service, avoided in self._state.avoided_counts(now).items():
+                self._metrics.avoided_servers.labels(service).set(avoided)
             self._metrics.peers.set(self._peers.peer_count)
             evidence = self._state.crash_evidence
             self._metrics.crashes.set(len(evidence))
@@ -282,16 +289,19 @@
         self._send_counts(self._peers.announcement_recipients())
 
     def _send_counts(self, recipients: list[str]) -> None:
-        limits = self._state.rate_limits.next_message(read_now())
-        self._send_datagram(recipients, limits=limits)
+        now = read_now()
+        limits = self._state.rate_limits.next_message(now)
+        pace = self._state.pace.next_message(now)
+        self._send_datagram(recipients, limits=limits, pace=pace)
 
     def _send_datagram(
         self,
         recipients: list[str],
         crashes: Sequence[CrashRecord] = (),
         limits: Sequence[NamedLimit] = (),
+        pace: PaceReport | None = None,
     ) -> None:
-        """Send the counts, with some crash evidence and limits of servers."""
+        """Send the counts, with some crash evidence, limits and answers of servers."""
         counts = self._state.loads.in_flight_by_name()
         digest = self._state.crash_evidence.digest
         now = read_now()
@@ -303,7 +313,7 @@
             crashes,
             limits,
             self._peer_configs.in_force(now),
-            self._state.pace.next_message(now),
+            pace,
         )
         self._peer_socket.send(message, recipients)
 
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -9,6 +9,7 @@
     """Define the metrics of one process in its own registry."""
 
     __slots__ = (
+        "avoided_servers",
         "config_age",
         "crashes",
         "internal_errors",
@@ -16,6 +17,8 @@
         "lost_datagrams",
         "lost_log_lines",
         "map_orders",
+        "map_rounds",
+        "map_skew",
         "open_requests",
         "peers",
         "refused_suspects",
@@ -91,6 +94,24 @@
             "Reports asked of backend servers since the start.",
             registry=self.registry,
         )
+        self.map_rounds = Gauge(
+            "lacewing_direct_map_rounds",
+            "Rounds of led groups that read the demand for experts, by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.map_skew = Gauge(
+            "lacewing_direct_map_skew",
+            "Estimated mean skew before and after the last planned map switch.",
+            ["when"],
+            registry=self.registry,
+        )
+        self.avoided_servers = Gauge(
+            "lacewing_direct_avoided_servers",
+            "Servers of plain services that are slow or answer wrongly.",
+            ["service"],
+            registry=self.registry,
+        )
         self.map_orders = Gauge(
             "lacewing_direct_map_orders",
             "Orders given to ranks since the start.",
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -198,6 +198,20 @@
             may_probe and self.pace.draws_probe(self.random),
         )
 
+    def expected_open_at(self, service: str, now: float) -> float:
+        """Return when the first group of a model service will probably be open.
+
+        This is now if a group is open, or the service has no known group.
+        """
+        names = {
+            self.groups.find_group_name(record.name)
+            for record in self.directory.all_servers(service, now)
+        }
+        return min(
+            (self.groups.expected_open_at(name, now) for name in names if name),
+            default=now,
+        )
+
     def begin_pace(self, attempt: OpenAttempt, now: float) -> OpenRequest | None:
         """Measure the answer of a server, unless it belongs to a model service."""
         record = attempt.record
@@ -217,6 +231,18 @@
                 changes += self.pace.evaluate(service.name, servers, now)
         return changes
 
+    def avoided_counts(self, now: float) -> dict[str, int]:
+        """Return the number of avoided servers by plain service."""
+        config = self.config
+        return {
+            service.name: self.pace.avoided_count(
+                record.incarnation
+                for record in self.directory.accepting_servers(service.name, now)
+            )
+            for service in (config.service_by_name.values() if config else ())
+            if service.engine is None
+        }
+
     def _groups_of(self, servers: frozenset[str]) -> set[str]:
         """Return the groups of servers that have failed a request.
 
--- a/lacewingcleat/group_tracker.py
+++ b/lacewingcleat/group_tracker.py
@@ -21,6 +21,15 @@
 # retried only after this back-off, which doubles with each further refusal.
 INITIAL_BACKOFF_SECONDS = 1.0
 MAX_BACKOFF_SECONDS = 3.0
+# Time from the return of a group's last missing rank until an entry knows that the
+# group is open: its formation, and the poll that shows it.
+FORM_SECONDS = 0.6 + CLOSED_POLL_SECONDS
+# Time for which a group is expected to be closed before it was ever seen to open again,
+# and bounds of what is learned from its closures.
+INITIAL_CLOSED_SECONDS = 3.0
+CLOSED_SECONDS_BOUNDS = (FORM_SECONDS, 30.0)
+# Weight of the latest closure.
+CLOSED_SECONDS_SMOOTHING = 0.3
 # Poll interval of a server whose group is unknown.
 UNKNOWN_POLL_SECONDS = 1.0
 # Intervals between stream events count for this time. It spans ten passes or more, each
@@ -66,6 +75,11 @@
     backoff_seconds: float = INITIAL_BACKOFF_SECONDS
     polled_at: float = float("-inf")
     poll_index: int = 0
+    # Since when the group is closed, and since when all of its ranks are reachable
+    # again; none if it is open or ranks are missing.
+    closed_at: float | None = None
+    complete_at: float | None = None
+    typical_closed_seconds: float = INITIAL_CLOSED_SECONDS
     intervals: deque[tuple[float, float]] = field(
         default_factory=lambda: deque(maxlen=MAX_INTERVALS)
     )
@@ -118,6 +132,23 @@
         name = self._group_name_by_server.get(server)
         return name is None or not name or self._group_by_name[name].is_open
 
+    def expected_open_at(self, name: str, now: float) -> float:
+        """Return when a group will probably accept requests, now if it is open.
+
+        A group opens soon after all of its ranks are reachable again. Until then, and
+        if it stays closed nevertheless, it is expected to be closed for as long as it
+        usually is.
+        """
+        group = self._group_by_name.get(name)
+        if group is None or group.is_open or group.closed_at is None:
+            return now
+        if group.complete_at is not None:
+            formed_at = max(group.complete_at + FORM_SECONDS, group.backoff_until)
+            if formed_at > now:
+                return formed_at
+        usual_at = group.closed_at + group.typical_closed_seconds
+        return max(usual_at, now + FORM_SECONDS)
+
     def find_pace(self, name: str, now: float) -> GroupPace | None:
         """Return how fast a group produces events, None without recent ones."""
         group = self._group_by_name.get(name)
@@ -162,6 +193,7 @@
             group.intervals.clear()
         group.epoch = status.epoch
         group.is_open = status.is_open and now >= group.backoff_until
+        _update_closure(group, now)
         return not was_known or previous_state != (group.is_open, group.epoch)
 
     def record_refusal(self, server: str, now: float) -> bool:
@@ -176,6 +208,7 @@
         if not group.is_open:
             return False
         group.is_open = False
+        _update_closure(group, now)
         group.backoff_until = now + group.backoff_seconds
         group.backoff_seconds = min(MAX_BACKOFF_SECONDS, group.backoff_seconds * 2.0)
         return True
@@ -202,6 +235,10 @@
                 selected.append(server)
         for name, members in members_by_group.items():
             group = self._group_by_name[name]
+            if group.is_open or len(members) < group.rank_count:
+                group.complete_at = None
+            elif group.complete_at is None:
+                group.complete_at = now
             if group.is_open or now - group.polled_at < CLOSED_POLL_SECONDS:
                 continue
             group.polled_at = now
@@ -230,3 +267,18 @@
         """Discard the group of a server that has restarted."""
         self._group_name_by_server.pop(server, None)
         self._polled_at_by_server.pop(server, None)
+
+
+def _update_closure(group: _GroupState, now: float) -> None:
+    """Record the beginning or the end of a closure, and learn how long it took."""
+    if not group.is_open:
+        if group.closed_at is None:
+            group.closed_at = now
+        return
+    if group.closed_at is not None:
+        least, most = CLOSED_SECONDS_BOUNDS
+        seconds = min(most, max(least, now - group.closed_at))
+        group.typical_closed_seconds += CLOSED_SECONDS_SMOOTHING * (
+            seconds - group.typical_closed_seconds
+        )
+    group.closed_at = group.complete_at = None
--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -212,6 +212,7 @@
         self.order_count = 0
         # Rounds that reached the decision, by outcome.
         self.round_counts: Counter[str] = Counter()
+        self.last_skews: dict[str, float] = {}
 
     def start(self) -> None:
         """Start the periodic rounds."""
@@ -428,6 +429,7 @@
     ) -> None:
         result = await switch.switch(plan.experts, states, group.step_seconds)
         now = read_now()
+        self.last_skews = {"before": plan.skew_before, "after": plan.skew_after}
         self.round_counts["switched" if result.switched else "switch failed"] += 1
         if result.switched:
             group.planner.record_switch(result.version, plan, now)
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -101,6 +101,18 @@
             fleet_retries = spent * max(entries, MIN_BUDGET_ENTRIES)
             self.assertLessEqual(fleet_retries, BOUNDS.extra_retries, entries)
 
+    def test_the_first_group_that_opens_decides_the_return(self) -> None:
+        """Guards against callers who wait for one group while another one is open."""
+        for number, group in enumerate("gghh"):
+            record = make_record(f"i-{number}")
+            self.state.directory.put(record)
+            status = RankStatus(group, 1, number % 2, 2, True, 1.0)
+            self.state.groups.record_status(record.name, status, 0.0)
+        self.state.groups.record_refusal("i-0", 1.0)
+        self.assertEqual(1.0, self.state.expected_open_at("s", 1.0))
+        self.state.groups.record_refusal("i-2", 1.0)
+        self.assertGreater(self.state.expected_open_at("s", 1.0), 1.0)
+
     def test_refusal_does_not_count_as_failure(self) -> None:
         """Guards against ejecting servers that refuse requests while they are full."""
         self.assertFalse(self._counts_towards_ejection(ResponseKind.NOT_RUN))
--- a/tests/test_group_tracker.py
+++ b/tests/test_group_tracker.py
@@ -3,7 +3,9 @@
 from testtools import TestCase
 
 from lacewingcleat.group_tracker import (
+    FORM_SECONDS,
     INITIAL_BACKOFF_SECONDS,
+    INITIAL_CLOSED_SECONDS,
     GroupTracker,
     RankStatus,
 )
@@ -61,3 +63,41 @@
         self.assertEqual(["i-9"], watch.select_servers_to_poll(["i-9"], 5.0))
         self.assertEqual([], watch.select_servers_to_poll(["i-9"], 5.1))
         self.assertEqual(["i-9"], watch.select_servers_to_poll(["i-9"], 6.1))
+
+    def test_a_closed_group_opens_soon_after_its_last_rank_is_back(self) -> None:
+        """Guards against callers who retry long after a group is open, or before."""
+        watch = self._make_tracker()
+        self.assertEqual(1.0, watch.expected_open_at("g", 1.0))
+        watch.record_refusal("i-1", 1.0)
+        watch.select_servers_to_poll(["i-2"], 1.2)
+        self.assertAlmostEqual(
+            1.0 + INITIAL_CLOSED_SECONDS, watch.expected_open_at("g", 1.2)
+        )
+        watch.select_servers_to_poll(["i-1", "i-2"], 3.0)
+        self.assertAlmostEqual(3.0 + FORM_SECONDS, watch.expected_open_at("g", 3.1))
+        watch.record_status("i-1", _status(epoch=2), 3.7)
+        self.assertEqual(4.0, watch.expected_open_at("g", 4.0))
+
+    def test_a_rank_that_is_lost_again_postpones_the_return(self) -> None:
+        """Guards against a time that was derived from ranks that are gone again."""
+        watch = self._make_tracker()
+        watch.record_refusal("i-1", 1.0)
+        watch.select_servers_to_poll(["i-1", "i-2"], 2.0)
+        watch.select_servers_to_poll(["i-2"], 2.2)
+        self.assertAlmostEqual(
+            1.0 + INITIAL_CLOSED_SECONDS, watch.expected_open_at("g", 2.3)
+        )
+
+    def test_usual_closures_are_learned(self) -> None:
+        """Guards against telling callers the same time whatever groups need."""
+        watch = self._make_tracker()
+        now = 0.0
+        for epoch in range(2, 14):
+            watch.record_refusal("i-1", now)
+            now += 8.0
+            watch.record_status("i-1", _status(epoch=epoch), now)
+            now += 10.0
+        watch.record_refusal("i-1", now)
+        self.assertAlmostEqual(now + 8.0, watch.expected_open_at("g", now), delta=0.5)
+        # A group that is closed for longer than usual is never expected in the past.
+        self.assertGreater(watch.expected_open_at("g", now + 60.0), now + 60.0)
