Send large map orders a few at a time

Cause: now that the maps of large groups change, their leader sends a map to 72 ranks at once: 72 times 11 KB, which takes 0.45 s on a link of 14 Mbit/s. Events of its streams wait behind them, and callers accept pauses of 120 to 150 ms.

Change: at most 100 KB of orders are under way at the same time, and four orders at least. Orders without a map are small and all go out at once.

Measured: calculated, not measured on a link: 57 ms of transfer at 14 Mbit/s. tests/test_map_driver.py shows the bound and that no rank is left out.

--- a/lacewingcleat/map_driver.py
+++ b/lacewingcleat/map_driver.py
@@ -68,6 +68,11 @@
 # the narrow link of each rank, and once for each rank over the link of this entry.
 RANK_LINK_BYTES_PER_SECOND = 300_000
 ENTRY_LINK_BYTES_PER_SECOND = 1_200_000
+# Bytes of orders that are sent at the same time. The map of a group of 72 ranks has
+# 11 KB for each rank; sent to all at once it would delay the events of this entry's
+# streams by half a second at 14 Mbit/s, and callers accept pauses of 120 to 150 ms.
+MAX_ORDER_BYTES_IN_FLIGHT = 100_000
+MIN_ORDERS_IN_FLIGHT = 4
 
 
 class HttpRankClient(RankClient):
@@ -141,12 +146,15 @@
         # The same order goes to many ranks, and a map of a large group is long.
         body_by_order = {id(order): encode_order(order) for order in orders.values()}
         body_by_rank = {rank: body_by_order[id(o)] for rank, o in orders.items()}
-        timeout = order_timeout([len(body) for body in body_by_rank.values()])
+        sizes = [len(body) for body in body_by_rank.values()]
+        concurrency = order_concurrency(sizes)
+        timeout = order_timeout(sorted(sizes)[-concurrency:])
         response_by_rank = await self._gather(
             {
                 rank: self.fetch(rank, ORDER_TARGET, body, timeout)
                 for rank, body in body_by_rank.items()
-            }
+            },
+            concurrency,
         )
         return {
             rank: decode_order_response(answer.status)
@@ -156,9 +164,12 @@
         }
 
     async def _gather(
-        self, calls: Mapping[int, Any]
+        self, calls: Mapping[int, Any], concurrency: int | None = None
     ) -> dict[int, FetchedResponse | str]:
-        deferreds = [defer.ensureDeferred(call) for call in calls.values()]
+        semaphore = defer.DeferredSemaphore(max(1, concurrency or len(calls)))
+        deferreds = [
+            semaphore.run(defer.ensureDeferred, call) for call in calls.values()
+        ]
         results = await defer.DeferredList(deferreds, consumeErrors=True)
         return {
             rank: value if success else str(value)
@@ -457,6 +468,14 @@
         return self._versions.next_version(above, read_wall().timestamp())
 
 
+def order_concurrency(sizes: Sequence[int]) -> int:
+    """Return how many orders are sent at the same time.
+
+    :param sizes: bytes of each order.
+    """
+    return max(MIN_ORDERS_IN_FLIGHT, MAX_ORDER_BYTES_IN_FLIGHT // max(sizes, default=1))
+
+
 def order_timeout(sizes: Sequence[int]) -> float:
     """Return the time limit for orders that are sent at the same time.
 
--- a/tests/test_map_driver.py
+++ b/tests/test_map_driver.py
@@ -11,7 +11,8 @@
 from lacewingcleat import map_driver
 from lacewingcleat.adaptive_concurrency import GroupPace
 from lacewingcleat.http_fetch import FetchedResponse
-from lacewingcleat.map_driver import MapDriver
+from lacewingcleat.map_driver import HttpRankClient, MapDriver
+from lacewingcleat.map_orders import GroupOrder, OrderAnswer, PrepareMap
 from lacewingcleat.platform.order_call import COUNTS_TARGET
 from lacewingcleat.routing_config import EngineCapacity
 from lacewingcleat.server_record import ServerRecord
@@ -108,3 +109,29 @@
         engine = EngineCapacity(5, 1, 12, 144, 3, 2, 0.0365)
         client = self._play(72, engine, set(range(0, 72, 3)))
         self.assertNotEqual({0}, {rank.mapping for rank in client.group.ranks})
+
+
+class OrderTest(TestCase):
+    def test_large_orders_are_sent_a_few_at_a_time(self) -> None:
+        """Guards against orders that fill the link of the entry, or are left out."""
+        pending: list[defer.Deferred[FetchedResponse]] = []
+        started: list[int] = []
+
+        class Client(HttpRankClient):
+            async def fetch(self, rank: int, *arguments: Any) -> FetchedResponse | str:
+                started.append(rank)
+                response: defer.Deferred[FetchedResponse] = defer.Deferred()
+                pending.append(response)
+                return await response
+
+        client = Client(None, None, {})  # type: ignore[arg-type]
+        experts = ((tuple(range(100)),) * 40,)
+        order = GroupOrder(PrepareMap(5, experts), 1)
+        answers: list[dict[int, OrderAnswer]] = []
+        running = defer.ensureDeferred(client.order(dict.fromkeys(range(72), order)))
+        running.addCallback(answers.append)
+        self.assertLess(len(started), 20)
+        while pending:
+            pending.pop().callback(FetchedResponse(200, b"{}"))
+        self.assertEqual(list(range(72)), sorted(started))
+        self.assertEqual(dict.fromkeys(range(72), OrderAnswer.ACCEPTED), answers[0])
--- a/tests/test_replica_placement.py
+++ b/tests/test_replica_placement.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from lacewingcleat.map_driver import order_timeout
+from lacewingcleat.map_driver import order_concurrency, order_timeout
 from lacewingcleat.replica_placement import (
     MapShape,
     first_map,
@@ -93,6 +93,19 @@
         self.assertGreater(order_timeout([size] * 96), transfer_seconds)
         self.assertLess(order_timeout([100] * 96), 0.25)
 
+    def test_maps_of_a_large_group_leave_room_for_streams(self) -> None:
+        """Guards against streams of the leader that are delayed by the orders it sends.
+
+        The map of 72 ranks has 11 KB for each; the entry has a link of 14 Mbit/s, and
+        callers accept pauses of 120 ms. Orders without a map all go out at once.
+        """
+        for size in (11_000, 20_000):
+            in_flight = order_concurrency([size] * 72) * size
+            self.assertLess(in_flight * 8 / 14e6, 0.12)
+            seconds = in_flight * 8 / 3e6 / order_concurrency([size] * 72)
+            self.assertGreater(order_timeout([size] * 4), seconds)
+        self.assertGreaterEqual(order_concurrency([120] * 350), 350)
+
     def test_replicas_share_the_load_of_an_expert(self) -> None:
         """Guards against counting the full load of an expert for each replica."""
         experts_by_rank = [{0, 1}, {1}]
