Return to a recovered server sooner

Cause: after 20 s at 29 entries a server that had been 12 times slower was not used again, as two good answers are needed and only 8 % of the idempotent requests are sent to it.

Conclusion: the return is sooner; it still depends on when the first probe is drawn.

--- a/bench/slow_servers.py
+++ b/bench/slow_servers.py
@@ -25,7 +25,7 @@
     choose_avoiding,
     choose_server,
 )
-from lacewingcleat.server_pace import PROBE_SHARE, OpenRequest, ServerPace
+from lacewingcleat.server_pace import OpenRequest, ServerPace
 from lacewingcleat.server_record import ServerRecord
 
 ZONES = 3
@@ -160,7 +160,7 @@
             self._records,
             lambda record: entry.pace.avoided_factor(record.name),
             choose,
-            is_lookup and self._random.random() < PROBE_SHARE,
+            is_lookup and entry.pace.draws_probe(self._random),
         )
         in_fault = FAULT_AT <= now < FAULT_ENDS_AT
         if not isinstance(choice, ChosenServer):
--- a/lacewingcleat/server_pace.py
+++ b/lacewingcleat/server_pace.py
@@ -50,6 +50,8 @@
 REQUIRED_GOOD_ANSWERS = 2
 # Share of the idempotent requests that are sent to an avoided server.
 PROBE_SHARE = 0.08
+# The same once its latest answer was good.
+RECOVERING_PROBE_SHARE = 0.4
 # Largest service that is examined. In larger ones a slow server gets few requests, and
 # the work of an evaluation stays bounded.
 MAX_SERVERS = 64
@@ -125,6 +127,8 @@
     reason: AvoidanceReason | None = None
     avoided_at: float = 0.0
     factor: float = 1.0
+    # Whether the latest answer since it is avoided was good.
+    is_recovering: bool = False
 
     def newest(self, count: int) -> list[_Sample]:
         """Return the latest answers, newest first."""
@@ -289,7 +293,9 @@
         for name, server in known.items():
             factor = server.factor = self._factor(server, reference)
             if server.reason is not None:
-                if self._has_recovered(server, reference):
+                good_count = self._count_good(server, reference)
+                server.is_recovering = good_count > 0
+                if good_count >= REQUIRED_GOOD_ANSWERS or not server.samples:
                     server.reason = None
                     # Answers from before say nothing about it any more.
                     good = [s for s in server.samples if s.at > server.avoided_at]
@@ -301,6 +307,7 @@
             if reason is not None:
                 server.reason = reason
                 server.avoided_at = now
+                server.is_recovering = False
                 changes.append(PaceChange(service, name, reason, factor))
         if servers and all(
             name in known and known[name].reason is not None for name in servers
@@ -386,16 +393,15 @@
         ]
         return max(MIN_SPREAD, median_low(spreads)) if spreads else MIN_SPREAD
 
-    def _has_recovered(self, server: _Server, reference: float) -> bool:
-        if not server.samples:
-            return True
-        newest = server.newest(REQUIRED_GOOD_ANSWERS)
-        return len(newest) == REQUIRED_GOOD_ANSWERS and all(
-            s.at > server.avoided_at
-            and not s.wrong
-            and s.log_seconds - reference < log(SLOW_FACTOR)
-            for s in newest
-        )
+    def _count_good(self, server: _Server, reference: float) -> int:
+        """Return how many of the latest answers in a row were good."""
+        count = 0
+        for sample in reversed(server.samples):
+            is_slow = sample.log_seconds - reference >= log(SLOW_FACTOR)
+            if sample.at <= server.avoided_at or sample.wrong or is_slow:
+                break
+            count += 1
+        return count
 
     def _release_best(
         self, service: str, known: dict[str, _Server]
@@ -414,10 +420,12 @@
 
     def draws_probe(self, random: Random) -> bool:
         """Return whether a request is to be sent to an avoided server, if any."""
-        return random.random() < PROBE_SHARE if self._any_avoided() else False
-
-    def _any_avoided(self) -> bool:
-        return any(s.reason is not None for s in self._server_by_name.values())
+        avoided = [s for s in self._server_by_name.values() if s.reason is not None]
+        if not avoided:
+            return False
+        is_recovering = any(s.is_recovering for s in avoided)
+        share = RECOVERING_PROBE_SHARE if is_recovering else PROBE_SHARE
+        return random.random() < share
 
     def is_avoided(self, server: str) -> bool:
         """Return whether a server is avoided."""
--- a/tests/test_server_pace.py
+++ b/tests/test_server_pace.py
@@ -58,6 +58,24 @@
         self._play(dict.fromkeys(SERVERS, 0.02), 2)
         self.assertFalse(self.pace.is_avoided("a-1"))
 
+    def test_a_good_probe_is_followed_by_more(self) -> None:
+        """Guards against a server that has recovered and is used again late.
+
+        At 29 entries it was not used again within 20 s.
+        """
+        self._play(dict.fromkeys(SERVERS, 0.02), 5)
+        self.assertFalse(self.pace.draws_probe(Random(1)))
+        self._play({"a-1": 0.3, "b-1": 0.02, "c-1": 0.02}, 3)
+        random = Random(1)
+        before = sum(self.pace.draws_probe(random) for _ in range(1000))
+        self._play({"a-1": 0.02, "b-1": 0.02}, 1)
+        self.assertTrue(self.pace.is_avoided("a-1"))
+        after = sum(self.pace.draws_probe(random) for _ in range(1000))
+        self.assertGreater(after, 3 * before)
+        self._play({"a-1": 0.3, "b-1": 0.02}, 1)
+        again = sum(self.pace.draws_probe(random) for _ in range(1000))
+        self.assertLess(again, 2 * before)
+
     def test_an_overdue_request_counts_before_its_end(self) -> None:
         """Guards against a server that is used until its first slow answer arrives."""
         self._play(dict.fromkeys(SERVERS, 0.02), 5)
