Keep servers with wrong answers avoided until six are good

Cause: a server that answers half of its requests wrongly often gives two good answers in a row, was used again and left again.

--- a/lacewingcleat/server_pace.py
+++ b/lacewingcleat/server_pace.py
@@ -46,11 +46,13 @@
 WRONG_LIMITS = ((2, 4), (4, 12))
 # Factor of slowness that stands for wrong answers where servers have to be compared.
 WRONG_ANSWER_FACTOR = 12.0
-# Answers in a row that must be good for an avoided server to be used again.
+# Answers in a row that must be good for an avoided server to be used again. A server
+# that answers every second request wrongly often has two good ones in a row.
 REQUIRED_GOOD_ANSWERS = 2
+REQUIRED_GOOD_ANSWERS_AFTER_WRONG = 6
 # Share of the idempotent requests that are sent to an avoided server.
 PROBE_SHARE = 0.08
-# The same once its latest answer was good.
+# The same once it has given half of the good answers that it needs.
 RECOVERING_PROBE_SHARE = 0.4
 # Largest service that is examined. In larger ones a slow server gets few requests, and
 # the work of an evaluation stays bounded.
@@ -127,7 +129,7 @@
     reason: AvoidanceReason | None = None
     avoided_at: float = 0.0
     factor: float = 1.0
-    # Whether the latest answer since it is avoided was good.
+    # Whether it has given half of the good answers that end its avoidance.
     is_recovering: bool = False
 
     def newest(self, count: int) -> list[_Sample]:
@@ -294,8 +296,9 @@
             factor = server.factor = self._factor(server, reference)
             if server.reason is not None:
                 good_count = self._count_good(server, reference)
-                server.is_recovering = good_count > 0
-                if good_count >= REQUIRED_GOOD_ANSWERS or not server.samples:
+                required = _required_good(server.reason)
+                server.is_recovering = 2 * good_count >= required
+                if good_count >= required or not server.samples:
                     server.reason = None
                     # Answers from before say nothing about it any more.
                     good = [s for s in server.samples if s.at > server.avoided_at]
@@ -455,3 +458,10 @@
             del self._server_by_name[name]
         for peer in [p for p in self._number_by_peer if p not in retained_peers]:
             del self._number_by_peer[peer]
+
+
+def _required_good(reason: AvoidanceReason) -> int:
+    """Return how many good answers in a row end an avoidance."""
+    if reason is AvoidanceReason.WRONG:
+        return REQUIRED_GOOD_ANSWERS_AFTER_WRONG
+    return REQUIRED_GOOD_ANSWERS
