--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -58,6 +58,7 @@
     ServerChoice,
     ServersFull,
 )
+from lacewingcleat.server_pace import OpenRequest
 from lacewingcleat.server_record import ServerRecord
 from lacewingcleat.server_restrictions import release_wait_seconds
 from lacewingcleat.waiting_requests import Waiting, WaitingRequests
@@ -440,6 +441,7 @@
                     context.failed_servers,
                     now,
                     self._state.may_use_cold_server(context, now),
+                    context.granted.route.retryable and not context.attempts,
                 )
             match choice:
                 case ChosenServer(record, load):
@@ -587,11 +589,14 @@
         events: ResumableEvents,
         race: AttemptRace,
     ) -> AttemptResult:
+        measured = self._state.begin_pace(attempt, read_now())
         result = await self._runner.run(
             context, request, attempt, events.for_attempt(), race
         )
         self._record_first_event(context, attempt, result)
         self.wake_waiting()
+        if measured is not None:
+            self._record_pace(measured, context, attempt, result)
         context.attempts.append(
             AttemptRecord(
                 attempt.record.name,
@@ -634,6 +639,21 @@
                 read_now(),
             )
 
+    def _record_pace(
+        self,
+        measured: OpenRequest,
+        context: RequestContext,
+        attempt: OpenAttempt,
+        result: AttemptResult,
+    ) -> None:
+        """Record how long a server took, unless its answer says nothing about that."""
+        was_ended = context.cancelled or attempt.superseded or attempt.sent_at is None
+        if was_ended or result.attempt.response is ResponseKind.NOT_RUN:
+            self._state.pace.discard(measured)
+            return
+        wrong = result.server_failed and not result.timed_out
+        self._state.pace.end(measured, wrong, read_now())
+
     def _counts_towards_ejection(
         self, record: ServerRecord, result: AttemptResult
     ) -> bool:
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -19,7 +19,7 @@
     PriorityAdmission,
     find_prioritized_services,
 )
-from lacewingcleat.request_context import RequestContext
+from lacewingcleat.request_context import OpenAttempt, RequestContext
 from lacewingcleat.retries import RetryBudget, RetryPolicy
 from lacewingcleat.retry_after import RefusedRequests
 from lacewingcleat.routing_config import EngineCapacity, RoutingConfig, ServiceConfig
@@ -27,9 +27,11 @@
     ChosenServer,
     ServerChoice,
     ServerLoads,
+    choose_avoiding,
     choose_server,
 )
 from lacewingcleat.server_directory import ServerDirectory
+from lacewingcleat.server_pace import OpenRequest, PaceChange, ServerPace
 from lacewingcleat.server_rate_limits import ServerRateLimits
 from lacewingcleat.server_record import ServerRecord
 from lacewingcleat.server_restrictions import (
@@ -121,6 +123,7 @@
         "loads",
         "max_event_interval_seconds",
         "outliers",
+        "pace",
         "peers",
         "random",
         "rate_limits",
@@ -169,6 +172,7 @@
         self._cold_services: dict[str, ServiceConfig] = {}
         # Returns the age in seconds of the view of the store at a given time.
         self.view_age: Callable[[float], float] = lambda _now: 0.0
+        self.pace = ServerPace(peers.own_address)
 
     def has_ready_peer(self, now: float) -> bool:
         """Return whether a peer has reported that it is ready for requests."""
@@ -243,11 +247,13 @@
         excluded: frozenset[str],
         now: float,
         may_use_cold: bool = True,
+        may_probe: bool = False,
     ) -> ServerChoice:
         """Choose the server for a request of a service.
 
         :param excluded: servers at which an attempt has failed.
         :param may_use_cold: whether the request may be sent to a cold server.
+        :param may_probe: whether the request may be sent to a server that is avoided.
         """
         servers = self.directory.accepting_servers(service, now)
         failed_groups = self._failed_groups(excluded, now)
@@ -266,29 +272,39 @@
                 [record for record in candidates if record.zone not in spared_zones],
                 now,
                 may_use_cold,
+                may_probe,
             )
             # A spared zone is used before a caller is refused.
             if isinstance(choice, ChosenServer):
                 return choice
-        return self._choose_among(candidates, now, may_use_cold)
+        return self._choose_among(candidates, now, may_use_cold, may_probe)
 
     def _choose_among(
-        self, candidates: list[ServerRecord], now: float, may_use_cold: bool
+        self,
+        candidates: list[ServerRecord],
+        now: float,
+        may_use_cold: bool,
+        may_probe: bool,
     ) -> ServerChoice:
         returning_zones = frozenset(self.restrictions.returning_zones(now))
-        return choose_server(
+        return choose_avoiding(
             candidates,
-            self.loads,
-            lambda record: self._weight(record, now),
-            lambda record: (
-                self._returning_limit(record, now, may_use_cold)
-                if record.zone in returning_zones
-                else self._request_limit(record, now, may_use_cold)
+            lambda record: self.pace.avoided_factor(record.incarnation),
+            lambda records: choose_server(
+                records,
+                self.loads,
+                lambda record: self._weight(record, now),
+                lambda record: (
+                    self._returning_limit(record, now, may_use_cold)
+                    if record.zone in returning_zones
+                    else self._request_limit(record, now, may_use_cold)
+                ),
+                self._zone,
+                self.random,
+                now,
+                own_zone_first=not self.peers.announces_to_all(),
             ),
-            self._zone,
-            self.random,
-            now,
-            own_zone_first=not self.peers.announces_to_all(),
+            may_probe and self.pace.draws_probe(self.random),
         )
 
     def find_unusable_reason(self, record: ServerRecord, now: float) -> str | None:
@@ -397,6 +413,51 @@
             math.floor(record.slots * share + self.random.random()),
         )
 
+    def expected_open_at(self, service: str, now: float) -> float:
+        """Return when the first group of a model service will probably be open.
+
+        This is now if a group is open, or the service has no known group.
+        """
+        names = {
+            self.groups.find_group_name(record.name)
+            for record in self.directory.all_servers(service, now)
+        }
+        return min(
+            (self.groups.expected_open_at(name, now) for name in names if name),
+            default=now,
+        )
+
+    def begin_pace(self, attempt: OpenAttempt, now: float) -> OpenRequest | None:
+        """Measure the answer of a server, unless it belongs to a model service."""
+        record = attempt.record
+        service = self.config and self.config.service_by_name.get(record.service)
+        if not service or service.engine is not None:
+            return None
+        return self.pace.begin(record.incarnation, attempt.load, record.slots, now)
+
+    def evaluate_pace(self, now: float) -> list[PaceChange]:
+        """Decide which servers of plain services are avoided; return the changes."""
+        changes: list[PaceChange] = []
+        self.pace.begin_evaluation(now)
+        for service in self.config.service_by_name.values() if self.config else ():
+            if service.engine is None:
+                records = self.directory.accepting_servers(service.name, now)
+                servers = [record.incarnation for record in records]
+                changes += self.pace.evaluate(service.name, servers, now)
+        return changes
+
+    def avoided_counts(self, now: float) -> dict[str, int]:
+        """Return the number of avoided servers by plain service."""
+        config = self.config
+        return {
+            service.name: self.pace.avoided_count(
+                record.incarnation
+                for record in self.directory.accepting_servers(service.name, now)
+            )
+            for service in (config.service_by_name.values() if config else ())
+            if service.engine is None
+        }
+
     def _failed_groups(self, servers: frozenset[str], now: float) -> set[str]:
         """Return the groups of servers that have failed a request.
 
@@ -650,6 +711,7 @@
         self.groups.retain(names)
         self.connection_backoff.retain(names)
         self.rate_limits.retain(self.directory.incarnations())
+        self.pace.retain(self.directory.incarnations(), self.peers.addresses())
         self.rate_limits.set_entries(self.peers.addresses(), now)
         self.cold_servers.retain(names)
         self.slow_first_events.retain(names)
--- a/lacewingcleat/load_gossip.py
+++ b/lacewingcleat/load_gossip.py
@@ -14,6 +14,7 @@
 
 from lacewingcleat.crash_evidence import CrashRecord
 from lacewingcleat.priority_admission import ServiceDemand
+from lacewingcleat.server_pace import PaceReport
 from lacewingcleat.server_rate_limits import NamedLimit
 
 # Interval between datagrams, short compared with the few hundred milliseconds that a
@@ -64,6 +65,7 @@
         for none.
     :param config_seconds: time for which the sender has had it in force.
     :param demands: what the sender's callers ask of services with several priorities.
+    :param pace: answers of servers of plain services that the sender lately got.
     """
 
     instance: str
@@ -80,6 +82,7 @@
     config_version: int = 0
     config_seconds: float = 0.0
     demands: list[ServiceDemand] = []
+    pace: PaceReport = PaceReport()
 
 
 @dataclass(slots=True)
@@ -252,6 +255,7 @@
         limits: Sequence[NamedLimit] = (),
         config_in_force: tuple[int, float] = (0, 0.0),
         demands: Sequence[ServiceDemand] = (),
+        pace: PaceReport | None = None,
     ) -> PeerLoad:
         """Build the next datagram.
 
@@ -276,6 +280,7 @@
             list(limits),
             *config_in_force,
             demands=list(demands),
+            pace=pace or PaceReport(),
         )
 
     def announces_to_all(self) -> bool:
