Skip checks of servers that nothing restricts when choosing one

Cause: each choice looked up every server of a service among the avoided ones, by an identifier that is formatted anew, and among the restricted ones, also where there were none. A refusal that was to be explained asked for the reason of each server twice.

Change: both look-ups are made only if something is avoided or restricted, and one pass finds the reasons. No decision changes.

--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -257,6 +257,8 @@
         """
         servers = self.directory.accepting_servers(service, now)
         failed_groups = self._failed_groups(excluded, now)
+        restrictions = self.restrictions
+        has_restrictions = restrictions.has_any
         candidates = [
             record
             for record in servers
@@ -264,7 +266,7 @@
             and not self.connection_backoff.is_backing_off(record.name, now)
             and self.groups.is_open(record.name)
             and self.groups.find_group_name(record.name) not in failed_groups
-            and self.restrictions.find(record, now) is None
+            and not (has_restrictions and restrictions.find(record, now))
         ]
         spared_zones = self.restrictions.spared_zones(self.random, now)
         if spared_zones:
@@ -287,10 +289,9 @@
         may_probe: bool,
     ) -> ServerChoice:
         returning_zones = frozenset(self.restrictions.returning_zones(now))
-        return choose_avoiding(
-            candidates,
-            lambda record: self.pace.avoided_factor(record.incarnation),
-            lambda records: choose_server(
+
+        def choose(records: Sequence[ServerRecord]) -> ServerChoice:
+            return choose_server(
                 records,
                 self.loads,
                 lambda record: self._weight(record, now),
@@ -303,7 +304,14 @@
                 self.random,
                 now,
                 own_zone_first=not self.peers.announces_to_all(),
-            ),
+            )
+
+        if not self.pace.has_avoided:
+            return choose(candidates)
+        return choose_avoiding(
+            candidates,
+            lambda record: self.pace.avoided_factor(record.incarnation),
+            choose,
             may_probe and self.pace.draws_probe(self.random),
         )
 
@@ -335,8 +343,9 @@
         self, records: Iterable[ServerRecord], now: float
     ) -> dict[str, int]:
         """Return the number of servers that get no requests, by reason."""
-        reasons = (self.find_unusable_reason(record, now) for record in records)
-        return dict(Counter(str(reason) for reason in reasons if reason is not None))
+        return _count_reasons(
+            self.find_unusable_reason(record, now) for record in records
+        )
 
     def explain_refusal(
         self, service: str, excluded: frozenset[str], now: float
@@ -370,13 +379,14 @@
         return counts
 
     def _examine_refusal(self, service: str, now: float) -> _Refusal:
-        records = self.directory.all_servers(service, now)
+        reason_by_server = {
+            record.name: self.find_unusable_reason(record, now)
+            for record in self.directory.all_servers(service, now)
+        }
         other_servers = frozenset(
-            record.name
-            for record in records
-            if self.find_unusable_reason(record, now) is None
+            name for name, reason in reason_by_server.items() if reason is None
         )
-        return _Refusal(now, self.count_unusable(records, now), other_servers)
+        return _Refusal(now, _count_reasons(reason_by_server.values()), other_servers)
 
     def first_release(self, service: str, now: float) -> float | None:
         """Return when the first server of a service may be sent requests again.
@@ -717,3 +727,8 @@
         self.slow_first_events.retain(names)
         self.cold_servers.set_entries(self.peers.addresses(), now)
         return events
+
+
+def _count_reasons(reasons: Iterable[str | None]) -> dict[str, int]:
+    """Return the number of servers by the reason for which they get no requests."""
+    return dict(Counter(str(reason) for reason in reasons if reason is not None))
--- a/lacewingcleat/server_pace.py
+++ b/lacewingcleat/server_pace.py
@@ -421,6 +421,11 @@
         known[best].samples.clear()
         return [PaceChange(service, best, None, 1.0)]
 
+    @property
+    def has_avoided(self) -> bool:
+        """Return whether any server is avoided."""
+        return any(s.reason is not None for s in self._server_by_name.values())
+
     def draws_probe(self, random: Random) -> bool:
         """Return whether a request is to be sent to an avoided server, if any."""
         avoided = [s for s in self._server_by_name.values() if s.reason is not None]
--- a/lacewingcleat/server_restrictions.py
+++ b/lacewingcleat/server_restrictions.py
@@ -184,6 +184,13 @@
 
     # Queries
 
+    @property
+    def has_any(self) -> bool:
+        """Return whether any server or zone may be restricted."""
+        return bool(
+            self._leaving_by_run or self._pause_by_run or self._evacuation_by_zone
+        )
+
     def find(self, record: ServerRecord, now: float) -> Restriction | None:
         """Return why no request may be sent to a server, none if one may be.
 
