Share the parse turns and the client metrics of both kinds of listener

Cause: the listeners of the direct entry and of the own programs each had the queue that gives connections their turns, and both kinds of metrics defined the gauges of the memory budget.

Change: ParseTurns and ClientMetrics, one class each. Names, labels and turns are as before; the help texts of the own programs' gauges are those of the direct entry.

Measured: the tests of the listeners, of the budget and of the parsers pass.

--- a/lacewingcleat/caller_connection.py
+++ b/lacewingcleat/caller_connection.py
@@ -4,7 +4,6 @@
 request that this process has framed. This prevents request smuggling.
 """
 
-from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -20,6 +19,7 @@
     MemoryBudget,
     ProcessLimits,
 )
+from lacewingcleat.parse_turns import ParseTurns
 from lacewingcleat.routing_config import ListenerLimits
 
 # Used until the first configuration has been read.
@@ -224,7 +224,7 @@
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
         if self._awaits_turn:
-            self._factory.parse_later(self)
+            self._factory.parse_turns.add(self)
         self._update_reading()
 
     def _may_parse(self) -> bool:
@@ -554,7 +554,9 @@
         self.open_requests = 0
         self.budget = budget or MemoryBudget(ProcessLimits())
         self.on_cut = on_cut
-        self._unparsed: deque[CallerConnection] = deque()
+        self.parse_turns = ParseTurns(
+            reactor.callLater, MAX_PARTS_OF_ALL_PER_TURN // MAX_PARTS_PER_TURN
+        )
 
     def buildProtocol(self, _address: object) -> CallerConnection:
         """Return the protocol of a new connection."""
@@ -571,25 +573,6 @@
             connection.count_unread()
         self.budget.check(now)
 
-    def parse_later(self, connection: CallerConnection) -> None:
-        """Parse what a connection has received once it is its turn."""
-        if not self._unparsed:
-            self.reactor.callLater(0, self._parse_some)
-        self._unparsed.append(connection)
-
-    def _parse_some(self) -> None:
-        waiting, self._unparsed = self._unparsed, deque()
-        for _ in range(MAX_PARTS_OF_ALL_PER_TURN // MAX_PARTS_PER_TURN):
-            if not waiting:
-                break
-            waiting.popleft().parse()
-        if not waiting:
-            return
-        if not self._unparsed:
-            self.reactor.callLater(0, self._parse_some)
-        # Those that had no turn come before those that had one.
-        self._unparsed.extendleft(reversed(waiting))
-
 
 def _announced_length(headers: Headers) -> int | None:
     """Return the length of the body that a request announces, if any."""
--- a/lacewingcleat/direct_metrics.py
+++ b/lacewingcleat/direct_metrics.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from lacewingcleat.client_metrics import ClientMetrics
 from lacewingcleat.cold_servers import ColdShare
 from lacewingcleat.latency_buckets import LATENCY_BUCKETS_SECONDS
 from lacewingcleat.memory_budget import MemoryBudget
@@ -15,10 +16,7 @@
     __slots__ = (
         "admissions",
         "avoided_servers",
-        "client_bytes",
-        "client_connections",
-        "client_cuts",
-        "clients_waiting",
+        "clients",
         "cold_allowance",
         "cold_requests",
         "cold_sent",
@@ -214,50 +212,18 @@
             "Log lines dropped since the start.",
             registry=self.registry,
         )
-
-        self.client_bytes = Gauge(
-            "lacewing_direct_client_bytes",
-            "Bytes held for requests, unread responses and responses being read, and "
-            "the limits of these; no value for a limit that is not set.",
-            ["kind"],
-            registry=self.registry,
-        )
-        self.client_connections = Gauge(
-            "lacewing_direct_client_connections",
-            "Open connections of callers and their limit, if one is set.",
-            ["kind"],
-            registry=self.registry,
-        )
-        self.clients_waiting = Gauge(
-            "lacewing_direct_clients_waiting",
-            "Requests that are not read further until memory is free.",
-            registry=self.registry,
-        )
-        self.client_cuts = Gauge(
-            "lacewing_direct_client_cuts",
-            "Callers refused or cut off since the start, by reason.",
-            ["reason"],
-            registry=self.registry,
-        )
+        self.clients = ClientMetrics(self.registry, "lacewing_direct")
 
     def set_clients(self, budget: MemoryBudget, response_bytes: int) -> None:
         """Set the metrics of the memory and connections of callers.
 
         :param response_bytes: bytes of responses that are being read from servers.
         """
-        limits = budget.limits
-        self.client_bytes.labels("held").set(budget.held_bytes)
-        self.client_bytes.labels("responses").set(response_bytes)
-        if limits.bytes_held is not None:
-            self.client_bytes.labels("held limit").set(limits.bytes_held)
-        if limits.response_bytes is not None:
-            self.client_bytes.labels("responses limit").set(limits.response_bytes)
-        self.client_connections.labels("open").set(budget.connection_count)
-        if limits.connections is not None:
-            self.client_connections.labels("limit").set(limits.connections)
-        self.clients_waiting.set(budget.waiting_count)
-        for reason, count in budget.cut_count_by_reason.items():
-            self.client_cuts.labels(reason.value).set(count)
+        self.clients.set(budget)
+        self.clients.bytes_held.labels("responses").set(response_bytes)
+        limit = budget.limits.response_bytes
+        if limit is not None:
+            self.clients.bytes_held.labels("responses limit").set(limit)
 
     def show_restrictions(
         self,
--- a/lacewingcleat/http_server.py
+++ b/lacewingcleat/http_server.py
@@ -6,7 +6,6 @@
 """
 
 import re
-from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
 from http import HTTPStatus
@@ -37,6 +36,7 @@
     MemoryBudget,
     ProcessLimits,
 )
+from lacewingcleat.parse_turns import ParseTurns
 from lacewingcleat.problems import (
     CONTENT_TYPE,
     Problem,
@@ -348,7 +348,7 @@
         if self._pending and not self._awaits_memory:
             self._awaits_turn = True
             self.transport.pauseProducing()
-            self.bounded_factory.parse_later(self)
+            self.bounded_factory.parse_turns.add(self)
 
     def _update_request_line_timer(self) -> None:
         """Start the timer at the first byte of a request line."""
@@ -406,7 +406,7 @@
     def _resume(self) -> None:
         self._awaits_memory = False
         self._awaits_turn = True
-        self.bounded_factory.parse_later(self)
+        self.bounded_factory.parse_turns.add(self)
 
     def _cut(self, reason: CutReason) -> None:
         """End the connection, with a response if a request is being read."""
@@ -525,7 +525,7 @@
         self.budget = budget or MemoryBudget(ProcessLimits())
         self.on_cut = on_cut
         self.on_refused = on_refused
-        self._unparsed: deque[BoundedChannel] = deque()
+        self.parse_turns = ParseTurns(_REACTOR.callLater, MAX_CONNECTIONS_PER_TURN)
         self._check_timer: Any = None
         self._channels: WeakSet[Any] = WeakSet()
         self.body_limit_bytes = body_limit_bytes
@@ -542,25 +542,6 @@
         self._channels.add(channel)
         return channel
 
-    def parse_later(self, channel: BoundedChannel) -> None:
-        """Parse what a connection has received once it is its turn."""
-        if not self._unparsed:
-            _REACTOR.callLater(0, self._parse_some)
-        self._unparsed.append(channel)
-
-    def _parse_some(self) -> None:
-        waiting, self._unparsed = self._unparsed, deque()
-        for _ in range(MAX_CONNECTIONS_PER_TURN):
-            if not waiting:
-                break
-            waiting.popleft().parse()
-        if not waiting:
-            return
-        if not self._unparsed:
-            _REACTOR.callLater(0, self._parse_some)
-        # Those that had no turn come before those that had one.
-        self._unparsed.extendleft(reversed(waiting))
-
     def schedule_check(self) -> None:
         """Check the budget regularly while there are connections."""
         if self._check_timer is None and self.budget.limits.bytes_held is not None:
--- a/lacewingcleat/metrics.py
+++ b/lacewingcleat/metrics.py
@@ -11,8 +11,8 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from lacewingcleat.client_metrics import ClientMetrics
 from lacewingcleat.latency_buckets import LATENCY_BUCKETS_SECONDS
-from lacewingcleat.memory_budget import MemoryBudget
 from lacewingcleat.relay_metrics import RelayMetric
 
 
@@ -48,10 +48,7 @@
 
     __slots__ = (
         "alarms",
-        "client_bytes",
-        "client_connections",
-        "client_cuts",
-        "clients_waiting",
+        "clients",
         "control_bytes",
         "control_dropped",
         "control_messages",
@@ -116,42 +113,7 @@
             "Times the process noticed that it had been paused.",
             registry=self.registry,
         )
-        self.client_bytes = Gauge(
-            "lacewing_client_bytes",
-            "Bytes held for requests and unread responses, and their limit, if set.",
-            ["kind"],
-            registry=self.registry,
-        )
-        self.client_connections = Gauge(
-            "lacewing_client_connections",
-            "Open connections of clients and their limit, if set.",
-            ["kind"],
-            registry=self.registry,
-        )
-        self.clients_waiting = Gauge(
-            "lacewing_clients_waiting",
-            "Requests that are not read further until memory is free.",
-            registry=self.registry,
-        )
-        self.client_cuts = Gauge(
-            "lacewing_client_cuts",
-            "Clients refused or cut off since the start, by reason.",
-            ["reason"],
-            registry=self.registry,
-        )
-
-    def set_clients(self, budget: MemoryBudget) -> None:
-        """Set the metrics of the memory and connections of clients."""
-        limits = budget.limits
-        self.client_bytes.labels("held").set(budget.held_bytes)
-        if limits.bytes_held is not None:
-            self.client_bytes.labels("held limit").set(limits.bytes_held)
-        self.client_connections.labels("open").set(budget.connection_count)
-        if limits.connections is not None:
-            self.client_connections.labels("limit").set(limits.connections)
-        self.clients_waiting.set(budget.waiting_count)
-        for reason, count in budget.cut_count_by_reason.items():
-            self.client_cuts.labels(reason.value).set(count)
+        self.clients = ClientMetrics(self.registry, "lacewing")
 
 
 class EntryMetrics(ProcessMetrics):
--- a/lacewingcleat/node_process.py
+++ b/lacewingcleat/node_process.py
@@ -80,7 +80,7 @@
     def refresh_metrics(self) -> None:
         """Update the gauges; called before each scrape."""
         self._base_node.refresh_metrics()
-        self._base_node.base_metrics.set_clients(self._base_server.factory.budget)
+        self._base_node.base_metrics.clients.set(self._base_server.factory.budget)
         open_calls = self._base_server.open_calls
         self._base_node.base_metrics.open_requests.set(open_calls)
 
