--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -8,6 +8,10 @@
 from contextlib import suppress
 from pathlib import Path
 
+from tests.platform_fakes import encode_chunk
+
+# Size of the pieces in which bodies are sent.
+PART = b"x" * 16_384
 # A client whose bytes are not read for this time stops sending.
 SEND_TIMEOUT_SECONDS = 3.0
 
@@ -73,3 +77,85 @@
     first = [f"{method} {path} HTTP/1.1", "Host: h", "Authorization: Bearer k"]
     deadline = "X-Deadline-Milliseconds: 20000"
     return "\r\n".join([*first, deadline, *lines, "", ""]).encode()
+
+
+def stop_one_byte_short(head: bytes, body_bytes: int) -> Act:
+    """Send a body without its last byte, and keep the connection open."""
+
+    def act(stream: socket.socket, stopped: threading.Event) -> None:
+        stream.sendall(head)
+        stream.sendall(b"x" * (body_bytes - 1))
+        stopped.wait()
+
+    return act
+
+
+def send_endless_chunks(head: bytes) -> Act:
+    """Send chunks of a body without an end."""
+    chunk = encode_chunk(PART)
+
+    def act(stream: socket.socket, stopped: threading.Event) -> None:
+        stream.sendall(head)
+        while not stopped.is_set():
+            stream.sendall(chunk)
+
+    return act
+
+
+def send_complete(head: bytes, body_bytes: int, count: int = 1) -> Act:
+    """Send complete requests one behind the other without reading a response."""
+
+    def act(stream: socket.socket, stopped: threading.Event) -> None:
+        for _ in range(count):
+            stream.sendall(head)
+            stream.sendall(b"x" * body_bytes)
+        stopped.wait()
+
+    return act
+
+
+def send_far_over(announced: bytes, sent: bytes, limit: int, count: int) -> Act:
+    """Send four times the limit, by turns with an announced length and in a chunk.
+
+    :param sent: head of a request with a body in chunks.
+    :param count: number of clients.
+    """
+    begun = sent + b"%x\r\n" % (64 * limit)
+    numbers = iter(range(count))
+
+    def act(stream: socket.socket, stopped: threading.Event) -> None:
+        stream.sendall(announced if next(numbers) % 2 else begun)
+        for _ in range(4 * limit // len(PART)):
+            stream.sendall(PART)
+        stopped.wait()
+
+    return act
+
+
+def send_tiny_chunks(head: bytes) -> Act:
+    """Send chunks of one byte without an end."""
+    chunks = b"1\r\nx\r\n" * 10_000
+
+    def act(stream: socket.socket, stopped: threading.Event) -> None:
+        stream.sendall(head)
+        while not stopped.is_set():
+            stream.sendall(chunks)
+
+    return act
+
+
+def send_nothing_or_slow_headers(target: str, count: int) -> Act:
+    """Send nothing, by turns with a head whose bytes come slowly.
+
+    :param count: number of clients.
+    """
+    numbers = iter(range(count))
+
+    def act(stream: socket.socket, stopped: threading.Event) -> None:
+        if next(numbers) % 2:
+            stopped.wait()
+        stream.sendall(f"GET {target} HTTP/1.1\r\nX: ".encode())
+        while not stopped.wait(0.5):
+            stream.sendall(b"y")
+
+    return act
--- a/tests/limited_servers.py
+++ b/tests/limited_servers.py
@@ -1,12 +1,11 @@
 """Backend servers that name a limit in their answers and record the arrivals."""
 
 import socket
-import threading
 import time
 from bisect import bisect_right
 from contextlib import suppress
 
-from tests.entry_process import EntryProcess, make_config_item
+from tests.entry_process import make_config_item
 from tests.platform_fakes import (
     FakeServer,
     FakeStore,
@@ -66,36 +65,3 @@
         for closable in (self.store, *self._servers):
             with suppress(OSError):
                 closable.close()
-
-
-class SteadyCallers:
-    """Send requests to each of some entries at a steady rate.
-
-    :param rate: requests per second and entry.
-    :ivar statuses: status of each request.
-    """
-
-    def __init__(self, entries: list[EntryProcess], rate: float) -> None:
-        self._rate = rate
-        self.statuses: list[int] = []
-        self._stopped = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._run, args=(entry,)) for entry in entries
-        ]
-        for thread in self._threads:
-            thread.start()
-
-    def _run(self, entry: EntryProcess) -> None:
-        number = 0
-        while not self._stopped.wait(1.0 / self._rate):
-            number += 1
-            response, _ = entry.call(
-                "/get/x", request_id=f"{entry.port}-{number}", key="k"
-            )
-            self.statuses.append(response.status)
-
-    def stop(self) -> None:
-        """Stop all callers."""
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -16,11 +16,18 @@
 from testtools import TestCase
 
 from tests.client_crowd import (
+    PART,
     Act,
     ClientCrowd,
     count_descriptors,
     make_head,
     read_peak_memory,
+    send_complete,
+    send_endless_chunks,
+    send_far_over,
+    send_nothing_or_slow_headers,
+    send_tiny_chunks,
+    stop_one_byte_short,
 )
 from tests.entry_process import EntryProcess, make_config_item
 from tests.platform_fakes import (
@@ -38,7 +45,6 @@
 CROWD = 60
 CHUNK_CROWD = 40
 CONNECTIONS = 450
-PART = b"x" * 16_384
 # A server of the crowd takes longer than the crowd needs to send everything.
 SLOW_SECONDS = 8.0
 
@@ -108,25 +114,12 @@
     def test_bodies_that_stop_one_byte_short(self) -> None:
         """Guards against incomplete bodies that are kept without a common bound."""
         head = make_head("POST", "/order/x", f"Content-Length: {MAX_BODY_BYTES}")
-
-        def act(stream: socket.socket, stopped: threading.Event) -> None:
-            stream.sendall(head)
-            stream.sendall(b"x" * (MAX_BODY_BYTES - 1))
-            stopped.wait()
-
-        self._check_crowd(act)
+        self._check_crowd(stop_one_byte_short(head, MAX_BODY_BYTES))
 
     def test_endless_chunked_bodies(self) -> None:
         """Guards against bodies of unknown length that fill the memory."""
         head = make_head("POST", "/order/x", "Transfer-Encoding: chunked")
-        chunk = b"%x\r\n%s\r\n" % (len(PART), PART)
-
-        def act(stream: socket.socket, stopped: threading.Event) -> None:
-            stream.sendall(head)
-            while not stopped.is_set():
-                stream.sendall(chunk)
-
-        self._check_crowd(act)
+        self._check_crowd(send_endless_chunks(head))
 
     def test_chunked_bodies_that_never_end(self) -> None:
         """Guards against bodies of unknown length that stop below the limit."""
@@ -144,13 +137,7 @@
     def test_complete_bodies_before_a_slow_server(self) -> None:
         """Guards against bodies that are kept for servers without a common bound."""
         head = make_head("POST", "/order/x", f"Content-Length: {MAX_BODY_BYTES}")
-
-        def act(stream: socket.socket, stopped: threading.Event) -> None:
-            stream.sendall(head)
-            stream.sendall(b"x" * MAX_BODY_BYTES)
-            stopped.wait()
-
-        self._check_crowd(act)
+        self._check_crowd(send_complete(head, MAX_BODY_BYTES))
 
     def test_bodies_far_over_the_limit(self) -> None:
         """Guards against bodies over the limit that are kept, announced or sent."""
@@ -158,29 +145,12 @@
             "POST", "/order/x", f"Content-Length: {64 * MAX_BODY_BYTES}"
         )
         sent = make_head("POST", "/order/x", "Transfer-Encoding: chunked")
-        sent += b"%x\r\n" % (64 * MAX_BODY_BYTES)
-        numbers = iter(range(CROWD))
-
-        def act(stream: socket.socket, stopped: threading.Event) -> None:
-            stream.sendall(announced if next(numbers) % 2 else sent)
-            for _ in range(4 * MAX_BODY_BYTES // len(PART)):
-                stream.sendall(PART)
-            stopped.wait()
-
-        self._check_crowd(act)
+        self._check_crowd(send_far_over(announced, sent, MAX_BODY_BYTES, CROWD))
 
     def test_requests_pipelined_behind_an_open_one(self) -> None:
         """Guards against requests that are kept behind the current one."""
-        body = b"x" * MAX_BODY_BYTES
-        head = make_head("POST", "/order/x", f"Content-Length: {len(body)}")
-
-        def act(stream: socket.socket, stopped: threading.Event) -> None:
-            for _ in range(3):
-                stream.sendall(head)
-                stream.sendall(body)
-            stopped.wait()
-
-        self._check_crowd(act)
+        head = make_head("POST", "/order/x", f"Content-Length: {MAX_BODY_BYTES}")
+        self._check_crowd(send_complete(head, MAX_BODY_BYTES, 3))
 
     def test_responses_that_are_not_read(self) -> None:
         """Guards against responses that are kept for callers that never read them."""
@@ -205,26 +175,11 @@
     def test_chunks_of_one_byte(self) -> None:
         """Guards against chunks whose parsing leaves no time for other requests."""
         head = make_head("POST", "/order/x", "Transfer-Encoding: chunked")
-        chunks = b"1\r\nx\r\n" * 10_000
-
-        def act(stream: socket.socket, stopped: threading.Event) -> None:
-            stream.sendall(head)
-            while not stopped.is_set():
-                stream.sendall(chunks)
-
-        self._check_crowd(act, CHUNK_CROWD)
+        self._check_crowd(send_tiny_chunks(head), CHUNK_CROWD)
 
     def test_connections_that_send_nothing_or_slow_headers(self) -> None:
         """Guards against connections that use up the descriptors."""
-        numbers = iter(range(CONNECTIONS))
-
-        def act(stream: socket.socket, stopped: threading.Event) -> None:
-            if next(numbers) % 2:
-                stopped.wait()
-            stream.sendall(b"GET /other/x HTTP/1.1\r\nX: ")
-            while not stopped.wait(0.5):
-                stream.sendall(b"y")
-
+        act = send_nothing_or_slow_headers("/other/x", CONNECTIONS)
         self._check_crowd(act, CONNECTIONS, 4.0)
 
     def test_a_single_body_of_the_largest_size_is_served(self) -> None:
--- a/tests/test_cold_entries.py
+++ b/tests/test_cold_entries.py
@@ -7,13 +7,13 @@
 
 from tests.cold_fakes import (
     CALLER_DEADLINE_SECONDS,
-    FastCallers,
     RecordedServers,
     allowed_arrivals,
     busiest_second,
     make_cold_config,
 )
 from tests.entry_process import EntryProcess, run_entries, wait_for
+from tests.steady_callers import SteadyCallers
 
 # Requests per second and entry; evenly spread over the servers it is several times what
 # a cold server accepts.
@@ -48,7 +48,7 @@
             self.servers.add(f"warm-{number}")
         with run_entries(self.servers.store, 3) as entries:
             self._wait_for_servers(entries, 2)
-            callers = FastCallers(entries, REQUESTS_PER_SECOND)
+            callers = SteadyCallers(entries, REQUESTS_PER_SECOND)
             self.servers.add("cold", born=2)
             added_at = time.monotonic()
             arrivals = self.servers.arrivals_by_name["cold"]
@@ -69,7 +69,7 @@
         self.servers.add("cold", cold_ms=6000)
         with run_entries(self.servers.store, 2) as entries:
             self._wait_for_servers(entries, 1)
-            callers = FastCallers(entries, REQUESTS_PER_SECOND)
+            callers = SteadyCallers(entries, REQUESTS_PER_SECOND)
             arrivals = self.servers.arrivals_by_name["cold"]
             wait_for(lambda: bool(arrivals))
             time.sleep(1.5)
@@ -99,7 +99,7 @@
         server = self.servers.add("i-0")
         with run_entries(self.servers.store, 2) as entries:
             self._wait_for_servers(entries, 1)
-            callers = FastCallers(entries, REQUESTS_PER_SECOND)
+            callers = SteadyCallers(entries, REQUESTS_PER_SECOND)
             wait_for(lambda: len(callers.last_status_by_port) == len(entries))
             self.servers.store.down = True
             server.crash()
@@ -137,7 +137,7 @@
             self.servers.add(f"i-{number}")
         with run_entries(self.servers.store, 1) as entries:
             self._wait_for_servers(entries, 2)
-            callers = FastCallers(entries * 6, REQUESTS_PER_SECOND / 6.0, "/stream/x")
+            callers = SteadyCallers(entries * 6, REQUESTS_PER_SECOND / 6.0, "/stream/x")
             wait_for(lambda: len(callers.answers) >= 80)
             self.servers.slow_names.add("i-0")
             wait_for(lambda: bool(entries[0].log_lines("server may be cold")))
@@ -155,7 +155,7 @@
         self.servers.add("i-0", born=7)
         with run_entries(self.servers.store, 1) as entries:
             self._wait_for_servers(entries, 1)
-            callers = FastCallers(entries, REQUESTS_PER_SECOND)
+            callers = SteadyCallers(entries, REQUESTS_PER_SECOND)
             wait_for(lambda: len(callers.answers) >= 30)
             callers.stop()
         self.assertEqual({200}, callers.statuses)
@@ -166,7 +166,7 @@
         self.servers.add("i-0")
         with run_entries(self.servers.store, 1) as entries:
             self._wait_for_servers(entries, 1)
-            callers = FastCallers(entries, REQUESTS_PER_SECOND)
+            callers = SteadyCallers(entries, REQUESTS_PER_SECOND)
             self.servers.add("i-1", born=2, cold_ms=6000)
             arrivals = self.servers.arrivals_by_name["i-1"]
             wait_for(lambda: len(arrivals) >= 40)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -10,10 +10,10 @@
     LIMIT_PER_SECOND,
     WINDOW_SECONDS,
     LimitedServers,
-    SteadyCallers,
     allowed_arrivals,
     busiest_window,
 )
+from tests.steady_callers import SteadyCallers
 
 REQUESTS_PER_SECOND = 6.0
 
@@ -28,7 +28,7 @@
         callers = SteadyCallers(entries, REQUESTS_PER_SECOND)
         time.sleep(seconds)
         callers.stop()
-        self.assertEqual({200}, set(callers.statuses))
+        self.assertEqual({200}, callers.statuses)
 
     def _arrivals_after(self, moment: float) -> list[float]:
         return [at for at in self.servers.arrivals if at >= moment]
