Name the rank of waiting requests, and define the status 503 once

Cause: a waiting request called its rank a priority, which elsewhere is that of the account or route, and two modules defined the same status.

--- a/lacewingcleat/direct_attempt.py
+++ b/lacewingcleat/direct_attempt.py
@@ -40,7 +40,7 @@
 )
 from lacewingcleat.server_record import ServerRecord
 from lacewingcleat.server_restrictions import RestrictionReason
-from lacewingcleat.server_signals import ServerSignals
+from lacewingcleat.server_signals import STATUS_UNAVAILABLE, ServerSignals
 
 # Silence before the first event after which a stream that may be resumed is also sent
 # to another server; callers disconnect after 2 s without an event.
@@ -54,7 +54,6 @@
 RETRY_TIMEOUT_FACTOR = 3.0
 # A server that has written a stream for this long has survived its start.
 ANSWER_START_SECONDS = 0.5
-STATUS_UNAVAILABLE = 503
 MAX_ERROR_LENGTH = 200
 # Requests that may still reach a server that pauses, of those that are being written.
 MAX_WRITES_IN_PAUSE = 2
--- a/lacewingcleat/waiting_requests.py
+++ b/lacewingcleat/waiting_requests.py
@@ -25,12 +25,13 @@
 class Waiting(Generic[Item]):
     """Represent a waiting request.
 
+    :param rank: urgency, see `Granted.rank`.
     :param latest_start: time after which its first event would be late.
     """
 
     item: Item
     service: str
-    priority: int
+    rank: int
     arrived_at: float
     latest_start: float
 
@@ -78,7 +79,7 @@
         :param free_rate: slots a second that become free for this entry's requests.
         """
         ahead = sum(
-            other.service == entry.service and other.priority <= entry.priority
+            other.service == entry.service and other.rank <= entry.rank
             for other in self._waiting
         )
         useful_length = 1.0 + free_rate * (entry.latest_start - now)
@@ -86,7 +87,7 @@
         if is_useless or len(self._waiting) >= MAX_WAITING:
             return False
         self._waiting.append(entry)
-        self._waiting.sort(key=lambda other: (other.priority, other.arrived_at))
+        self._waiting.sort(key=lambda other: (other.rank, other.arrived_at))
         return True
 
     def first(self, service: str) -> Waiting[Item] | None:
