--- a/lacewingcleat/direct_main.py
+++ b/lacewingcleat/direct_main.py
@@ -110,7 +110,11 @@
             log,
         )
         self._store_changes = StoreChanges(
-            self._state, self._store_reader.view, log, self._apply_limits
+            self._state,
+            self._store_reader.view,
+            log,
+            self._apply_limits,
+            settings.uses_accounts,
         )
         self._state.view_age = self._store_reader.view.age
         self._report_poller = ReportPoller(self._pool, self._record_status, log)
--- a/lacewingcleat/direct_settings.py
+++ b/lacewingcleat/direct_settings.py
@@ -52,6 +52,7 @@
     :param store_address: IP address and port of the platform's store.
     :param memory_mb: memory of the instance in MB, none if unknown.
     :param file_descriptors: descriptors of the instance, none if unknown.
+    :param uses_accounts: whether the platform has client accounts with keys.
     """
 
     instance: str
@@ -66,3 +67,4 @@
     # Memory and descriptors of the instance
     memory_mb: float | None = None
     file_descriptors: int | None = None
+    uses_accounts: bool = False
--- a/lacewingcleat/platform/config_item.py
+++ b/lacewingcleat/platform/config_item.py
@@ -85,20 +85,28 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
-    tenants: list[_Tenant] = []
+    # Without this list, requests need no keys.
+    tenants: list[_Tenant] | None = None
 
 
 _DECODER = msgspec.json.Decoder(_Config)
 
 
-def decode_config(data: bytes) -> Result[RoutingConfig, str]:
-    """Decode a version of the configuration, or return an error message."""
+def decode_config(
+    data: bytes, uses_accounts: bool = False
+) -> Result[RoutingConfig, str]:
+    """Decode a version of the configuration, or return an error message.
+
+    :param uses_accounts: whether the platform has client accounts. An empty list of
+        them then means that no request has a valid key, and not that none needs one.
+    """
     try:
         config = _DECODER.decode(data)
         routes = [_convert_route(route) for route in config.routes]
     except (msgspec.MsgspecError, RecursionError, KeyError) as error:
         return Err(f"{type(error).__name__}: {error}")
     limits = config.limits
+    tenants = config.tenants or []
     return Ok(
         RoutingConfig(
             version=config.version,
@@ -108,10 +116,11 @@
             },
             account_by_key={
                 key: ConfigAccount(tenant.name, tenant.priority)
-                for tenant in config.tenants
+                for tenant in tenants
                 for key in tenant.api_keys
             },
-            requires_keys=bool(config.tenants),
+            requires_keys=bool(tenants)
+            or (uses_accounts and config.tenants is not None),
             limits=ListenerLimits(
                 limits.max_header_bytes,
                 limits.max_body_bytes,
--- a/lacewingcleat/platform/settings_file.py
+++ b/lacewingcleat/platform/settings_file.py
@@ -16,6 +16,8 @@
 
 SETTINGS_VARIABLE = "LACEWINGCLEAT_SETTINGS"
 MS_PER_SECOND = 1000.0
+# Part of the rules under which requests carry the keys of client accounts.
+ACCOUNT_CONTRACT = "tenants"
 
 
 class _Bounds(msgspec.Struct):
@@ -53,6 +55,7 @@
     bounds: _Bounds
     platform: _Store
     seeds: list[str] = []
+    contracts: list[str] = []
     heartbeat_interval_ms: float = DEFAULT_HEARTBEAT_SECONDS * MS_PER_SECOND
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -87,5 +90,6 @@
             ),
             memory_mb=settings.limits.memory_mb,
             file_descriptors=settings.limits.file_descriptors,
+            uses_accounts=ACCOUNT_CONTRACT in settings.contracts,
         ),
     )
--- a/lacewingcleat/store_changes.py
+++ b/lacewingcleat/store_changes.py
@@ -31,6 +31,7 @@
 
     :param view: view of the store that holds the changed items.
     :param on_config: called with a configuration that has come into force and the time.
+    :param uses_accounts: whether the platform has client accounts with keys.
     """
 
     __slots__ = (
@@ -39,6 +40,7 @@
         "_on_config",
         "_state",
         "_unread_since",
+        "_uses_accounts",
         "_view",
     )
 
@@ -48,11 +50,13 @@
         view: StoreView,
         log: DecisionLog,
         on_config: Callable[[RoutingConfig, float], None],
+        uses_accounts: bool = False,
     ) -> None:
         self._state = state
         self._view = view
         self._log = log
         self._on_config = on_config
+        self._uses_accounts = uses_accounts
         self._unread_since: float | None = None
         self._has_listed = False
 
@@ -100,7 +104,7 @@
         self._state.directory.remove(name, NEVER, now)
 
     def _apply_config(self, value: bytes, change: ViewChange, now: float) -> None:
-        decoded = decode_config(value)
+        decoded = decode_config(value, self._uses_accounts)
         if isinstance(decoded, Err):
             self._log.belief("malformed config", now, error=decoded.err_value)
             self._reject_item(CONFIG_KEY, change, now)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -131,6 +131,21 @@
         self.assertEqual("acme", config.account_by_key["k2"].name)
         self.assertIs(None, config.service_by_name["t"].engine)
 
+    def test_an_empty_list_of_accounts_admits_nobody(self) -> None:
+        """Guards against requests without a key after the last account is removed."""
+        for accounts, uses_accounts, requires_keys in (
+            ([], True, True),
+            ([], False, False),
+            (CONFIG["tenants"], False, True),
+        ):
+            config = decode_config(
+                _encode({**CONFIG, "tenants": accounts}), uses_accounts
+            ).unwrap()
+            self.assertEqual(requires_keys, config.requires_keys)
+        document = {key: CONFIG[key] for key in CONFIG if key != "tenants"}
+        config = decode_config(_encode(document), True).unwrap()
+        self.assertFalse(config.requires_keys)
+
     def test_config_with_an_unknown_kind_is_an_error(self) -> None:
         """Guards against retrying requests of a route whose kind is unknown."""
         routes = [{**CONFIG["routes"][0], "kind": "other"}]  # type: ignore[index]
