--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -1,7 +1,6 @@
 """transport: dispatch caller requests to backend servers over HTTP."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from typing import Any
 
 from twisted.internet import defer
@@ -18,19 +17,14 @@
 from lacewingcleat.load_view import Target
 from lacewingcleat.local_reply import LocalReply, make_local_reply
 from lacewingcleat.platform import request_headers as names
-from lacewingcleat.priority_admission import (
-    ADMITTED,
-    EARLY,
-    FULL,
-    WAITED,
-    Decision,
-)
+from lacewingcleat.priority_admission import EARLY, REFUSED
 from lacewingcleat.request_access import (
     DenialReason,
     Denied,
     authorize_request,
     choose_service,
 )
+from lacewingcleat.request_admission import RequestAdmission
 from lacewingcleat.request_context import AttemptRecord, OpenAttempt, RequestContext
 from lacewingcleat.request_fingerprint import fingerprint_request
 from lacewingcleat.resumable_events import ResumableEvents, parse_last_event_id
@@ -61,16 +55,12 @@
 from lacewingcleat.server_pace import OpenRequest
 from lacewingcleat.server_record import ServerRecord
 from lacewingcleat.server_restrictions import release_wait_seconds
-from lacewingcleat.waiting_requests import Waiting, WaitingRequests
 
 # Maximum number of attempts that end before the request is written, such as failed
 # connection attempts.
 MAX_UNSENT_ATTEMPTS = 4
 # Used for callers that send no deadline.
 DEFAULT_CALLER_TIMEOUT_SECONDS = 2.0
-# Minimum time between two attempts to start waiting requests because of datagrams. In
-# large fleets these arrive hundreds of times a second.
-WAKE_INTERVAL_SECONDS = 0.01
 CRASHES_SERVER = "crashes-server"
 STOPPING = "stopping"
 
@@ -110,12 +100,7 @@
         self._refresh_config = refresh_config
         self._config_may_be_lost = config_may_be_lost
         self._may_begin = may_begin
-        self._call_later = call_later
-        self._waiting: WaitingRequests[RequestContext] = WaitingRequests()
-        self._choice_by_waiting: dict[
-            RequestContext, defer.Deferred[ServerChoice | None]
-        ] = {}
-        self._woken_at = float("-inf")
+        self._admission = RequestAdmission(state, log, metrics, call_later)
         self._open_requests: set[CallerRequest] = set()
 
     def handle(self, request: CallerRequest) -> None:
@@ -265,7 +250,7 @@
         try:
             answer = self._refuse_by_priority(context, request, events)
             if answer is None:
-                choice = await self._wait_for_server(context)
+                choice = await self._admission.wait_for_server(context)
                 if context.cancelled:
                     return 0, "caller gone"
                 answer = self._start_attempt(context, request, events, race, choice)
@@ -284,138 +269,27 @@
     def _refuse_by_priority(
         self, context: RequestContext, request: CallerRequest, events: ResumableEvents
     ) -> tuple[int, str] | None:
-        """Answer a request whose priority is to be refused now.
-
-        A stream that is resumed has been admitted before.
-        """
-        admission = self._state.admission
-        if not admission.is_active(context.service) or events.last_event_id is not None:
+        """Answer a request that is not admitted."""
+        if self._admission.admits(context, events.last_event_id is not None):
             return None
-        now = read_now()
-        context.admission = decision = self._decide_admission(context, now)
-        if decision.admitted:
-            return None
-        self._metrics.count_admission(decision.rank, decision.outcome)
-        self._log.request(
-            "refused by priority",
-            now,
-            request=context.request_id,
-            service=context.service,
-            rank=decision.rank,
-            decision=decision.outcome,
-            share=round(decision.share, 3),
-            account_share=round(decision.account_share, 3),
-            capacity=round(decision.capacity, 1),
-            demand=round(decision.demand, 1),
-            occupancy=round(decision.occupancy, 3),
-            age=round(decision.age, 3),
-        )
-        reason = f"{decision.outcome}-priority"
+        outcome = context.admission.outcome if context.admission else REFUSED
         return self._respond_unsent(
-            context, request, reason, NotRunCause.LOADED, events
+            context, request, f"{outcome}-priority", NotRunCause.LOADED, events
         )
 
-    def _decide_admission(self, context: RequestContext, now: float) -> Decision:
-        admission, refused = self._state.admission, self._state.refused_requests
-        service, rank = context.service, context.granted.rank
-        if refused.seconds_early(context.fingerprint, now):
-            decision = admission.decide(service, rank, 1.0, now)
-            if decision.share < 1.0:
-                return replace(decision, outcome=EARLY)
-        is_return = refused.take_return(context.fingerprint, now)
-        account = context.granted.account.name if context.granted.account else ""
-        admission.record_arrival(service, rank, now, is_return, account)
-        fraction = self._state.random.random()
-        return admission.decide(service, rank, fraction, now, is_return, account)
-
-    async def _wait_for_server(self, context: RequestContext) -> ServerChoice | None:
-        """Return the server of an admitted request, after a wait if all are full.
-
-        Return none if the request was admitted without regard to its priority.
-        """
-        decision = context.admission
-        if decision is None:
-            return None
-        now = read_now()
-        choice: ServerChoice | None = self._state.choose_server(
-            context.service, context.failed_servers, now
-        )
-        outcome = decision.outcome
-        if isinstance(choice, ServersFull) and self._enqueue(context, now):
-            done: defer.Deferred[ServerChoice | None] = defer.Deferred()
-            self._choice_by_waiting[context] = done
-            choice = await done
-            outcome = WAITED
-        if isinstance(choice, ServersFull):
-            outcome = FULL
-        if choice is not None:
-            self._metrics.count_admission(decision.rank, outcome)
-        if outcome != ADMITTED:
-            self._log.request(
-                "all servers full",
-                now,
-                request=context.request_id,
-                service=context.service,
-                rank=decision.rank,
-                decision=outcome if choice is not None else "left",
-                waited_ms=round((read_now() - now) * 1000.0, 1),
-                share=round(decision.share, 3),
-                occupancy=round(decision.occupancy, 3),
-            )
-        return choice
-
-    def _enqueue(self, context: RequestContext, now: float) -> bool:
-        """Let a request wait for a slot, if it can still be in time then."""
-        if self._call_later is None:
-            return False
-        route, service = context.granted.route, context.service
-        objective = route.target_latency_seconds
-        first_event = self._state.first_event_times.estimate(service, objective)
-        latest_start = min(context.deadline, context.arrived_at + objective)
-        waiting = Waiting(
-            context,
-            service,
-            context.granted.rank,
-            context.arrived_at,
-            latest_start - first_event,
-        )
-        free_rate = self._state.admission.free_rate(service)
-        if not self._waiting.add(waiting, free_rate, now):
-            return False
-        self._call_later(waiting.latest_start - now, self.wake_waiting)
-        return True
-
     def handle_peer_counts(self) -> None:
         """Start the waiting requests that fit after peers announced other counts."""
-        if read_now() - self._woken_at >= WAKE_INTERVAL_SECONDS:
-            self.wake_waiting()
+        self._admission.handle_peer_counts()
 
     def wake_waiting(self) -> None:
         """Start the waiting requests that fit, and refuse those that are too late."""
-        if not len(self._waiting):
-            return
-        self._woken_at = now = read_now()
-        for late in self._waiting.take_late(now):
-            self._end_wait(late.item, ServersFull(0.0))
-        for service in self._waiting.services():
-            while (first := self._waiting.first(service)) is not None:
-                choice = self._state.choose_server(service, frozenset(), now)
-                if isinstance(choice, ServersFull):
-                    break
-                # The request is counted in the loads before the next one is tried.
-                self._end_wait(first.item, choice)
-
-    def _end_wait(self, context: RequestContext, choice: ServerChoice | None) -> None:
-        self._waiting.remove(context)
-        done = self._choice_by_waiting.pop(context, None)
-        if done is not None:
-            done.callback(choice)
+        self._admission.wake_waiting()
 
     def _abandon(self, context: RequestContext, race: AttemptRace) -> None:
         """End all work on a request whose caller has disconnected."""
         context.cancelled = True
         race.end()
-        self._end_wait(context, None)
+        self._admission.drop(context)
 
     def _start_attempt(
         self,
--- a/tests/test_priority_dispatch.py
+++ b/tests/test_priority_dispatch.py
@@ -8,7 +8,7 @@
 from testtools import TestCase
 from twisted.internet import defer
 
-from lacewingcleat import direct_dispatch
+from lacewingcleat import direct_dispatch, request_admission
 from lacewingcleat.attempt_result import AttemptResult
 from lacewingcleat.caller_connection import CallerRequest
 from lacewingcleat.direct_dispatch import DirectDispatcher
@@ -92,7 +92,8 @@
         super().setUp()
         self.now = 100.0
         self.number = 0
-        self.patch(direct_dispatch, "read_now", lambda: self.now)
+        for module in (direct_dispatch, request_admission):
+            self.patch(module, "read_now", lambda: self.now)
         self._use_routes(URGENT, BATCH)
 
     def _use_routes(self, *routes: Route) -> None:
