--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -43,6 +43,7 @@
 from lacewingcleat.retry_after import (
     NotRunCause,
     priority_retry_after_seconds,
+    reopening_wait_seconds,
     retry_after_seconds,
 )
 from lacewingcleat.routing_config import RequestKind
@@ -577,6 +578,12 @@
             release_at = self._state.first_release(context.service, now)
             if release_at is not None:
                 return release_wait_seconds(release_at, deadline, random, now)
+            opens_at = self._state.forms_until(context.service, now)
+            if opens_at is not None:
+                urgency = self._state.admission.urgency(
+                    context.service, context.granted.rank
+                )
+                return reopening_wait_seconds(opens_at, urgency, deadline, random, now)
         if cause is NotRunCause.COLD:
             warm_at = self._state.all_warm_from(context.service, now)
             return retry_after_seconds(cause, deadline, random, now, warm_at)
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -423,19 +423,37 @@
             math.floor(record.slots * share + self.random.random()),
         )
 
+    def forms_until(self, service: str, now: float) -> float | None:
+        """Return when the first group of a model service will be open again.
+
+        :returns: none if a group is open, or if no group is forming.
+        """
+        names = self._group_names(service, now)
+        if any(self.groups.is_group_open(name) for name in names):
+            return None
+        times = [self.groups.forms_until(name, now) for name in names]
+        return min((time for time in times if time is not None), default=None)
+
     def expected_open_at(self, service: str, now: float) -> float:
         """Return when the first group of a model service will probably be open.
 
         This is now if a group is open, or the service has no known group.
         """
+        return min(
+            (
+                self.groups.expected_open_at(name, now)
+                for name in self._group_names(service, now)
+            ),
+            default=now,
+        )
+
+    def _group_names(self, service: str, now: float) -> set[str]:
+        """Return the known groups of a model service."""
         names = {
             self.groups.find_group_name(record.name)
             for record in self.directory.all_servers(service, now)
         }
-        return min(
-            (self.groups.expected_open_at(name, now) for name in names if name),
-            default=now,
-        )
+        return {name for name in names if name}
 
     def begin_pace(self, attempt: OpenAttempt, now: float) -> OpenRequest | None:
         """Measure the answer of a server, unless it belongs to a model service."""
--- a/lacewingcleat/group_tracker.py
+++ b/lacewingcleat/group_tracker.py
@@ -132,6 +132,11 @@
         name = self._group_name_by_server.get(server)
         return name is None or not name or self._group_by_name[name].is_open
 
+    def is_group_open(self, name: str) -> bool:
+        """Return whether a group accepts requests; True if it is unknown."""
+        group = self._group_by_name.get(name)
+        return group is None or group.is_open
+
     def expected_open_at(self, name: str, now: float) -> float:
         """Return when a group will probably accept requests, now if it is open.
 
@@ -142,13 +147,24 @@
         group = self._group_by_name.get(name)
         if group is None or group.is_open or group.closed_at is None:
             return now
-        if group.complete_at is not None:
-            formed_at = max(group.complete_at + FORM_SECONDS, group.backoff_until)
-            if formed_at > now:
-                return formed_at
+        formed_at = self.forms_until(name, now)
+        if formed_at is not None:
+            return formed_at
         usual_at = group.closed_at + group.typical_closed_seconds
         return max(usual_at, now + FORM_SECONDS)
 
+    def forms_until(self, name: str, now: float) -> float | None:
+        """Return when a group that is forming will be open.
+
+        :returns: none if the group is open, if ranks are missing, or if it has taken
+            longer than a group usually does to form.
+        """
+        group = self._group_by_name.get(name)
+        if group is None or group.is_open or group.complete_at is None:
+            return None
+        formed_at = max(group.complete_at + FORM_SECONDS, group.backoff_until)
+        return formed_at if formed_at > now else None
+
     def find_pace(self, name: str, now: float) -> GroupPace | None:
         """Return how fast a group produces events, None without recent ones."""
         group = self._group_by_name.get(name)
--- a/lacewingcleat/priority_admission.py
+++ b/lacewingcleat/priority_admission.py
@@ -465,6 +465,15 @@
         rates = [other.recent(now) for key, other in meters.items() if key[0] == rank]
         return compute_account_share(meter.recent(now), rates, share)
 
+    def urgency(self, service: str, rank: int) -> tuple[int, int]:
+        """Return the position of a rank among those in use, and their number.
+
+        :returns: 0 and 1 for a service whose requests have no ranks.
+        """
+        state = self._service_by_name.get(service)
+        ranks = {rank} | set(state.arrivals_by_rank if state else ())
+        return sum(other < rank for other in ranks), len(ranks)
+
     def free_rate(self, service: str) -> float:
         """Return the slots a second that become free for the requests of one entry."""
         state = self._service_by_name.get(service)
--- a/lacewingcleat/retry_after.py
+++ b/lacewingcleat/retry_after.py
@@ -25,6 +25,9 @@
 # Time after the first server of a service is warm over which the callers return that
 # were refused while all were cold.
 WARM_SPREAD_SECONDS = 0.5
+# Time after a group is open again over which the callers return that were refused while
+# it formed. Its first map ignores the demand, so it takes fewer streams than usual.
+REOPEN_SPREAD_SECONDS = 1.0
 # Least part of the longest wait, where that is shorter than the time until then.
 MIN_CAPPED_SHARE = 0.6
 
@@ -79,6 +82,29 @@
     return min(wait, max_wait)
 
 
+def reopening_wait_seconds(
+    opens_at: float,
+    urgency: tuple[int, int],
+    deadline: float,
+    random: Random,
+    now: float,
+) -> float:
+    """Return the seconds after which a caller refused by a forming group should retry.
+
+    Urgent callers return first, each rank over its part of the time, so that the group
+    is not filled by all that were refused meanwhile.
+
+    :param opens_at: time at which the group will be open.
+    :param urgency: position of the request's rank among those in use, 0 for the most
+        urgent, and their number.
+    :param deadline: time until which the caller waits for a response.
+    """
+    max_wait = max(0.0, (deadline - now) * MAX_WAIT_SHARE - NETWORK_MARGIN_SECONDS)
+    position, count = urgency
+    spread = (position + random.random()) / count * REOPEN_SPREAD_SECONDS
+    return min(max_wait, max(0.0, opens_at - now) + spread)
+
+
 def priority_retry_after_seconds(
     share: float, deadline: float, random: Random, now: float
 ) -> float:
--- a/tests/test_group_tracker.py
+++ b/tests/test_group_tracker.py
@@ -88,6 +88,20 @@
             1.0 + INITIAL_CLOSED_SECONDS, watch.expected_open_at("g", 2.3)
         )
 
+    def test_a_group_forms_only_while_all_ranks_are_there(self) -> None:
+        """Guards against callers who are told a time that is only a guess."""
+        watch = self._make_tracker()
+        self.assertTrue(watch.is_group_open("g"))
+        watch.record_refusal("i-1", 1.0)
+        watch.select_servers_to_poll(["i-2"], 1.2)
+        self.assertFalse(watch.is_group_open("g"))
+        self.assertIsNone(watch.forms_until("g", 1.3))
+        watch.select_servers_to_poll(["i-1", "i-2"], 3.0)
+        formed_at = watch.forms_until("g", 3.1)
+        self.assertIsNotNone(formed_at)
+        self.assertAlmostEqual(3.0 + FORM_SECONDS, formed_at)
+        self.assertIsNone(watch.forms_until("g", 3.0 + FORM_SECONDS))
+
     def test_usual_closures_are_learned(self) -> None:
         """Guards against telling callers the same time whatever groups need."""
         watch = self._make_tracker()
