--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -587,9 +587,14 @@
         if cause is NotRunCause.COLD:
             warm_at = self._state.all_warm_from(context.service, now)
             return retry_after_seconds(cause, deadline, random, now, warm_at)
-        decision = context.admission
-        if decision is None or cause is not NotRunCause.LOADED:
+        if cause is not NotRunCause.LOADED:
             return retry_after_seconds(cause, deadline, random, now)
+        overloaded = self._state.overload.record_refusal(context.service, now)
+        decision = context.admission
+        if decision is None:
+            return retry_after_seconds(
+                cause, deadline, random, now, overloaded_seconds=overloaded
+            )
         refused = self._state.refused_requests
         early = refused.seconds_early(context.fingerprint, now)
         if early and decision.outcome == EARLY:
--- a/lacewingcleat/direct_state.py
+++ b/lacewingcleat/direct_state.py
@@ -21,7 +21,7 @@
 )
 from lacewingcleat.request_context import OpenAttempt, RequestContext
 from lacewingcleat.retries import RetryBudget, RetryPolicy
-from lacewingcleat.retry_after import RefusedRequests
+from lacewingcleat.retry_after import OverloadClock, RefusedRequests
 from lacewingcleat.routing_config import EngineCapacity, RoutingConfig, ServiceConfig
 from lacewingcleat.server_choice import (
     ChosenServer,
@@ -123,6 +123,7 @@
         "loads",
         "max_event_interval_seconds",
         "outliers",
+        "overload",
         "pace",
         "peers",
         "random",
@@ -157,6 +158,7 @@
         self.admission = PriorityAdmission()
         self.first_event_times = FirstEventTimes()
         self.refused_requests = RefusedRequests()
+        self.overload = OverloadClock()
         self.peers = peers
         self.random = random
         self.rate_limits = ServerRateLimits(peers.own_address)
@@ -234,6 +236,7 @@
         self.config = config
         self.max_event_interval_seconds = config.min_event_interval_seconds()
         self.admission.set_services(find_prioritized_services(config))
+        self.overload.retain(config.service_by_name)
         self._cold_services = {
             name: service
             for name, service in config.service_by_name.items()
--- a/lacewingcleat/retry_after.py
+++ b/lacewingcleat/retry_after.py
@@ -7,6 +7,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Container
 from enum import Enum
 from random import Random
 
@@ -14,6 +15,13 @@
 MAX_WAIT_SHARE = 1.0 / 3.0
 # Subtracted from the maximum wait for the network latency to the caller.
 NETWORK_MARGIN_SECONDS = 0.05
+# Addition to that range for each second for which the service has been overloaded, and
+# the most seconds that count. An overload that has lasted is likely to last for as long
+# again, and a caller that returns meanwhile is refused for good.
+LOADED_WAIT_PER_OVERLOADED_SECOND = 0.6
+MAX_COUNTED_OVERLOAD_SECONDS = 2.0
+# Time without a refusal after which an overload has ended.
+OVERLOAD_GAP_SECONDS = 1.0
 # A group or zone that is down recovers after several seconds, which is longer than most
 # callers wait, so the maximum wait usually applies instead.
 OUTAGE_WAIT_SECONDS = 3.0
@@ -60,18 +68,20 @@
     random: Random,
     now: float,
     warm_at: float | None = None,
+    overloaded_seconds: float = 0.0,
 ) -> float:
     """Return the seconds after which the caller should retry.
 
     :param deadline: time until which the caller waits for a response.
     :param warm_at: time from which the first server is warm, if all are cold.
+    :param overloaded_seconds: time for which the service has been overloaded.
     """
     max_wait = max(0.0, (deadline - now) * MAX_WAIT_SHARE - NETWORK_MARGIN_SECONDS)
     match cause:
         case NotRunCause.OTHER_ENTRY:
             wait = OTHER_ENTRY_WAIT_SECONDS
         case NotRunCause.LOADED:
-            wait = random.uniform(*LOADED_WAIT_RANGE_SECONDS)
+            wait = _loaded_wait(overloaded_seconds, max_wait, random)
         case NotRunCause.OUTAGE:
             wait = OUTAGE_WAIT_SECONDS
         case NotRunCause.COLD:
@@ -82,6 +92,42 @@
     return min(wait, max_wait)
 
 
+def _loaded_wait(overloaded_seconds: float, max_wait: float, random: Random) -> float:
+    counted = min(overloaded_seconds, MAX_COUNTED_OVERLOAD_SECONDS)
+    addition = counted * LOADED_WAIT_PER_OVERLOADED_SECOND
+    low, high = (bound + addition for bound in LOADED_WAIT_RANGE_SECONDS)
+    if addition and high > max_wait:
+        # The range is scaled and not cut off, so that returns stay spread.
+        low, high = low * max_wait / high, max_wait
+    return random.uniform(low, high)
+
+
+class OverloadClock:
+    """Measure for how long services have been overloaded without a break."""
+
+    __slots__ = ("_period_by_service",)
+
+    def __init__(self) -> None:
+        # Begin of the overload and time of the latest refusal.
+        self._period_by_service: dict[str, tuple[float, float]] = {}
+
+    def record_refusal(self, service: str, now: float) -> float:
+        """Count a refusal for lack of free slots.
+
+        :returns: seconds for which the service has been overloaded.
+        """
+        begin, latest = self._period_by_service.get(service, (now, now))
+        if now - latest > OVERLOAD_GAP_SECONDS:
+            begin = now
+        self._period_by_service[service] = begin, now
+        return now - begin
+
+    def retain(self, services: Container[str]) -> None:
+        """Discard the state of all other services."""
+        for name in [name for name in self._period_by_service if name not in services]:
+            del self._period_by_service[name]
+
+
 def reopening_wait_seconds(
     opens_at: float,
     urgency: tuple[int, int],
