--- a/lacewingcleat/order_fence.py
+++ b/lacewingcleat/order_fence.py
@@ -116,11 +116,17 @@
 
 @dataclass(slots=True)
 class _OutstandingOrder:
+    """Hold the order whose effect is not confirmed.
+
+    :ivar engine_incarnation: run of the engine that the order was sent to, none until
+        the first state that was read after the order was issued.
+    """
+
     number: FenceNumber
     order: Order
     submitted_at: float
-    engine_incarnation: str
     issued_at: float
+    engine_incarnation: str | None = None
     answered: bool = False
     answer_read_id: int = 0
     alarmed: bool = False
@@ -252,10 +258,14 @@
             number,
             order,
             now,
-            self.state.incarnation,
             now,
         )
-        return Ok([IssueOrder(number, order)])
+        actions: list[FenceAction] = [IssueOrder(number, order)]
+        if not self.engine_checks_fencing:
+            # The known state may be of an earlier run of the engine. If the order were
+            # taken as lost with that run, it could still be applied in the present one.
+            actions.append(self._request_read(now))
+        return Ok(actions)
 
     def order_answered(self, number: FenceNumber, now: float) -> list[FenceAction]:
         """Record that the engine has answered an order, and read the state back.
@@ -344,6 +354,8 @@
 
     def _is_confirmed(self, outstanding: _OutstandingOrder, state: EngineState) -> bool:
         # If the order was sent again, the restarted engine may still apply a copy.
+        if outstanding.engine_incarnation is None:
+            outstanding.engine_incarnation = state.incarnation
         restarted = state.incarnation != outstanding.engine_incarnation
         if restarted and not self.engine_checks_fencing:
             return True
--- a/tests/test_order_fence.py
+++ b/tests/test_order_fence.py
@@ -226,6 +226,37 @@
         """Guards against the same faults if only the agent refuses orders."""
         run_machine(NonFencingOrderMachine)
 
+    def test_an_order_after_an_unnoticed_restart_stays_outstanding(self) -> None:
+        """Guards against an order taken as lost in a restart that came before it.
+
+        It would still be in the engine while the next order is admitted.
+        """
+        fence = make_fence(False)
+        number = FenceNumber(FIRST, 1)
+        fence.submit(number, fence.grant(2.0), LOAD, 2.0)
+        fence.tick(2.6)
+        fence.state_read(fence.last_read_id, EngineState("restarted"), 2.7)
+        second = FenceNumber(FIRST, 2)
+        refused = fence.submit(second, fence.grant(2.8), LOAD, 2.8)
+        self.assertEqual(Err(Refusal.BUSY), refused)
+        fence.tick(3.2)
+        fence.state_read(fence.last_read_id, EngineState("once more"), 3.3)
+        self.assertTrue(fence.ready)
+
+    def test_generated_steps_with_two_orders_after_a_restart(self) -> None:
+        """Guards against the steps by which generated tests found that fault."""
+        machine = NonFencingOrderMachine()
+        machine.begin()
+        for _ in range(2):
+            machine.restart_engine()
+        machine.wait(0.5, 4)
+        for _ in range(2):
+            machine.restart_engine()
+        machine.order(False, True, "a")
+        machine.wait(0.25, 2)
+        machine.order(False, True, "a")
+        machine.each_order_takes_effect_once_and_in_order()
+
     def test_order_of_a_replaced_leader_is_refused(self) -> None:
         """Guards against orders of a leader that is unaware of its replacement."""
         fence = make_fence(False)
