--- a/lacewingcleat/entry_answer.py
+++ b/lacewingcleat/entry_answer.py
@@ -4,6 +4,7 @@
 another backend server if the body breaks off. Streams are forwarded event by event.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import defer
@@ -40,9 +41,13 @@
         self._reactor = reactor
         self._call = call
 
-    async def forward(self, response: Any, ticket: str) -> ResponseKind:
+    async def forward(
+        self, response: Any, ticket: str, may_move: Callable[[], bool]
+    ) -> ResponseKind:
         """Forward a response and return how it ended.
 
+        :param may_move: returns whether another server could go on with a stream.
+
         Once a stream has begun, only a stream can continue it. Anything else, such as
         an error of the server that should resume it, counts as a broken response.
         """
@@ -52,10 +57,12 @@
             discard_body(response)
             return ResponseKind.BROKEN
         if is_stream:
-            return await self._forward_stream(response)
+            return await self._forward_stream(response, may_move)
         return await self._forward_body(response, ticket)
 
-    async def _forward_stream(self, response: Any) -> ResponseKind:
+    async def _forward_stream(
+        self, response: Any, may_move: Callable[[], bool]
+    ) -> ResponseKind:
         call = self._call
         request = call.request
         splitter = EventSplitter()
@@ -97,6 +104,7 @@
             call.deadline - read_now(),
             call.time_out,
             call.abort_connection,
+            may_move,
         )
         response.deliverBody(receiver)
         if request.is_open:
--- a/lacewingcleat/entry_attempts.py
+++ b/lacewingcleat/entry_attempts.py
@@ -307,7 +307,9 @@
         code = first_header(response.headers, names.OUTCOME_CODE)
         self._compare_revision(target.server, response)
         if outcome == Outcome.RAN.value and not code:
-            response_kind = await context.writer.forward(response, context.ticket)
+            response_kind = await context.writer.forward(
+                response, context.ticket, lambda: self._may_move(context)
+            )
             if response_kind is ResponseKind.COMPLETE:
                 return None
             return Attempt(target.server, SendProgress.SOME, response_kind)
@@ -368,6 +370,13 @@
         )
         return self._node.can_route(route)
 
+    def _may_move(self, context: AttemptContext) -> bool:
+        """Return whether another target could go on with a stream or repeat it."""
+        may_repeat = (
+            context.resumable if context.call.head_written else context.idempotent
+        )
+        return may_repeat and self._has_other_target(context)
+
     def report_outcome(self, context: AttemptContext, decision: RetryDecision) -> None:
         """Report the outcome of a request to its caller."""
         match decision:
--- a/lacewingcleat/entry_call.py
+++ b/lacewingcleat/entry_call.py
@@ -84,14 +84,18 @@
     :param total_seconds: maximum time until the response is complete.
     :param abort: aborts the response.
     :param on_stall: aborts the connection of a caller that has stopped reading.
+    :param may_abort_idle: returns whether a silent response is worth aborting. If no
+        other server can go on with it, its own server may still do so.
     """
 
     __slots__ = (
         "_abort",
         "_idle_seconds",
         "_idle_timer",
+        "_may_abort_idle",
         "_on_stall",
         "_paused",
+        "_reactor",
         "_total_timer",
     )
 
@@ -102,7 +106,10 @@
         total_seconds: float,
         abort: Callable[[], None],
         on_stall: Callable[[], None] = lambda: None,
+        may_abort_idle: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._reactor = reactor
+        self._may_abort_idle = may_abort_idle
         self._idle_seconds = idle_seconds
         self._abort = abort
         self._on_stall = on_stall
@@ -125,8 +132,12 @@
     def _handle_idle(self) -> None:
         if self._paused:
             self._on_stall()
-        else:
+        elif self._may_abort_idle():
             self._abort()
+        else:
+            self._idle_timer = self._reactor.callLater(
+                self._idle_seconds, self._handle_idle
+            )
 
     def stop(self) -> None:
         """Cancel both timeouts."""
--- a/tests/test_listeners_memory.py
+++ b/tests/test_listeners_memory.py
@@ -250,6 +250,27 @@
         clock.advance(10.0)
         self.assertEqual(["abort"], events)
 
+    def test_a_silent_server_is_kept_while_no_other_can_go_on(self) -> None:
+        """Guards against streams that are cut for nothing, or kept for ever."""
+        clock = Clock()
+        events: list[str] = []
+        others = [False]
+        BodyTimeouts(
+            clock,
+            10.0,
+            35.0,
+            lambda: events.append("abort"),
+            may_abort_idle=lambda: others[0],
+        )
+        clock.pump([5.0] * 5)
+        self.assertEqual([], events)
+        others[0] = True
+        clock.advance(5.0)
+        self.assertEqual(["abort"], events)
+        others[0] = False
+        clock.advance(5.0)
+        self.assertEqual(["abort", "abort"], events)
+
 
 class ClientTest(TestCase):
     def test_an_endless_head_closes_the_connection(self) -> None:
