--- a/lacewingcleat/priority_admission.py
+++ b/lacewingcleat/priority_admission.py
@@ -48,6 +48,9 @@
 # Minimum share of a rank, as a fraction of the mean share of all. Callers of the least
 # urgent route also wait for an answer, and bursts of the others last for seconds.
 MIN_SHARE_RATIO = 0.5
+# The same for all ranks but the most urgent one, once that is served. The least urgent
+# callers otherwise get no more than the minimum through all of an overload.
+OTHER_MIN_SHARE_RATIO = 0.7
 # How much more likely a caller that returns when it was told is to be admitted than a
 # new one of its rank.
 RETURN_WEIGHT = 2.0
@@ -202,28 +205,48 @@
 ) -> dict[int, float]:
     """Return the share of the requests of each rank to admit.
 
-    More urgent ranks are served first, except for a minimum of each.
+    All get a minimum. After that the most urgent rank is served first, then all others
+    up to a higher minimum, then these in the order of urgency.
 
     :param capacity: requests a second that can be admitted.
     """
     demand = sum(rate_by_rank.values())
     if capacity >= demand:
         return dict.fromkeys(rate_by_rank, 1.0)
-    minimum = MIN_SHARE_RATIO * max(0.0, capacity) / demand
+    mean = max(0.0, capacity) / demand
+    shares = dict.fromkeys(sorted(rate_by_rank), MIN_SHARE_RATIO * mean)
     remaining = max(0.0, capacity) * (1.0 - MIN_SHARE_RATIO)
-    shares = {}
-    for rank in sorted(rate_by_rank):
-        wanted = (1.0 - minimum) * rate_by_rank[rank]
-        if wanted < remaining:
-            remaining -= wanted
-            shares[rank] = 1.0
-        else:
-            extra = (1.0 - minimum) * remaining / wanted if wanted else 0.0
-            shares[rank] = minimum + extra
-            remaining = 0.0
+    first, *others = shares
+    remaining = _raise_shares(shares, [first], rate_by_rank, 1.0, remaining)
+    level = OTHER_MIN_SHARE_RATIO * mean
+    remaining = _raise_shares(shares, others, rate_by_rank, level, remaining)
+    for rank in others:
+        remaining = _raise_shares(shares, [rank], rate_by_rank, 1.0, remaining)
     return shares
 
 
+def _raise_shares(
+    shares: dict[int, float],
+    ranks: Iterable[int],
+    rate_by_rank: Mapping[int, float],
+    level: float,
+    remaining: float,
+) -> float:
+    """Raise the equal shares of some ranks to a level, as far as the capacity suffices.
+
+    :param remaining: requests a second that can still be admitted.
+    :returns: what remains after that.
+    """
+    ranks = list(ranks)
+    wanted = sum((level - shares[rank]) * rate_by_rank[rank] for rank in ranks)
+    if remaining <= 0.0:
+        return 0.0
+    granted = min(1.0, remaining / wanted) if wanted > 0.0 else 1.0
+    for rank in ranks:
+        shares[rank] += granted * (level - shares[rank])
+    return remaining - wanted if granted == 1.0 else 0.0
+
+
 def compute_account_share(rate: float, rates: Iterable[float], share: float) -> float:
     """Return the share of the requests of one account to admit.
 
--- a/tests/test_priority_admission.py
+++ b/tests/test_priority_admission.py
@@ -9,6 +9,7 @@
 from lacewingcleat.priority_admission import (
     MAX_ACCOUNTS,
     MIN_SHARE_RATIO,
+    OTHER_MIN_SHARE_RATIO,
     PriorityAdmission,
     ServiceDemand,
     compute_account_share,
@@ -153,6 +154,19 @@
         self.assertAlmostEqual(MIN_SHARE_RATIO * 0.5, shares[2])
         self.assertAlmostEqual(15.0, 10.0 * sum(shares.values()))
 
+    def test_the_least_urgent_rank_gets_more_than_the_minimum(self) -> None:
+        """Guards against a route that is kept at the minimum through an overload.
+
+        The most urgent rank is served in full, and the others get 0.7 of the mean
+        before the second one gets more than the third.
+        """
+        rates = {0: 41.0, 1: 54.0, 2: 18.0}
+        shares = compute_shares(rates, 80.0)
+        mean = 80.0 / 113.0
+        self.assertGreater(shares[0], 0.99)
+        self.assertGreaterEqual(shares[2] + 1e-9, OTHER_MIN_SHARE_RATIO * mean)
+        self.assertAlmostEqual(80.0, sum(rates[rank] * shares[rank] for rank in rates))
+
     def test_shares_never_rise_with_less_urgency(self) -> None:
         """Guards against a less urgent route that is served more often."""
         random = Random(1)
