--- a/lacewingcleat/platform/order_call.py
+++ b/lacewingcleat/platform/order_call.py
@@ -1,6 +1,9 @@
 """protocol: orders to ranks on the platform, and reports and counts of ranks."""
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 from result import Err, Ok, Result
 
 from lacewingcleat.expert_demand import RankSelectionCounts
@@ -20,6 +23,8 @@
 ORDER_TARGET = b"/order"
 COUNTS_TARGET = b"/picked"
 EXPERTS_TARGET = b"/picked?lists=1"
+# Largest count of which the estimate of the demand is exact.
+MAX_COUNT = 1 << 53
 
 
 class _Group(msgspec.Struct):
@@ -45,7 +50,7 @@
 
 class _Counts(msgspec.Struct):
     epoch: int
-    counts: tuple[int, ...]
+    counts: tuple[Annotated[int, Meta(ge=0, le=MAX_COUNT)], ...]
 
 
 class _Lists(msgspec.Struct):
