--- a/lacewingcleat/entry_attempts.py
+++ b/lacewingcleat/entry_attempts.py
@@ -260,7 +260,7 @@
         remaining_seconds = call.deadline - read_now()
         timeout = (
             min(RESPONSE_HEAD_TIMEOUT_SECONDS, remaining_seconds)
-            if context.idempotent
+            if self._may_move(context)
             else remaining_seconds
         )
 
