--- a/lacewingcleat/entry_answer.py
+++ b/lacewingcleat/entry_answer.py
@@ -46,10 +46,10 @@
     ) -> ResponseKind:
         """Forward a response and return how it ended.
 
-        :param may_move: returns whether another server could go on with a stream.
-
         Once a stream has begun, only a stream can continue it. Anything else, such as
         an error of the server that should resume it, counts as a broken response.
+
+        :param may_move: returns whether another server could go on with a stream.
         """
         content_type = first_header(response.headers, "Content-Type")
         is_stream = content_type.startswith(event_stream.CONTENT_TYPE)
--- a/lacewingcleat/order_fence.py
+++ b/lacewingcleat/order_fence.py
@@ -296,6 +296,8 @@
             self._min_read_id = read_id
             self._record_state(read_id, state)
             return []
+        if outstanding.engine_incarnation is None:
+            outstanding.engine_incarnation = state.incarnation
         is_after_answer = outstanding.answered and read_id >= outstanding.answer_read_id
         if is_after_answer or (
             not outstanding.answered and self._is_confirmed(outstanding, state)
@@ -354,8 +356,6 @@
 
     def _is_confirmed(self, outstanding: _OutstandingOrder, state: EngineState) -> bool:
         # If the order was sent again, the restarted engine may still apply a copy.
-        if outstanding.engine_incarnation is None:
-            outstanding.engine_incarnation = state.incarnation
         restarted = state.incarnation != outstanding.engine_incarnation
         if restarted and not self.engine_checks_fencing:
             return True
--- a/lacewingcleat/priority_admission.py
+++ b/lacewingcleat/priority_admission.py
@@ -12,7 +12,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from math import exp
 
@@ -227,7 +227,7 @@
 
 def _raise_shares(
     shares: dict[int, float],
-    ranks: Iterable[int],
+    ranks: Sequence[int],
     rate_by_rank: Mapping[int, float],
     level: float,
     remaining: float,
@@ -237,10 +237,9 @@
     :param remaining: requests a second that can still be admitted.
     :returns: what remains after that.
     """
-    ranks = list(ranks)
-    wanted = sum((level - shares[rank]) * rate_by_rank[rank] for rank in ranks)
     if remaining <= 0.0:
         return 0.0
+    wanted = sum((level - shares[rank]) * rate_by_rank[rank] for rank in ranks)
     granted = min(1.0, remaining / wanted) if wanted > 0.0 else 1.0
     for rank in ranks:
         shares[rank] += granted * (level - shares[rank])
--- a/lacewingcleat/retry_after.py
+++ b/lacewingcleat/retry_after.py
@@ -15,6 +15,12 @@
 MAX_WAIT_SHARE = 1.0 / 3.0
 # Subtracted from the maximum wait for the network latency to the caller.
 NETWORK_MARGIN_SECONDS = 0.05
+# A group or zone that is down recovers after several seconds, which is longer than most
+# callers wait, so the maximum wait usually applies instead.
+OUTAGE_WAIT_SECONDS = 3.0
+# Range of the random wait for a loaded service, whose requests take about a second.
+# Randomness spreads the retries of callers that are refused together over this time.
+LOADED_WAIT_RANGE_SECONDS = (0.5, 1.6)
 # Addition to that range for each second for which the service has been overloaded, and
 # the most seconds that count. An overload that has lasted is likely to last for as long
 # again, and a caller that returns meanwhile is refused for good.
@@ -22,12 +28,6 @@
 MAX_COUNTED_OVERLOAD_SECONDS = 2.0
 # Time without a refusal after which an overload has ended.
 OVERLOAD_GAP_SECONDS = 1.0
-# A group or zone that is down recovers after several seconds, which is longer than most
-# callers wait, so the maximum wait usually applies instead.
-OUTAGE_WAIT_SECONDS = 3.0
-# Range of the random wait for a loaded service, whose requests take about a second.
-# Randomness spreads the retries of callers that are refused together over this time.
-LOADED_WAIT_RANGE_SECONDS = (0.5, 1.6)
 # Another entry can serve the caller as soon as the caller connects to it.
 OTHER_ENTRY_WAIT_SECONDS = 0.05
 # Time after the first server of a service is warm over which the callers return that
