--- a/lacewingcleat/direct_dispatch.py
+++ b/lacewingcleat/direct_dispatch.py
@@ -17,7 +17,7 @@
 from lacewingcleat.load_view import Target
 from lacewingcleat.local_reply import LocalReply, make_local_reply
 from lacewingcleat.platform import request_headers as names
-from lacewingcleat.priority_admission import EARLY, REFUSED
+from lacewingcleat.priority_admission import EARLY
 from lacewingcleat.request_access import (
     DenialReason,
     Denied,
@@ -271,11 +271,13 @@
         self, context: RequestContext, request: CallerRequest, events: ResumableEvents
     ) -> tuple[int, str] | None:
         """Answer a request that is not admitted."""
-        if self._admission.admits(context, events.last_event_id is not None):
+        is_resumed = events.last_event_id is not None
+        refusal = self._admission.find_refusal(context, is_resumed)
+        if refusal is None:
             return None
-        outcome = context.admission.outcome if context.admission else REFUSED
+        reason = f"{refusal.outcome}-priority"
         return self._respond_unsent(
-            context, request, f"{outcome}-priority", NotRunCause.LOADED, events
+            context, request, reason, NotRunCause.LOADED, events
         )
 
     def handle_peer_counts(self) -> None:
--- a/lacewingcleat/request_admission.py
+++ b/lacewingcleat/request_admission.py
@@ -49,17 +49,20 @@
         ] = {}
         self._woken_at = float("-inf")
 
-    def admits(self, context: RequestContext, is_resumed: bool) -> bool:
-        """Decide whether a request is admitted, and note the decision in its context.
+    def find_refusal(
+        self, context: RequestContext, is_resumed: bool
+    ) -> Decision | None:
+        """Decide on a request, and note the decision in its context.
 
         :param is_resumed: whether it goes on with a stream, which was admitted before.
+        :returns: the decision if the request is refused, none if it is admitted.
         """
         if is_resumed or not self._state.admission.is_active(context.service):
-            return True
+            return None
         now = read_now()
         context.admission = decision = self._decide(context, now)
         if decision.admitted:
-            return True
+            return None
         self._metrics.count_admission(decision.rank, decision.outcome)
         self._log.request(
             "refused by priority",
@@ -75,7 +78,7 @@
             occupancy=round(decision.occupancy, 3),
             age=round(decision.age, 3),
         )
-        return False
+        return decision
 
     def _decide(self, context: RequestContext, now: float) -> Decision:
         admission, refused = self._state.admission, self._state.refused_requests
--- a/lacewingcleat/retry_after.py
+++ b/lacewingcleat/retry_after.py
@@ -76,7 +76,7 @@
     :param warm_at: time from which the first server is warm, if all are cold.
     :param overloaded_seconds: time for which the service has been overloaded.
     """
-    max_wait = max(0.0, (deadline - now) * MAX_WAIT_SHARE - NETWORK_MARGIN_SECONDS)
+    max_wait = _max_wait(deadline, now)
     match cause:
         case NotRunCause.OTHER_ENTRY:
             wait = OTHER_ENTRY_WAIT_SECONDS
@@ -92,6 +92,11 @@
     return min(wait, max_wait)
 
 
+def _max_wait(deadline: float, now: float) -> float:
+    """Return the longest time that a caller waits before it retries."""
+    return max(0.0, (deadline - now) * MAX_WAIT_SHARE - NETWORK_MARGIN_SECONDS)
+
+
 def _loaded_wait(overloaded_seconds: float, max_wait: float, random: Random) -> float:
     counted = min(overloaded_seconds, MAX_COUNTED_OVERLOAD_SECONDS)
     addition = counted * LOADED_WAIT_PER_OVERLOADED_SECOND
@@ -145,7 +150,7 @@
         urgent, and their number.
     :param deadline: time until which the caller waits for a response.
     """
-    max_wait = max(0.0, (deadline - now) * MAX_WAIT_SHARE - NETWORK_MARGIN_SECONDS)
+    max_wait = _max_wait(deadline, now)
     position, count = urgency
     spread = (position + random.random()) / count * REOPEN_SPREAD_SECONDS
     return min(max_wait, max(0.0, opens_at - now) + spread)
@@ -159,7 +164,7 @@
     :param share: share of the requests of its priority that is admitted.
     :param deadline: time until which the caller waits for a response.
     """
-    max_wait = max(0.0, (deadline - now) * MAX_WAIT_SHARE - NETWORK_MARGIN_SECONDS)
+    max_wait = _max_wait(deadline, now)
     low, high = (
         share * short + (1.0 - share) * long
         for short, long in zip(
