--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -225,6 +225,15 @@
             self._events.append(item)
             self._changed.notify_all()
 
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        with self._changed:
+            self._revision += 1
+            self._item_by_key.pop(key, None)
+            event = {"key": key, "revision": self._revision, "removed": True}
+            self._events.append(event)
+            self._changed.notify_all()
+
     def _serve(self, stream: socket.socket) -> None:
         while (request := read_request(stream)) is not None:
             path, _, query = request.target.partition("?")
